--- /dev/null
+++ b/internal/conn/fetch.go
@@ -0,0 +1,126 @@
+package conn
+
+import (
+	"context"
+	"crypto/rand"
+	"net"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/silverswitch/silverswitch/internal/version"
+)
+
+// MethodVersion is the JSON-RPC method that returns the version in force.
+const MethodVersion = "version.get"
+
+const (
+	fetchTimeout = 3 * time.Second
+	nonceBytes   = 16
+	codeNone     = 1 // no version in force
+	codeSealed   = 2 // the question was not sealed by this fleet
+)
+
+// FetchParams is the question: a nonce, and the same nonce sealed, which proves
+// that the asker has the fleet's key.
+type FetchParams struct {
+	Nonce []byte `json:"nonce"`
+	Proof []byte `json:"proof"`
+}
+
+// FetchResult is a packed version, sealed and bound to the question's nonce.
+type FetchResult struct {
+	Sealed []byte `json:"sealed"`
+}
+
+// FetchServer answers peers that ask for the version in force.
+type FetchServer struct {
+	listener net.Listener
+	sealer   *Sealer
+	packed   func() []byte
+}
+
+// ServeFetch listens on the peer address over TCP. packed returns the version in
+// force, or nil; it is called by any goroutine.
+func ServeFetch(addr string, sealer *Sealer, packed func() []byte) (*FetchServer, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, ErrPeer.Wrap(err, "listen on %q", addr)
+	}
+	s := &FetchServer{listener: l, sealer: sealer, packed: packed}
+	go s.accept()
+	return s, nil
+}
+
+func (s *FetchServer) accept() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		if err := c.SetDeadline(time.Now().Add(fetchTimeout)); err != nil {
+			c.Close()
+			continue
+		}
+		stream := jsonrpc2.NewBufferedStream(c, jsonrpc2.VSCodeObjectCodec{})
+		jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(s.handle), jsonrpc2.SetLogger(quiet{}))
+	}
+}
+
+// quiet drops the library's own log lines; refusals are errors to the asker.
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
+
+func (s *FetchServer) handle(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+	if r.Method != MethodVersion || r.Params == nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + r.Method}
+	}
+	var p FetchParams
+	if err := unmarshal(*r.Params, &p); err != nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+	}
+	if proof, err := s.sealer.Open(p.Proof, p.Nonce); err != nil || string(proof) != MethodVersion {
+		return nil, &jsonrpc2.Error{Code: codeSealed, Message: "not sealed with this fleet's key"}
+	}
+	raw := s.packed()
+	if raw == nil {
+		return nil, &jsonrpc2.Error{Code: codeNone, Message: "no version in force"}
+	}
+	return FetchResult{Sealed: s.sealer.Seal(raw, p.Nonce)}, nil
+}
+
+// Close stops listening.
+func (s *FetchServer) Close() error { return s.listener.Close() }
+
+// Fetch reads the version in force at a peer. The bytes are not yet checked.
+func Fetch(ctx context.Context, addr string, sealer *Sealer) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, ErrPeer.Wrap(err, "fetch from %s", addr)
+	}
+	stream := jsonrpc2.NewBufferedStream(c, jsonrpc2.VSCodeObjectCodec{})
+	rpc := jsonrpc2.NewConn(ctx, stream, jsonrpc2.HandlerWithError(refuseAll), jsonrpc2.SetLogger(quiet{}))
+	defer rpc.Close()
+	nonce := make([]byte, nonceBytes)
+	rand.Read(nonce)
+	var res FetchResult
+	p := FetchParams{Nonce: nonce, Proof: sealer.Seal([]byte(MethodVersion), nonce)}
+	if err := rpc.Call(ctx, MethodVersion, p, &res); err != nil {
+		return nil, ErrPeer.Wrap(err, "fetch from %s", addr)
+	}
+	raw, err := sealer.Open(res.Sealed, nonce)
+	if err != nil {
+		return nil, err
+	}
+	if len(raw) > version.MaxPacked {
+		return nil, ErrPeer.New("fetch from %s: %d bytes: allowed: at most %d", addr, len(raw), version.MaxPacked)
+	}
+	return raw, nil
+}
+
+func refuseAll(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this side answers nothing"}
+}
--- /dev/null
+++ b/internal/conn/route.go
@@ -0,0 +1,98 @@
+package conn
+
+import (
+	"net"
+	"net/netip"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/silverswitch/silverswitch/internal/core/wire"
+)
+
+// Route is the UDP socket to all other routers. Send may be called by one
+// goroutine, Receive by another.
+type Route struct {
+	sock     *net.UDPConn
+	sealer   *Sealer
+	SentB    metrics.Counter // bytes with UDP and IP headers
+	SentN    metrics.Counter
+	RecvB    metrics.Counter
+	RecvN    metrics.Counter
+	Refused  metrics.Counter // not sealed by this fleet, or not decodable
+	SendFail metrics.Counter
+}
+
+// headerBytes is what IPv4 and UDP add to each datagram.
+const headerBytes = 28
+
+// Listen opens the socket at an address with an IP number.
+func Listen(addr string, sealer *Sealer, reg metrics.Registry) (*Route, error) {
+	ap, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return nil, ErrPeer.Wrap(err, "listen on %q", addr)
+	}
+	sock, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(ap))
+	if err != nil {
+		return nil, ErrPeer.Wrap(err, "listen on %q", addr)
+	}
+	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, reg) }
+	return &Route{
+		sock:     sock,
+		sealer:   sealer,
+		SentB:    counter("control.sent.bytes"),
+		SentN:    counter("control.sent.datagrams"),
+		RecvB:    counter("control.received.bytes"),
+		RecvN:    counter("control.received.datagrams"),
+		Refused:  counter("control.refused.datagrams"),
+		SendFail: counter("control.send.failures"),
+	}, nil
+}
+
+// Send seals and sends a datagram. A lost one is repeated by the sender's state,
+// so failures are counted and not returned.
+func (r *Route) Send(to wire.NodeID, d *wire.Datagram) {
+	ap, err := netip.ParseAddrPort(string(to))
+	if err != nil {
+		r.SendFail.Inc(1)
+		return
+	}
+	raw, err := wire.Encode(d)
+	if err != nil {
+		r.SendFail.Inc(1)
+		return
+	}
+	sealed := r.sealer.Seal(raw, []byte(to))
+	if _, err := r.sock.WriteToUDPAddrPort(sealed, ap); err != nil {
+		r.SendFail.Inc(1)
+		return
+	}
+	r.SentN.Inc(1)
+	r.SentB.Inc(int64(len(sealed) + headerBytes))
+}
+
+// Receive returns the next datagram for self. Whatever is not sealed by this
+// fleet for this router is counted and dropped. The error is the socket's end.
+func (r *Route) Receive(self wire.NodeID, buf []byte) (*wire.Datagram, error) {
+	for {
+		n, _, err := r.sock.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return nil, ErrPeer.Wrap(err, "receive")
+		}
+		r.RecvN.Inc(1)
+		r.RecvB.Inc(int64(n + headerBytes))
+		raw, err := r.sealer.Open(buf[:n], []byte(self))
+		if err != nil {
+			r.Refused.Inc(1)
+			continue
+		}
+		d, err := wire.Decode(raw)
+		if err != nil {
+			r.Refused.Inc(1)
+			continue
+		}
+		return d, nil
+	}
+}
+
+// Close ends the socket.
+func (r *Route) Close() error { return r.sock.Close() }
--- /dev/null
+++ b/internal/core/entry/entry.go
@@ -0,0 +1,449 @@
+// Package entry holds the requests that came in at this router: where they wait,
+// what they may run on, and what this router tells the schedulers of its pools.
+package entry
+
+import (
+	"sort"
+	"time"
+
+	"github.com/silverswitch/silverswitch/internal/core/ledger"
+	"github.com/silverswitch/silverswitch/internal/core/wire"
+	"github.com/silverswitch/silverswitch/internal/version"
+)
+
+// Request is what the core needs to know of a caller's request. No content.
+type Request struct {
+	ID       uint64
+	Org      version.ID
+	App      string
+	Urgent   bool
+	Deadline time.Time
+}
+
+// Reason says why a request was refused. Reasons are part of the callers' API.
+type Reason string
+
+// The reasons of a refusal.
+const (
+	ReasonQueueFull    Reason = "queue-full"
+	ReasonDeadline     Reason = "deadline"
+	ReasonNoUpstream   Reason = "no-upstream-in-allowed-places"
+	ReasonNoVersion    Reason = "no-configuration"
+	ReasonWithdrawn    Reason = "withdrawn-by-configuration"
+	ReasonStopping     Reason = "router-stopping"
+	ReasonNoWitnesses  Reason = "no-quorum-of-witnesses"
+	ReasonKeyTaken     Reason = "key-in-use"
+	ReasonKeyExpired   Reason = "key-outside-window"
+	ReasonKeyForgotten Reason = "key-may-be-forgotten"
+	ReasonRetryBudget  Reason = "retry-budget-spent"
+	ReasonPaused       Reason = "router-paused"
+)
+
+// Start is leave to run a request at an upstream.
+type Start struct {
+	ID       uint64
+	Upstream version.ID
+}
+
+// Refusal is a request given up before anything of it was sent.
+type Refusal struct {
+	ID     uint64
+	Reason Reason
+	After  time.Duration // when the caller should come back
+}
+
+// Timing of this router's side.
+const (
+	progressEvery = 500 * time.Millisecond
+	keepAlive     = 400 * time.Millisecond
+	fullEvery     = 2 * time.Second
+	resendAfter   = 120 * time.Millisecond
+	silentFor     = 500 * time.Millisecond
+	minComeBack   = time.Second
+	maxComeBack   = 2 * time.Minute
+	paceHalf      = 0.8 // weight of the former pace when a grant arrives
+)
+
+type flight struct {
+	Request
+	queue    *queue
+	arrived  time.Time
+	running  bool
+	upstream version.ID
+	pool     version.ID
+	served   uint64 // already in norm, in thousandths of a unit
+}
+
+type queueKey struct {
+	org     version.ID
+	service string
+}
+
+// queue is one organisation's waiting requests for one service.
+type queue struct {
+	key       queueKey
+	pools     []version.ID
+	urgent    []*flight
+	normal    []*flight
+	pace      time.Duration // between two starts, smoothed
+	lastStart time.Time
+}
+
+func (q *queue) len() int { return len(q.urgent) + len(q.normal) }
+
+func (q *queue) head() *flight {
+	if len(q.urgent) > 0 {
+		return q.urgent[0]
+	}
+	if len(q.normal) > 0 {
+		return q.normal[0]
+	}
+	return nil
+}
+
+// Entry is this router's requests. The control goroutine owns it.
+type Entry struct {
+	ver     *version.Version
+	place   string
+	flights map[uint64]*flight
+	queues  map[queueKey]*queue
+	byOrg   map[version.ID]int // waiting requests of each organisation
+	pools   map[version.ID]*poolView
+	norm    map[version.ID]uint64
+	drained map[version.ID]bool
+	started []Start
+	refused []Refusal
+	Counts  Counts
+}
+
+// Counts are this router's totals since its start.
+type Counts struct {
+	Arrived, Started, Finished, Refused, Canceled uint64
+	GrantsUsed, GrantsReturned, GrantsLate        uint64
+	CreditsUsed                                   uint64
+}
+
+// New returns an entry without requests, for a router in a place.
+func New(place string) *Entry {
+	return &Entry{
+		place:   place,
+		flights: map[uint64]*flight{},
+		queues:  map[queueKey]*queue{},
+		byOrg:   map[version.ID]int{},
+		pools:   map[version.ID]*poolView{},
+		norm:    map[version.ID]uint64{},
+		drained: map[version.ID]bool{},
+	}
+}
+
+// Take returns the starts and refusals decided since the last call.
+func (e *Entry) Take() ([]Start, []Refusal) {
+	s, r := e.started, e.refused
+	e.started, e.refused = nil, nil
+	return s, r
+}
+
+// SetVersion takes a newer version. Waiting requests that it no longer allows
+// are refused; running ones go on, since their content is already where it is.
+func (e *Entry) SetVersion(v *version.Version) {
+	e.ver = v
+	for _, q := range e.queues {
+		q.pools = e.poolsOf(q.key)
+	}
+	for _, id := range e.sortedFlights() {
+		f := e.flights[id]
+		if f.running {
+			continue
+		}
+		if e.app(f.Request) == nil {
+			e.refuse(f, ReasonWithdrawn, 0)
+		} else if len(f.queue.pools) == 0 {
+			e.refuse(f, ReasonNoUpstream, minComeBack)
+		}
+	}
+	for _, p := range e.pools {
+		p.dirtyAll()
+	}
+}
+
+func (e *Entry) sortedFlights() []uint64 {
+	ids := make([]uint64, 0, len(e.flights))
+	for id := range e.flights {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return ids
+}
+
+// app returns the application if the organisation may call it here and now.
+func (e *Entry) app(r Request) *version.Application {
+	o := e.ver.Organisations[r.Org]
+	if o == nil || !o.Allows(e.place) {
+		return nil
+	}
+	return o.Applications[r.App]
+}
+
+func (e *Entry) poolsOf(k queueKey) []version.ID {
+	o := e.ver.Organisations[k.org]
+	if o == nil {
+		return nil
+	}
+	return e.ver.PoolsOf(o, k.service)
+}
+
+// Arrive takes a request. It is started, queued or refused; Take tells.
+func (e *Entry) Arrive(r Request, now time.Time) {
+	e.Counts.Arrived++
+	f := &flight{Request: r, arrived: now}
+	e.flights[r.ID] = f
+	if e.ver == nil {
+		e.refuse(f, ReasonNoVersion, minComeBack)
+		return
+	}
+	app := e.app(r)
+	if app == nil {
+		e.refuse(f, ReasonWithdrawn, 0)
+		return
+	}
+	if !now.Before(r.Deadline) {
+		e.refuse(f, ReasonDeadline, minComeBack)
+		return
+	}
+	q := e.queue(queueKey{r.Org, app.Service})
+	if !e.reachable(r.Org, q) {
+		e.refuse(f, ReasonNoUpstream, minComeBack)
+		return
+	}
+	if e.startOnCredit(f, q, now) {
+		return
+	}
+	e.enqueue(f, q, now)
+}
+
+// reachable reports whether any allowed upstream still takes new work.
+func (e *Entry) reachable(org version.ID, q *queue) bool {
+	o := e.ver.Organisations[org]
+	for _, id := range q.pools {
+		for _, u := range e.ver.Pools[id].Upstreams {
+			if o.Allows(u.Place) && !u.Leaving && !e.drained[u.ID] {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (e *Entry) enqueue(f *flight, q *queue, now time.Time) {
+	limit := e.ver.Organisations[f.Org].QueueLimit
+	if e.byOrg[f.Org] >= limit {
+		e.refuse(f, ReasonQueueFull, e.comeBack(q, q.len()))
+		return
+	}
+	if wait := q.pace * time.Duration(q.position(f.Urgent)); now.Add(wait).After(f.Deadline) {
+		e.refuse(f, ReasonDeadline, clampComeBack(now.Add(wait).Sub(f.Deadline)))
+		return
+	}
+	f.queue = q
+	e.byOrg[f.Org]++
+	if f.Urgent {
+		q.urgent = append(q.urgent, f)
+	} else {
+		q.normal = append(q.normal, f)
+	}
+	e.touch(q)
+}
+
+// position is how many requests would start before a new one.
+func (q *queue) position(urgent bool) int {
+	if urgent {
+		return len(q.urgent)
+	}
+	return q.len()
+}
+
+// comeBack is the time in which the queue works off n requests at its pace.
+func (e *Entry) comeBack(q *queue, n int) time.Duration {
+	return clampComeBack(q.pace * time.Duration(n) / 2)
+}
+
+func clampComeBack(d time.Duration) time.Duration {
+	return min(max(d, minComeBack), maxComeBack)
+}
+
+func (e *Entry) queue(k queueKey) *queue {
+	q := e.queues[k]
+	if q == nil {
+		q = &queue{key: k, pools: e.poolsOf(k)}
+		e.queues[k] = q
+	}
+	return q
+}
+
+// touch marks a queue's organisation changed in every pool it waits for.
+func (e *Entry) touch(q *queue) {
+	for _, id := range q.pools {
+		e.pool(id).dirty(q.key.org)
+	}
+}
+
+func (e *Entry) refuse(f *flight, why Reason, after time.Duration) {
+	e.dequeue(f)
+	delete(e.flights, f.ID)
+	e.Counts.Refused++
+	e.refused = append(e.refused, Refusal{ID: f.ID, Reason: why, After: after})
+}
+
+// dequeue takes a flight out of its queue, if it waits in one.
+func (e *Entry) dequeue(f *flight) {
+	q := f.queue
+	if q == nil || f.running {
+		return
+	}
+	q.urgent = remove(q.urgent, f)
+	q.normal = remove(q.normal, f)
+	e.byOrg[f.Org]--
+	f.queue = nil
+	e.touch(q)
+}
+
+func remove(list []*flight, f *flight) []*flight {
+	for i, x := range list {
+		if x == f {
+			return append(list[:i:i], list[i+1:]...)
+		}
+	}
+	return list
+}
+
+// Cancel ends a waiting request whose caller went away, and reports whether it
+// did. A running one ends by Finish, when the upstream has confirmed.
+func (e *Entry) Cancel(id uint64) bool {
+	f := e.flights[id]
+	if f == nil || f.running {
+		return false
+	}
+	e.dequeue(f)
+	delete(e.flights, id)
+	e.Counts.Canceled++
+	return true
+}
+
+// Refuse gives up a request that has not started.
+func (e *Entry) Refuse(id uint64, why Reason, after time.Duration) {
+	if f := e.flights[id]; f != nil && !f.running {
+		e.refuse(f, why, after)
+	}
+}
+
+// Return gives back the slot of a request whose start came to nothing: no byte
+// was sent, or the upstream proved that it did not run. It waits again, first of
+// its queue.
+func (e *Entry) Return(id uint64, failed bool, now time.Time) {
+	f := e.flights[id]
+	if f == nil || !f.running {
+		return
+	}
+	p := e.pool(f.pool)
+	p.release(f.Org, f.upstream)
+	if failed {
+		p.sample(wire.Sample{Upstream: f.upstream, Failed: 1})
+	}
+	f.running = false
+	if !now.Before(f.Deadline) || e.app(f.Request) == nil {
+		f.queue = nil
+		e.refuse(f, ReasonDeadline, minComeBack)
+		return
+	}
+	e.byOrg[f.Org]++
+	if f.Urgent {
+		f.queue.urgent = append([]*flight{f}, f.queue.urgent...)
+	} else {
+		f.queue.normal = append([]*flight{f}, f.queue.normal...)
+	}
+	e.touch(f.queue)
+}
+
+// Progress sets the service a running request has received so far, in units.
+func (e *Entry) Progress(id uint64, units float64) {
+	f := e.flights[id]
+	if f == nil || !f.running {
+		return
+	}
+	e.charge(f, units)
+}
+
+func (e *Entry) charge(f *flight, units float64) {
+	total := uint64(units * ledger.Scale)
+	if total <= f.served {
+		return
+	}
+	share := 1.0
+	if o := e.ver.Organisations[f.Org]; o != nil {
+		share = o.Share
+	}
+	e.norm[f.Org] += uint64(float64(total-f.served) / share)
+	f.served = total
+	e.pool(f.pool).progressed(f.Org)
+}
+
+// Finish ends a running request with its final service and what was seen of
+// its upstream.
+func (e *Entry) Finish(id uint64, units float64, s wire.Sample) {
+	f := e.flights[id]
+	if f == nil || !f.running {
+		return
+	}
+	e.charge(f, units)
+	p := e.pool(f.pool)
+	p.release(f.Org, f.upstream)
+	s.Upstream = f.upstream
+	p.sample(s)
+	delete(e.flights, id)
+	e.Counts.Finished++
+}
+
+// Drain marks an upstream as leaving: nothing new is started on it.
+func (e *Entry) Drain(id version.ID, drain bool) {
+	e.drained[id] = drain
+	if drain {
+		for _, p := range e.pools {
+			p.dropCredits(id)
+		}
+	}
+}
+
+// Waiting and Running return the number of requests in each state.
+func (e *Entry) Waiting() int { return len(e.flights) - e.Running() }
+
+// Running returns the number of requests that hold a slot.
+func (e *Entry) Running() int {
+	n := 0
+	for _, f := range e.flights {
+		if f.running {
+			n++
+		}
+	}
+	return n
+}
+
+// Norms returns this router's service cells, sorted by organisation.
+func (e *Entry) Norms() []wire.LedgerRow {
+	out := make([]wire.LedgerRow, 0, len(e.norm))
+	for org, n := range e.norm {
+		out = append(out, wire.LedgerRow{Org: org, Norm: n})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Org < out[j].Org })
+	return out
+}
+
+// Services returns how many requests run at each upstream, for the drain check.
+func (e *Entry) Services() map[version.ID]int {
+	out := map[version.ID]int{}
+	for _, f := range e.flights {
+		if f.running {
+			out[f.upstream]++
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/core/entry/pool.go
@@ -0,0 +1,296 @@
+package entry
+
+import (
+	"sort"
+	"time"
+
+	"github.com/silverswitch/silverswitch/internal/core/sched"
+	"github.com/silverswitch/silverswitch/internal/core/wire"
+	"github.com/silverswitch/silverswitch/internal/version"
+)
+
+// poolView is this router's side of one pool: what it holds there, and what the
+// scheduler has and has not been told.
+type poolView struct {
+	id        version.ID
+	scheduler wire.NodeID
+	term      uint64
+	acked     uint32
+	seq       uint32
+	seen      uint32 // last report the scheduler answered
+	lastSent  time.Time
+	lastFull  time.Time
+	answered  time.Time // last answer, or the first report without one
+	tight     bool
+
+	changed    map[version.ID]uint32 // row changed after this report
+	progress   map[version.ID]bool
+	lastMoved  time.Time
+	held       map[version.ID]map[version.ID]uint32 // organisation, upstream
+	credits    map[version.ID]uint32                // upstream
+	creditsTo  time.Time
+	samples    map[version.ID]wire.Sample
+	needFull   bool
+	grantsOpen bool // grants arrived: acknowledge without delay
+}
+
+func (e *Entry) pool(id version.ID) *poolView {
+	p := e.pools[id]
+	if p == nil {
+		p = &poolView{
+			id:       id,
+			changed:  map[version.ID]uint32{},
+			progress: map[version.ID]bool{},
+			held:     map[version.ID]map[version.ID]uint32{},
+			credits:  map[version.ID]uint32{},
+			samples:  map[version.ID]wire.Sample{},
+		}
+		e.pools[id] = p
+	}
+	return p
+}
+
+func (p *poolView) dirty(org version.ID) { p.changed[org] = p.seq }
+
+func (p *poolView) dirtyAll() { p.needFull = true }
+
+func (p *poolView) progressed(org version.ID) { p.progress[org] = true }
+
+func (p *poolView) hold(org, up version.ID) {
+	if p.held[org] == nil {
+		p.held[org] = map[version.ID]uint32{}
+	}
+	p.held[org][up]++
+	p.dirty(org)
+}
+
+func (p *poolView) release(org, up version.ID) {
+	p.held[org][up]--
+	if p.held[org][up] == 0 {
+		delete(p.held[org], up)
+	}
+	if len(p.held[org]) == 0 {
+		delete(p.held, org)
+	}
+	p.dirty(org)
+}
+
+func (p *poolView) sample(s wire.Sample) {
+	old := p.samples[s.Upstream]
+	if n := old.N + s.N; n > 0 {
+		s.FirstMS = (old.FirstMS*old.N + s.FirstMS*s.N) / n
+		s.GapMS = (old.GapMS*old.N + s.GapMS*s.N) / n
+	}
+	s.N += old.N
+	s.Failed += old.Failed
+	p.samples[s.Upstream] = s
+}
+
+func (p *poolView) dropCredits(up version.ID) {
+	if p.credits[up] > 0 {
+		delete(p.credits, up)
+		p.dirty(0)
+	}
+}
+
+func (p *poolView) dropAllCredits() {
+	if len(p.credits) > 0 {
+		p.credits = map[version.ID]uint32{}
+		p.dirty(0)
+	}
+}
+
+// startOnCredit starts a request at once when the router holds a standing credit
+// for an upstream in the organisation's places, and nothing of the organisation
+// waits before it.
+func (e *Entry) startOnCredit(f *flight, q *queue, now time.Time) bool {
+	if q.position(f.Urgent) > 0 {
+		return false
+	}
+	for _, id := range q.pools {
+		p := e.pools[id]
+		if p == nil || !now.Before(p.creditsTo) {
+			continue
+		}
+		for _, up := range sortedKeys(p.credits) {
+			if e.mayRun(f, p.id, up) {
+				p.spend(up)
+				f.queue = q
+				e.start(f, p, up, now)
+				e.Counts.CreditsUsed++
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (p *poolView) spend(up version.ID) {
+	p.credits[up]--
+	if p.credits[up] == 0 {
+		delete(p.credits, up)
+	}
+	p.dirty(0)
+}
+
+func sortedKeys(m map[version.ID]uint32) []version.ID {
+	out := make([]version.ID, 0, len(m))
+	for id := range m {
+		out = append(out, id)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
+
+// mayRun is the place rule at dispatch, under the newest accepted version: the
+// upstream is known, stays, and stands in an allowed place, as this router does.
+func (e *Entry) mayRun(f *flight, pool, up version.ID) bool {
+	u := e.ver.Upstreams[up]
+	app := e.app(f.Request)
+	if u == nil || app == nil || u.Pool != pool || u.Leaving || e.drained[up] {
+		return false
+	}
+	return u.Service == app.Service && e.ver.Organisations[f.Org].Allows(u.Place)
+}
+
+func (e *Entry) start(f *flight, p *poolView, up version.ID, now time.Time) {
+	f.running = true
+	f.upstream = up
+	f.pool = p.id
+	p.hold(f.Org, up)
+	e.Counts.Started++
+	e.started = append(e.started, Start{ID: f.ID, Upstream: up})
+	f.queue.started(now)
+}
+
+// started updates the pace at which the queue is worked off.
+func (q *queue) started(now time.Time) {
+	if !q.lastStart.IsZero() {
+		gap := now.Sub(q.lastStart)
+		q.pace = time.Duration(paceHalf*float64(q.pace) + (1-paceHalf)*float64(gap))
+	}
+	q.lastStart = now
+}
+
+// Grants takes a scheduler's answer. Grants of another scheduler than the one
+// followed, repeated, out of order or late are not used.
+func (e *Entry) Grants(from wire.NodeID, g *wire.Grants, now time.Time) {
+	p := e.pools[g.Pool]
+	if p == nil || from != p.scheduler || g.Seen > p.seq || g.Term < p.term {
+		return
+	}
+	if g.Term > p.term {
+		p.follow(g.Term)
+	}
+	p.answered = now
+	p.seen = max(p.seen, g.Seen)
+	p.forgetAnswered()
+	p.tight = g.Tight
+	late := now.Sub(time.UnixMilli(g.Asked)) >= sched.Lease
+	for _, grant := range g.List {
+		if grant.No != p.acked+1 {
+			continue
+		}
+		p.acked++
+		p.grantsOpen = true
+		e.useGrant(p, grant, late, now)
+	}
+	if g.Tight {
+		p.dropAllCredits()
+	} else if !late {
+		p.creditsTo = time.UnixMilli(g.Asked).Add(sched.Lease)
+	}
+}
+
+func (p *poolView) follow(term uint64) {
+	p.term = term
+	p.acked = 0
+	p.dropAllCredits()
+}
+
+// forgetAnswered clears the rows that a report the scheduler saw has carried.
+func (p *poolView) forgetAnswered() {
+	for org, at := range p.changed {
+		if at < p.seen {
+			delete(p.changed, org)
+		}
+	}
+}
+
+func (e *Entry) useGrant(p *poolView, g wire.Grant, late bool, now time.Time) {
+	if late {
+		e.Counts.GrantsLate += uint64(g.N)
+		p.dirty(g.Org)
+		return
+	}
+	if g.Org == 0 {
+		p.credits[g.Upstream] += g.N
+		p.dirty(0)
+		return
+	}
+	p.dirty(g.Org)
+	for range g.N {
+		f := e.pick(p, g)
+		if f == nil {
+			e.Counts.GrantsReturned++
+			continue
+		}
+		e.unqueue(f)
+		e.start(f, p, g.Upstream, now)
+		e.Counts.GrantsUsed++
+	}
+}
+
+// unqueue takes a flight that starts out of its queue but keeps the queue known.
+func (e *Entry) unqueue(f *flight) {
+	q := f.queue
+	e.dequeue(f)
+	f.queue = q
+}
+
+// pick returns the organisation's first request that may run at the upstream.
+func (e *Entry) pick(p *poolView, g wire.Grant) *flight {
+	u := e.ver.Upstreams[g.Upstream]
+	if u == nil {
+		return nil
+	}
+	q := e.queues[queueKey{g.Org, u.Service}]
+	if q == nil {
+		return nil
+	}
+	if f := q.head(); f != nil && e.mayRun(f, p.id, g.Upstream) {
+		return f
+	}
+	return nil
+}
+
+// Tick refuses what its deadline has passed, and lets unused credits lapse.
+func (e *Entry) Tick(now time.Time) {
+	for _, id := range e.sortedFlights() {
+		f := e.flights[id]
+		if !f.running && !now.Before(f.Deadline) {
+			e.refuse(f, ReasonDeadline, e.lateComeBack(f))
+		}
+	}
+	for _, p := range e.pools {
+		if len(p.credits) > 0 && !now.Before(p.creditsTo) {
+			p.dropAllCredits()
+		}
+	}
+}
+
+func (e *Entry) lateComeBack(f *flight) time.Duration {
+	if f.queue == nil {
+		return minComeBack
+	}
+	return e.comeBack(f.queue, f.queue.len())
+}
+
+// Woke gives up every grant and credit after a pause: others may have taken the
+// slots back. Waiting requests are told to the schedulers again.
+func (e *Entry) Woke() {
+	for _, p := range e.pools {
+		p.dropAllCredits()
+		p.dirtyAll()
+	}
+}
--- /dev/null
+++ b/internal/core/entry/report.go
@@ -0,0 +1,194 @@
+package entry
+
+import (
+	"sort"
+	"time"
+
+	"github.com/silverswitch/silverswitch/internal/core/wire"
+	"github.com/silverswitch/silverswitch/internal/version"
+)
+
+// Outgoing is a report for a pool's scheduler.
+type Outgoing struct {
+	To     wire.NodeID
+	Report wire.Report
+}
+
+// Reports returns the reports that are due. scheduler names the router that now
+// schedules a pool; silent schedulers are returned for suspicion.
+func (e *Entry) Reports(scheduler func(version.ID) wire.NodeID, now time.Time) (out []Outgoing, silent []wire.NodeID) {
+	for _, id := range e.poolIDs() {
+		p := e.pools[id]
+		p.turnTo(scheduler(id), now)
+		if p.silent(now) {
+			silent = append(silent, p.scheduler)
+			p.answered = now
+		}
+		if r, due := e.report(p, now); due {
+			out = append(out, Outgoing{To: p.scheduler, Report: r})
+		}
+	}
+	return out, silent
+}
+
+func (e *Entry) poolIDs() []version.ID {
+	ids := make([]version.ID, 0, len(e.pools))
+	for id := range e.pools {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return ids
+}
+
+// turnTo follows a new scheduler: everything is told anew, and what the former
+// one granted but was not used is void.
+func (p *poolView) turnTo(id wire.NodeID, now time.Time) {
+	if id == p.scheduler {
+		return
+	}
+	p.scheduler = id
+	p.term = 0
+	p.acked = 0
+	p.answered = now
+	p.dropAllCredits()
+	p.needFull = true
+}
+
+// silent reports a scheduler that has left reports unanswered.
+func (p *poolView) silent(now time.Time) bool {
+	return p.seq > p.seen && now.Sub(p.answered) > silentFor
+}
+
+func (p *poolView) busy() bool {
+	return len(p.held) > 0 || len(p.credits) > 0 || len(p.changed) > 0
+}
+
+// unsent reports rows changed since the last report went out.
+func (p *poolView) unsent() bool {
+	for _, at := range p.changed {
+		if at == p.seq {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *Entry) report(p *poolView, now time.Time) (wire.Report, bool) {
+	since := now.Sub(p.lastSent)
+	moved := len(p.progress) > 0 && now.Sub(p.lastMoved) >= progressEvery
+	again := p.seq > p.seen && len(p.changed) > 0 && since >= resendAfter
+	alive := (p.busy() || e.waitsIn(p)) && since >= keepAlive
+	if !p.needFull && !p.unsent() && !p.grantsOpen && !moved && !again && !alive {
+		return wire.Report{}, false
+	}
+	if p.seq == p.seen {
+		p.answered = now
+	}
+	full := p.needFull || (p.busy() && now.Sub(p.lastFull) >= fullEvery)
+	orgs := e.rowsFor(p, full, moved)
+	p.seq++
+	p.lastSent = now
+	p.grantsOpen = false
+	if full {
+		p.needFull = false
+		p.lastFull = now
+	}
+	if moved || full {
+		p.lastMoved = now
+		p.progress = map[version.ID]bool{}
+	}
+	r := wire.Report{Pool: p.id, Seq: p.seq, Asked: wire.Millis(now), Term: p.term, Acked: p.acked, Full: full, Seen: p.takeSamples()}
+	for _, org := range orgs {
+		r.Rows = append(r.Rows, e.row(p, org, now))
+	}
+	return r, true
+}
+
+func (e *Entry) waitsIn(p *poolView) bool {
+	for _, q := range e.queues {
+		if q.len() > 0 && contains(q.pools, p.id) {
+			return true
+		}
+	}
+	return false
+}
+
+func contains(ids []version.ID, id version.ID) bool {
+	for _, x := range ids {
+		if x == id {
+			return true
+		}
+	}
+	return false
+}
+
+// rowsFor lists the organisations whose rows the report carries. A full report
+// stays to be repeated until answered, like any changed row.
+func (e *Entry) rowsFor(p *poolView, full, moved bool) []version.ID {
+	set := map[version.ID]bool{}
+	if full {
+		for org := range p.held {
+			p.changed[org] = p.seq
+		}
+		for _, q := range e.queues {
+			if q.len() > 0 && contains(q.pools, p.id) {
+				p.changed[q.key.org] = p.seq
+			}
+		}
+		if len(p.credits) > 0 {
+			p.changed[0] = p.seq
+		}
+	}
+	for org := range p.changed {
+		set[org] = true
+	}
+	if moved {
+		for org := range p.progress {
+			set[org] = true
+		}
+	}
+	out := make([]version.ID, 0, len(set))
+	for org := range set {
+		out = append(out, org)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
+
+func (e *Entry) row(p *poolView, org version.ID, now time.Time) wire.Row {
+	r := wire.Row{Org: org, Norm: e.norm[org]}
+	if org == 0 {
+		r.Held = heldList(p.credits)
+		return r
+	}
+	r.Held = heldList(p.held[org])
+	for _, q := range e.queues {
+		if q.key.org != org || !contains(q.pools, p.id) {
+			continue
+		}
+		r.Waiting += uint32(q.len())
+		r.Urgent += uint32(len(q.urgent))
+		if f := q.head(); f != nil {
+			r.OldMS = max(r.OldMS, uint32(now.Sub(f.arrived).Milliseconds()))
+		}
+	}
+	return r
+}
+
+func heldList(m map[version.ID]uint32) []wire.Held {
+	out := make([]wire.Held, 0, len(m))
+	for _, id := range sortedKeys(m) {
+		out = append(out, wire.Held{Upstream: id, N: m[id]})
+	}
+	return out
+}
+
+func (p *poolView) takeSamples() []wire.Sample {
+	out := make([]wire.Sample, 0, len(p.samples))
+	for _, s := range p.samples {
+		out = append(out, s)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Upstream < out[j].Upstream })
+	p.samples = map[version.ID]wire.Sample{}
+	return out
+}
--- /dev/null
+++ b/internal/core/io.go
@@ -0,0 +1,216 @@
+package core
+
+import (
+	"time"
+
+	"github.com/silverswitch/silverswitch/internal/core/claim"
+	"github.com/silverswitch/silverswitch/internal/core/entry"
+	"github.com/silverswitch/silverswitch/internal/core/wire"
+	"github.com/silverswitch/silverswitch/internal/version"
+)
+
+// Input is one thing that happened. The types below are all there are.
+type Input interface{ input() }
+
+// Receive is a datagram from another router, already authenticated.
+type Receive struct{ Datagram *wire.Datagram }
+
+// Arrive is a new request. Key is set when the request may run at most once and
+// its caller gave an idempotency key.
+type Arrive struct {
+	Request entry.Request
+	Key     *claim.Key
+}
+
+// Cancel says that the caller of a waiting request went away.
+type Cancel struct{ ID uint64 }
+
+// Progress is the service a running request has received so far, in its unit.
+type Progress struct {
+	ID    uint64
+	Units float64
+}
+
+// Finish ends a running request. Answered is set when the caller got it whole.
+type Finish struct {
+	ID       uint64
+	Units    float64
+	Sample   wire.Sample
+	Answered bool
+}
+
+// Return gives a start back, to wait for another: nothing of the request ran, or
+// it may run again. Failed says that the upstream was at fault.
+type Return struct {
+	ID     uint64
+	Failed bool
+}
+
+// NewVersion is a configuration that passed every check.
+type NewVersion struct{ Version *version.Version }
+
+// BadVersion is a configuration that did not.
+type BadVersion struct {
+	Number version.Number
+	Why    string
+}
+
+// Roster is the routers on the VM list.
+type Roster struct{ Routers []wire.NodeID }
+
+// Drain says at first hand that an upstream is leaving. It is Firm from the VM
+// list, which says when it is over; the upstream's own word lapses after a time.
+type Drain struct {
+	Upstream version.ID
+	Firm     bool
+}
+
+// Undrain says at first hand that an upstream takes work again.
+type Undrain struct{ Upstream version.ID }
+
+// Leave begins a planned stop.
+type Leave struct{}
+
+func (Receive) input()    {}
+func (Arrive) input()     {}
+func (Cancel) input()     {}
+func (Progress) input()   {}
+func (Finish) input()     {}
+func (Return) input()     {}
+func (NewVersion) input() {}
+func (BadVersion) input() {}
+func (Roster) input()     {}
+func (Drain) input()      {}
+func (Undrain) input()    {}
+func (Leave) input()      {}
+
+// Output is one thing to do. The types below are all there are.
+type Output interface{ output() }
+
+// Send is a datagram for another router.
+type Send struct {
+	To       wire.NodeID
+	Datagram *wire.Datagram
+}
+
+// Start runs a request at an upstream.
+type Start struct {
+	ID       uint64
+	Upstream version.ID
+}
+
+// Refuse answers a request that nothing of was sent. Doubt is set when an
+// earlier attempt with the same key may have run: the outcome is then unknown.
+type Refuse struct {
+	ID     uint64
+	Reason entry.Reason
+	After  time.Duration
+	Doubt  bool
+}
+
+// Fetch asks the driver to read a version from a peer.
+type Fetch struct {
+	From   wire.NodeID
+	Number version.Number
+}
+
+// Event is a change of state, for one log line.
+type Event struct {
+	Name   string
+	Value  uint64
+	Detail string
+}
+
+func (Send) output()   {}
+func (Start) output()  {}
+func (Refuse) output() {}
+func (Fetch) output()  {}
+func (Event) output()  {}
+
+// maxSelfRounds bounds how often messages of this node to itself are delivered
+// within one Ready: report, grant, acknowledgement, and one to spare.
+const maxSelfRounds = 4
+
+// Ready returns what to do after the inputs since the last call. The driver
+// calls it after each batch of inputs.
+func (n *Node) Ready(now time.Time) []Output {
+	for range maxSelfRounds {
+		n.takeEntry()
+		n.sendReports(now)
+		n.planPools(now)
+		if !n.deliverToSelf(now) {
+			break
+		}
+	}
+	n.takeEntry()
+	n.seal()
+	out := n.out
+	n.out = nil
+	return out
+}
+
+func (n *Node) takeEntry() {
+	starts, refusals := n.entry.Take()
+	for _, s := range starts {
+		n.out = append(n.out, Start{ID: s.ID, Upstream: s.Upstream})
+	}
+	for _, r := range refusals {
+		n.release(r.ID)
+		n.out = append(n.out, Refuse{ID: r.ID, Reason: r.Reason, After: r.After})
+	}
+}
+
+func (n *Node) sendReports(now time.Time) {
+	if n.ver == nil {
+		return
+	}
+	reports, silent := n.entry.Reports(n.ownerOf, now)
+	for _, r := range reports {
+		d := n.to(r.To)
+		d.Reports = append(d.Reports, r.Report)
+	}
+	for _, id := range silent {
+		n.members.Suspect(id, now)
+	}
+}
+
+// deliverToSelf hands over the messages this node has for itself.
+func (n *Node) deliverToSelf(now time.Time) bool {
+	d := n.box[n.set.ID]
+	if d == nil {
+		return false
+	}
+	delete(n.box, n.set.ID)
+	for i, id := range n.order {
+		if id == n.set.ID {
+			n.order = append(n.order[:i], n.order[i+1:]...)
+			break
+		}
+	}
+	for i := range d.Reports {
+		n.report(n.set.ID, n.set.Inc, &d.Reports[i], now)
+	}
+	for i := range d.Grants {
+		n.entry.Grants(n.set.ID, &d.Grants[i], now)
+	}
+	d.From, d.Inc = n.set.ID, n.set.Inc
+	n.hearClaims(d, now)
+	return true
+}
+
+// seal puts the head on every datagram.
+func (n *Node) seal() {
+	self := n.members.Self()
+	for _, id := range n.order {
+		d := n.box[id]
+		d.From, d.Inc, d.Refute, d.State = self.ID, self.Inc, self.Refute, self.State
+		if n.ver != nil {
+			d.Version = n.ver.Number
+		}
+		d.Updates = n.members.Piggyback(id)
+		d.Drains = n.drainsToTell()
+		n.out = append(n.out, Send{To: id, Datagram: d})
+	}
+	n.box = map[wire.NodeID]*wire.Datagram{}
+	n.order = nil
+}
--- /dev/null
+++ b/internal/core/member/member.go
@@ -0,0 +1,363 @@
+// Package member decides which routers are alive. It is SWIM (Das, Gupta,
+// Motivala 2002) as a pure state machine: a bounded number of probes a period
+// whatever the fleet's size, suspicion before death, and updates that ride on
+// datagrams sent anyway.
+package member
+
+import (
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/silverswitch/silverswitch/internal/core/wire"
+)
+
+// Timing of the failure detector.
+const (
+	ProbeEvery    = 500 * time.Millisecond
+	ackTimeout    = 200 * time.Millisecond
+	suspectFor    = 1500 * time.Millisecond
+	retryDead     = 2 * time.Second
+	forgetAfter   = 10 * time.Minute
+	helpers       = 2
+	maxPiggyback  = 6
+	spreadPerNode = 4 // times an update is sent for each doubling of the fleet
+)
+
+// Member is one router as this one knows it.
+type Member struct {
+	wire.Update
+	Since time.Time // of the present state
+	Heard time.Time // last datagram from it
+}
+
+type rumour struct {
+	id   wire.NodeID
+	left int
+}
+
+// Table is the membership state. The control goroutine owns it.
+type Table struct {
+	self    wire.Update
+	members map[wire.NodeID]*Member
+	roster  map[wire.NodeID]bool // from the VM list, a hint
+	order   []wire.NodeID
+	next    int
+	probe   probe
+	rumours []rumour
+	lastRun time.Time
+	lastDed time.Time
+	rnd     *rand.Rand
+	relays  map[uint32]relay
+	seq     uint32
+	Changes int // counts changes of state, for whoever caches a view
+}
+
+type probe struct {
+	seq    uint32
+	target wire.NodeID
+	sent   time.Time
+	helped bool
+	open   bool
+}
+
+type relay struct {
+	from wire.NodeID
+	seq  uint32
+	at   time.Time
+}
+
+// Send is a ping or ack to put on the network.
+type Send struct {
+	To   wire.NodeID
+	Ping *wire.Ping
+	Ack  *wire.Ack
+}
+
+// New returns a table that knows itself and, as unheard, its seeds.
+func New(self wire.Update, seeds []wire.NodeID, now time.Time, rnd *rand.Rand) *Table {
+	t := &Table{
+		self:    self,
+		members: map[wire.NodeID]*Member{},
+		roster:  map[wire.NodeID]bool{},
+		rnd:     rnd,
+		relays:  map[uint32]relay{},
+	}
+	for _, id := range seeds {
+		t.meet(id, now)
+	}
+	return t
+}
+
+// Self returns this router's own entry.
+func (t *Table) Self() wire.Update { return t.self }
+
+// Leave marks this router as leaving: it takes no new scheduler role.
+func (t *Table) Leave() {
+	t.self.State = wire.Leaving
+	t.self.Refute++
+	t.spread(t.self.ID)
+	t.Changes++
+}
+
+// Refresh raises this router's own number, after a pause in which others may
+// have given it up.
+func (t *Table) Refresh() {
+	t.self.Refute++
+	t.spread(t.self.ID)
+}
+
+// SetRoster takes the routers of the VM list. New ones are probed; absence
+// proves nothing, since the list lags.
+func (t *Table) SetRoster(ids []wire.NodeID, now time.Time) {
+	t.roster = map[wire.NodeID]bool{}
+	for _, id := range ids {
+		t.roster[id] = true
+		if id != t.self.ID && t.members[id] == nil {
+			t.meet(id, now)
+		}
+	}
+}
+
+// Roster returns every router the VM list or the fleet names, sorted, alive or
+// not. Quorums are taken over it, so that a cut does not shrink them.
+func (t *Table) Roster() []wire.NodeID {
+	ids := []wire.NodeID{t.self.ID}
+	for id := range t.members {
+		if len(t.roster) == 0 || t.roster[id] {
+			ids = append(ids, id)
+		}
+	}
+	return sorted(ids)
+}
+
+func (t *Table) meet(id wire.NodeID, now time.Time) {
+	if id == t.self.ID || t.members[id] != nil {
+		return
+	}
+	t.members[id] = &Member{Update: wire.Update{ID: id, State: wire.Suspect}, Since: now}
+	t.order = append(t.order, id)
+	t.Changes++
+}
+
+// Live returns the routers believed alive, self among them; with leaving set,
+// also those that are leaving. Sorted.
+func (t *Table) Live(leaving bool) []wire.NodeID {
+	var ids []wire.NodeID
+	if leaving || t.self.State == wire.Alive {
+		ids = append(ids, t.self.ID)
+	}
+	for id, m := range t.members {
+		if t.usable(m) && (leaving || m.State != wire.Leaving) {
+			ids = append(ids, id)
+		}
+	}
+	return sorted(ids)
+}
+
+// usable holds for a suspect that was heard before: suspicion is not death.
+func (t *Table) usable(m *Member) bool {
+	switch m.State {
+	case wire.Alive, wire.Leaving:
+		return m.Inc != 0
+	case wire.Suspect:
+		return m.Inc != 0 && !m.Heard.IsZero()
+	}
+	return false
+}
+
+// Get returns what is known of a router, or nil.
+func (t *Table) Get(id wire.NodeID) *Member { return t.members[id] }
+
+// All returns every member but self, sorted.
+func (t *Table) All() []*Member {
+	out := make([]*Member, 0, len(t.members))
+	for _, m := range t.members {
+		out = append(out, m)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// Random returns up to n live routers other than self.
+func (t *Table) Random(n int) []wire.NodeID {
+	var ids []wire.NodeID
+	for _, id := range t.Live(true) {
+		if id != t.self.ID {
+			ids = append(ids, id)
+		}
+	}
+	t.rnd.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	return ids[:min(n, len(ids))]
+}
+
+// Hear takes a datagram's membership part. It returns acks and relayed pings.
+func (t *Table) Hear(d *wire.Datagram, now time.Time) []Send {
+	t.direct(d, now)
+	for _, u := range d.Updates {
+		t.learn(u, now)
+	}
+	var out []Send
+	if d.Ping != nil {
+		out = append(out, t.onPing(d.From, d.Ping, now))
+	}
+	if d.Ack != nil {
+		out = append(out, t.onAck(d.Ack, now)...)
+	}
+	return out
+}
+
+// direct is evidence from the router itself, stronger than anyone's suspicion.
+func (t *Table) direct(d *wire.Datagram, now time.Time) {
+	t.meet(d.From, now)
+	m := t.members[d.From]
+	if m == nil || d.Inc < m.Inc {
+		return
+	}
+	m.Heard = now
+	newer := d.Inc > m.Inc || d.Refute > m.Refute
+	if newer || m.State == wire.Suspect {
+		t.set(m, wire.Update{ID: d.From, Inc: d.Inc, Refute: max(d.Refute, sameInc(m, d)), State: d.State, Place: m.Place, Public: m.Public}, now)
+		return
+	}
+	if m.State == wire.Dead {
+		t.spread(d.From) // it will hear of its death and refute it
+	}
+}
+
+func sameInc(m *Member, d *wire.Datagram) uint32 {
+	if m.Inc != d.Inc {
+		return 0
+	}
+	return m.Refute
+}
+
+func (t *Table) learn(u wire.Update, now time.Time) {
+	if u.ID == t.self.ID {
+		t.aboutSelf(u)
+		return
+	}
+	m := t.members[u.ID]
+	if m == nil {
+		if u.State == wire.Dead {
+			return
+		}
+		t.meet(u.ID, now)
+		m = t.members[u.ID]
+	}
+	if m.Place == "" && u.Place != "" {
+		m.Place, m.Public = u.Place, u.Public
+	}
+	if supersedes(u, m.Update) {
+		t.set(m, u, now)
+	}
+}
+
+// supersedes orders updates: incarnation, then refutation, then the graver state.
+func supersedes(u, old wire.Update) bool {
+	if u.Inc != old.Inc {
+		return u.Inc > old.Inc
+	}
+	if u.Refute != old.Refute {
+		return u.Refute > old.Refute
+	}
+	return u.State > old.State
+}
+
+// aboutSelf refutes a report of this router's own suspicion or death.
+func (t *Table) aboutSelf(u wire.Update) {
+	if u.Inc == t.self.Inc && u.State >= wire.Suspect && u.Refute >= t.self.Refute {
+		t.self.Refute = u.Refute + 1
+		t.spread(t.self.ID)
+	}
+}
+
+func (t *Table) set(m *Member, u wire.Update, now time.Time) {
+	if u.Place == "" {
+		u.Place, u.Public = m.Place, m.Public
+	}
+	if u.State != m.State || u.Inc != m.Inc {
+		m.Since = now
+		t.Changes++
+	}
+	m.Update = u
+	t.spread(u.ID)
+}
+
+// spread queues an update for the next datagrams.
+func (t *Table) spread(id wire.NodeID) {
+	times := spreadPerNode * (1 + bitLen(len(t.members)))
+	for i := range t.rumours {
+		if t.rumours[i].id == id {
+			t.rumours[i].left = times
+			return
+		}
+	}
+	t.rumours = append(t.rumours, rumour{id: id, left: times})
+}
+
+func bitLen(n int) int {
+	bits := 0
+	for ; n > 0; n >>= 1 {
+		bits++
+	}
+	return bits
+}
+
+// Piggyback returns the updates for a datagram to a router. One that is held
+// dead or suspect is told so, that it may refute.
+func (t *Table) Piggyback(to wire.NodeID) []wire.Update {
+	var out []wire.Update
+	if m := t.members[to]; m != nil && m.State >= wire.Suspect && m.Inc != 0 {
+		out = append(out, m.Update)
+	}
+	sort.SliceStable(t.rumours, func(i, j int) bool { return t.rumours[i].left > t.rumours[j].left })
+	for i := range t.rumours {
+		if len(out) >= maxPiggyback {
+			break
+		}
+		if u, ok := t.entry(t.rumours[i].id); ok && u.ID != to {
+			out = append(out, u)
+		}
+		t.rumours[i].left--
+	}
+	t.dropSpent()
+	return out
+}
+
+func (t *Table) entry(id wire.NodeID) (wire.Update, bool) {
+	if id == t.self.ID {
+		return t.self, true
+	}
+	m := t.members[id]
+	if m == nil || m.Inc == 0 {
+		return wire.Update{}, false
+	}
+	return m.Update, true
+}
+
+func (t *Table) dropSpent() {
+	kept := t.rumours[:0]
+	for _, r := range t.rumours {
+		if r.left > 0 {
+			kept = append(kept, r)
+		}
+	}
+	t.rumours = kept
+}
+
+// Suspect starts the suspicion of a router that does not answer.
+func (t *Table) Suspect(id wire.NodeID, now time.Time) {
+	m := t.members[id]
+	if m == nil || m.State >= wire.Suspect {
+		return
+	}
+	u := m.Update
+	u.State = wire.Suspect
+	t.set(m, u, now)
+}
+
+func sorted(ids []wire.NodeID) []wire.NodeID {
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return ids
+}
--- /dev/null
+++ b/internal/core/member/probe.go
@@ -0,0 +1,140 @@
+package member
+
+import (
+	"time"
+
+	"github.com/silverswitch/silverswitch/internal/core/wire"
+)
+
+// Tick runs the failure detector: one probe a period, help from others before
+// suspicion, death after suspicion, and a look for those that died.
+func (t *Table) Tick(now time.Time) []Send {
+	var out []Send
+	out = append(out, t.chase(now)...)
+	t.bury(now)
+	if now.Sub(t.lastRun) >= ProbeEvery {
+		t.lastRun = now
+		out = append(out, t.startProbe(now)...)
+	}
+	if now.Sub(t.lastDed) >= retryDead {
+		t.lastDed = now
+		out = append(out, t.retryOne()...)
+	}
+	return out
+}
+
+// chase follows the open probe: ask others, then suspect.
+func (t *Table) chase(now time.Time) []Send {
+	if !t.probe.open {
+		return nil
+	}
+	age := now.Sub(t.probe.sent)
+	if age >= ackTimeout && !t.probe.helped {
+		t.probe.helped = true
+		return t.askHelp()
+	}
+	if age >= 2*ackTimeout {
+		t.probe.open = false
+		t.Suspect(t.probe.target, now)
+	}
+	return nil
+}
+
+func (t *Table) askHelp() []Send {
+	var out []Send
+	for _, id := range t.Random(helpers + 1) {
+		if id != t.probe.target && len(out) < helpers {
+			out = append(out, Send{To: id, Ping: &wire.Ping{Seq: t.probe.seq, Target: t.probe.target}})
+		}
+	}
+	return out
+}
+
+// bury turns old suspicion into death, and forgets the long dead that the VM
+// list does not name.
+func (t *Table) bury(now time.Time) {
+	for id, m := range t.members {
+		if m.State == wire.Suspect && now.Sub(m.Since) >= suspectFor {
+			u := m.Update
+			u.State = wire.Dead
+			t.set(m, u, now)
+		}
+		if m.State == wire.Dead && now.Sub(m.Since) >= forgetAfter && !t.roster[id] {
+			t.forget(id)
+		}
+	}
+	for seq, r := range t.relays {
+		if now.Sub(r.at) > suspectFor {
+			delete(t.relays, seq)
+		}
+	}
+}
+
+func (t *Table) forget(id wire.NodeID) {
+	delete(t.members, id)
+	for i, o := range t.order {
+		if o == id {
+			t.order = append(t.order[:i], t.order[i+1:]...)
+			break
+		}
+	}
+	t.Changes++
+}
+
+// startProbe pings the next router of a shuffled round (SWIM 4.3), so that each
+// is probed within one round whatever the luck.
+func (t *Table) startProbe(now time.Time) []Send {
+	for range t.order {
+		if t.next >= len(t.order) {
+			t.next = 0
+			t.rnd.Shuffle(len(t.order), func(i, j int) { t.order[i], t.order[j] = t.order[j], t.order[i] })
+		}
+		id := t.order[t.next]
+		t.next++
+		if t.members[id].State != wire.Dead {
+			return t.ping(id, now)
+		}
+	}
+	return nil
+}
+
+func (t *Table) ping(id wire.NodeID, now time.Time) []Send {
+	t.seq++
+	t.probe = probe{seq: t.seq, target: id, sent: now, open: true}
+	return []Send{{To: id, Ping: &wire.Ping{Seq: t.seq}}}
+}
+
+// retryOne pings one dead router, so that the two sides of a cut find each other.
+func (t *Table) retryOne() []Send {
+	var dead []wire.NodeID
+	for _, id := range t.order {
+		if t.members[id].State == wire.Dead {
+			dead = append(dead, id)
+		}
+	}
+	if len(dead) == 0 {
+		return nil
+	}
+	t.seq++
+	return []Send{{To: dead[t.rnd.IntN(len(dead))], Ping: &wire.Ping{Seq: t.seq}}}
+}
+
+func (t *Table) onPing(from wire.NodeID, p *wire.Ping, now time.Time) Send {
+	if p.Target == "" || p.Target == t.self.ID {
+		return Send{To: from, Ack: &wire.Ack{Seq: p.Seq, Target: t.self.ID}}
+	}
+	t.seq++
+	t.relays[t.seq] = relay{from: from, seq: p.Seq, at: now}
+	return Send{To: p.Target, Ping: &wire.Ping{Seq: t.seq}}
+}
+
+func (t *Table) onAck(a *wire.Ack, now time.Time) []Send {
+	if r, ok := t.relays[a.Seq]; ok {
+		delete(t.relays, a.Seq)
+		return []Send{{To: r.from, Ack: &wire.Ack{Seq: r.seq, Target: a.Target}}}
+	}
+	if t.probe.open && a.Seq == t.probe.seq && a.Target == t.probe.target {
+		t.probe.open = false
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/core/sched/plan.go
@@ -0,0 +1,283 @@
+package sched
+
+import (
+	"sort"
+	"time"
+
+	"github.com/silverswitch/silverswitch/internal/core/wire"
+	"github.com/silverswitch/silverswitch/internal/version"
+)
+
+// Send is a Grants message for a router.
+type Send struct {
+	To     wire.NodeID
+	Grants wire.Grants
+}
+
+// Plan gives free slots away and returns what to send: an answer to each report,
+// new grants, and grants not yet acknowledged.
+func (p *Pool) Plan(now time.Time) []Send {
+	p.at = now
+	p.reclaim(now)
+	if now.Sub(p.started) >= p.opt.Settle {
+		p.grantWaiting(now)
+		p.grantCredits(now)
+	}
+	return p.compose(now)
+}
+
+// reclaim ends grants whose lease is over. The router counts it from the report
+// that the grants answered, which is earlier than when that report was heard.
+func (p *Pool) reclaim(now time.Time) {
+	for _, id := range p.routerIDs() {
+		rt := p.routers[id]
+		if now.Sub(rt.heard) <= Lease+leaseMargin {
+			continue
+		}
+		for _, o := range rt.out {
+			p.end(o, now)
+		}
+		rt.out = nil
+	}
+}
+
+// grantWaiting fills free slots from the backlog, least score first.
+func (p *Pool) grantWaiting(now time.Time) {
+	waiting := p.backlogged()
+	p.tight = len(waiting) > 0
+	if !p.tight {
+		return
+	}
+	rate := p.poolRate()
+	for len(waiting) > 0 {
+		a, up := p.next(waiting, rate)
+		if a == nil {
+			return
+		}
+		p.clock = max(p.clock, p.leastServed(waiting))
+		if !p.give(a, up, now) {
+			waiting = without(waiting, a)
+		}
+	}
+}
+
+func without(accounts []*account, a *account) []*account {
+	kept := accounts[:0]
+	for _, x := range accounts {
+		if x != a {
+			kept = append(kept, x)
+		}
+	}
+	return kept
+}
+
+func (p *Pool) backlogged() []*account {
+	var out []*account
+	for _, a := range p.accounts {
+		if a.org != 0 && a.waiting > 0 {
+			out = append(out, a)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].org < out[j].org })
+	return out
+}
+
+func (p *Pool) leastServed(accounts []*account) float64 {
+	least := p.served(accounts[0])
+	for _, a := range accounts[1:] {
+		least = min(least, p.served(a))
+	}
+	return least
+}
+
+// next picks the account with the least score that has a request no grant is on
+// its way to, and an upstream in its places with a free slot.
+func (p *Pool) next(waiting []*account, rate float64) (*account, *upstream) {
+	var best *account
+	var bestUp *upstream
+	bestScore := 0.0
+	for _, a := range waiting {
+		if a.waiting <= a.pending {
+			continue
+		}
+		score := p.score(a, rate)
+		if best != nil && score >= bestScore {
+			continue
+		}
+		if up := p.freest(a); up != nil {
+			best, bestUp, bestScore = a, up, score
+		}
+	}
+	return best, bestUp
+}
+
+// freest returns the allowed upstream with the largest free part, or nil.
+func (p *Pool) freest(a *account) *upstream {
+	var best *upstream
+	bestFree := 0.0
+	for _, id := range p.upstreamsOf(a) {
+		u := p.ups[id]
+		c := p.capacity(u)
+		if u.used >= c {
+			continue
+		}
+		if free := float64(c-u.used) / float64(c); best == nil || free > bestFree {
+			best, bestFree = u, free
+		}
+	}
+	return best
+}
+
+// give sends the slot to the router whose request is most urgent, then oldest.
+// It returns false when no router that was heard lately has one.
+func (p *Pool) give(a *account, u *upstream, now time.Time) bool {
+	var best wire.NodeID
+	var bestRow *wire.Row
+	for _, id := range p.routerIDs() {
+		rt := p.routers[id]
+		row := rt.rows[a.org]
+		if row == nil || int(row.Waiting) <= rt.pendingOf(a.org) || now.Sub(rt.heard) > freshFor {
+			continue
+		}
+		if bestRow == nil || ahead(rt, row, p.routers[best], bestRow) {
+			best, bestRow = id, row
+		}
+	}
+	if bestRow == nil {
+		return false
+	}
+	p.issue(p.routers[best], a.org, u, 1, now)
+	p.granted++
+	return true
+}
+
+// ahead orders two routers' requests of one organisation.
+func ahead(x *router, a *wire.Row, y *router, b *wire.Row) bool {
+	ax, by := int(a.Urgent) > x.pendingOf(a.Org), int(b.Urgent) > y.pendingOf(b.Org)
+	if ax != by {
+		return ax
+	}
+	return ageKey(x, a) > ageKey(y, b)
+}
+
+// ageKey favours the oldest request; each grant on its way to a router counts
+// against it, so that one old request does not draw every slot there.
+func ageKey(rt *router, row *wire.Row) float64 {
+	left := int(row.Waiting) - rt.pendingOf(row.Org)
+	return float64(row.OldMS) * float64(left) / float64(row.Waiting)
+}
+
+func (rt *router) pendingOf(org version.ID) int {
+	n := 0
+	for _, o := range rt.out {
+		if o.Org == org {
+			n += int(o.N)
+		}
+	}
+	return n
+}
+
+// issue numbers a grant and counts its slots as used.
+func (p *Pool) issue(rt *router, org version.ID, u *upstream, n int, now time.Time) {
+	g := wire.Grant{No: rt.nextNo, Org: org, Upstream: u.def.ID, N: uint32(n)}
+	rt.nextNo++
+	rt.out = append(rt.out, g)
+	rt.owes = true
+	p.use(org, u.def.ID, n, now)
+	p.account(org, now).pending += n
+}
+
+// grantCredits hands half of the spare slots to the active routers while nothing
+// waits, so that their next requests start without asking.
+func (p *Pool) grantCredits(now time.Time) {
+	if !p.opt.Credits || p.tight {
+		return
+	}
+	active := p.activeRouters(now)
+	if len(active) == 0 {
+		return
+	}
+	spare := 0
+	for _, id := range p.upOrder {
+		u := p.ups[id]
+		spare += max(0, p.capacity(u)-u.used)
+	}
+	each := min(maxCredits, (spare+p.creditsOut(active))/(2*len(active)))
+	for _, id := range active {
+		p.topUp(p.routers[id], each, now)
+	}
+}
+
+func (p *Pool) activeRouters(now time.Time) []wire.NodeID {
+	var out []wire.NodeID
+	for _, id := range p.routerIDs() {
+		if now.Sub(p.routers[id].heard) < creditActive {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+func (p *Pool) creditsOut(ids []wire.NodeID) int {
+	n := 0
+	for _, id := range ids {
+		n += p.routers[id].credits()
+	}
+	return n
+}
+
+// credits counts a router's unspent and travelling credits.
+func (rt *router) credits() int {
+	n := rt.pendingOf(0)
+	if row := rt.rows[0]; row != nil {
+		for _, h := range row.Held {
+			n += int(h.N)
+		}
+	}
+	return n
+}
+
+func (p *Pool) topUp(rt *router, target int, now time.Time) {
+	if rt.credits() > target/2 {
+		return // refill in batches, not one by one
+	}
+	for n := target - rt.credits(); n > 0; n-- {
+		u := p.freestOf(p.upOrder)
+		if u == nil {
+			return
+		}
+		p.issue(rt, 0, u, 1, now)
+	}
+}
+
+func (p *Pool) freestOf(ids []version.ID) *upstream {
+	return p.freest(&account{allowed: ids})
+}
+
+// compose builds the messages that are due.
+func (p *Pool) compose(now time.Time) []Send {
+	var out []Send
+	for _, id := range p.routerIDs() {
+		rt := p.routers[id]
+		resend := len(rt.out) > 0 && now.Sub(rt.sent) >= resendAfter && now.Sub(rt.heard) < Lease
+		due := rt.owes || resend
+		if !due {
+			continue
+		}
+		rt.owes = false
+		rt.sent = now
+		g := wire.Grants{Pool: p.id, Term: p.term, Seen: rt.seq, Asked: rt.asked, Tight: p.tight}
+		g.List = append(g.List, rt.out...)
+		out = append(out, Send{To: id, Grants: g})
+	}
+	return out
+}
+
+func (p *Pool) routerIDs() []wire.NodeID {
+	ids := make([]wire.NodeID, 0, len(p.routers))
+	for id := range p.routers {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return ids
+}
--- /dev/null
+++ b/internal/core/sched/sched.go
@@ -0,0 +1,301 @@
+// Package sched decides which waiting request of which organisation takes the
+// next free slot of a pool. One router at a time is the scheduler of a pool; it
+// holds soft state only, rebuilt from the routers' reports.
+//
+// The next slot goes to the organisation with the least service received over
+// share, plus what its running requests will receive within a short horizon.
+// Looking ahead by slots held, not by cost hints, keeps wrong hints harmless.
+package sched
+
+import (
+	"sort"
+	"time"
+
+	"github.com/silverswitch/silverswitch/internal/core/ledger"
+	"github.com/silverswitch/silverswitch/internal/core/wire"
+	"github.com/silverswitch/silverswitch/internal/version"
+)
+
+// Timing of grants.
+const (
+	// Lease is how long a grant may be used, counted by the router from before
+	// it asked, and by the scheduler from after it gave.
+	Lease        = 2 * time.Second
+	leaseMargin  = 500 * time.Millisecond
+	resendAfter  = 150 * time.Millisecond
+	freshFor     = time.Second // no new grant to a router silent for longer
+	idleAfter    = 3 * time.Second
+	rateHalfLife = 20 * time.Second
+	creditActive = 5 * time.Second
+	maxCredits   = 8
+)
+
+// Options of a scheduler.
+type Options struct {
+	Horizon time.Duration // how far ahead running requests are charged
+	Settle  time.Duration // a new scheduler listens this long before it grants
+	Credits bool          // hand out standing credits while nothing waits
+}
+
+// Pool is the scheduler's state of one pool. The control goroutine owns it.
+type Pool struct {
+	id       version.ID
+	term     uint64
+	started  time.Time
+	opt      Options
+	ver      *version.Version
+	ups      map[version.ID]*upstream
+	upOrder  []version.ID
+	routers  map[wire.NodeID]*router
+	accounts map[version.ID]*account
+	led      *ledger.Ledger
+	clock    float64 // virtual time: the least backlogged account's at the last grant
+	fraction float64 // of each upstream's slots this scheduler may use, 1 without a cut
+	granted  uint64
+	tight    bool
+	at       time.Time // of the last Plan
+}
+
+type upstream struct {
+	def   *version.Upstream
+	used  int // held and outstanding
+	limit limit
+	drain bool
+}
+
+type router struct {
+	inc    wire.Incarnation
+	seq    uint32
+	asked  int64
+	acked  uint32
+	nextNo uint32
+	heard  time.Time
+	sent   time.Time
+	owes   bool
+	rows   map[version.ID]*wire.Row
+	out    []wire.Grant // not acknowledged
+}
+
+// New returns a scheduler of a pool that has heard nobody yet.
+func New(id version.ID, term uint64, v *version.Version, led *ledger.Ledger, opt Options, now time.Time) *Pool {
+	p := &Pool{
+		id:       id,
+		term:     term,
+		started:  now,
+		opt:      opt,
+		routers:  map[wire.NodeID]*router{},
+		accounts: map[version.ID]*account{},
+		led:      led,
+		fraction: 1,
+	}
+	p.SetVersion(v)
+	return p
+}
+
+// SetVersion takes the upstreams and organisations of a newer version.
+func (p *Pool) SetVersion(v *version.Version) {
+	p.ver = v
+	old := p.ups
+	p.ups = map[version.ID]*upstream{}
+	p.upOrder = nil
+	def := v.Pools[p.id]
+	if def == nil {
+		return
+	}
+	for _, u := range def.Upstreams {
+		up := &upstream{def: u, limit: newLimit(u.Slots)}
+		if o := old[u.ID]; o != nil {
+			up.used, up.drain, up.limit = o.used, o.drain, o.limit
+			up.limit.setMax(u.Slots)
+		}
+		p.ups[u.ID] = up
+		p.upOrder = append(p.upOrder, u.ID)
+	}
+	for _, a := range p.accounts {
+		a.allowed = nil
+	}
+}
+
+// SetFraction limits the scheduler to a part of every upstream's slots, while
+// routers of the VM list are out of reach and may have a scheduler of their own.
+func (p *Pool) SetFraction(f float64) { p.fraction = f }
+
+// Drain stops new work to an upstream that is leaving.
+func (p *Pool) Drain(id version.ID, drain bool) {
+	if u := p.ups[id]; u != nil {
+		u.drain = drain
+	}
+}
+
+// Report takes a router's report. An older one than the last is dropped.
+func (p *Pool) Report(from wire.NodeID, inc wire.Incarnation, r *wire.Report, now time.Time) {
+	rt := p.routers[from]
+	if rt != nil && inc < rt.inc {
+		return
+	}
+	if rt == nil || inc > rt.inc {
+		p.Lost(from, now)
+		rt = &router{inc: inc, rows: map[version.ID]*wire.Row{}, nextNo: 1}
+		p.routers[from] = rt
+	}
+	rt.owes = true
+	if r.Seq <= rt.seq {
+		return
+	}
+	rt.seq = r.Seq
+	rt.asked = r.Asked
+	rt.heard = now
+	if r.Term == p.term {
+		p.acknowledge(rt, r.Acked, now)
+	}
+	if r.Full {
+		p.clearRows(rt, now)
+	}
+	for i := range r.Rows {
+		p.setRow(from, rt, &r.Rows[i], now)
+	}
+	p.observe(r.Seen, now)
+}
+
+func (p *Pool) observe(samples []wire.Sample, now time.Time) {
+	for _, s := range samples {
+		if u := p.ups[s.Upstream]; u != nil {
+			u.limit.observe(s, now)
+		}
+	}
+}
+
+// acknowledge ends the grants a router has taken; its rows now show them.
+func (p *Pool) acknowledge(rt *router, acked uint32, now time.Time) {
+	rt.acked = max(rt.acked, acked)
+	kept := rt.out[:0]
+	for _, o := range rt.out {
+		if o.No <= rt.acked {
+			p.end(o, now)
+		} else {
+			kept = append(kept, o)
+		}
+	}
+	rt.out = kept
+}
+
+func (p *Pool) setRow(from wire.NodeID, rt *router, row *wire.Row, now time.Time) {
+	p.removeRow(rt, row.Org, now)
+	rt.rows[row.Org] = row
+	a := p.account(row.Org, now)
+	a.addWaiting(int(row.Waiting), p.clock, now, p.served)
+	for _, h := range row.Held {
+		p.use(row.Org, h.Upstream, int(h.N), now)
+	}
+	if row.Org != 0 {
+		gain := p.led.Merge(from, rt.inc, row.Org, row.Norm)
+		a.gain += float64(gain) / ledger.Scale
+	}
+}
+
+func (p *Pool) removeRow(rt *router, org version.ID, now time.Time) {
+	row := rt.rows[org]
+	if row == nil {
+		return
+	}
+	delete(rt.rows, org)
+	p.account(org, now).waiting -= int(row.Waiting)
+	for _, h := range row.Held {
+		p.use(org, h.Upstream, -int(h.N), now)
+	}
+}
+
+func (p *Pool) clearRows(rt *router, now time.Time) {
+	for org := range rt.rows {
+		p.removeRow(rt, org, now)
+	}
+}
+
+// use moves the count of slots held at an upstream by an organisation.
+func (p *Pool) use(org, up version.ID, n int, now time.Time) {
+	if u := p.ups[up]; u != nil {
+		u.used += n
+	}
+	p.account(org, now).addHeld(n, now)
+}
+
+// end takes back a grant's slots: acknowledged, expired, or its router lost.
+func (p *Pool) end(g wire.Grant, now time.Time) {
+	p.use(g.Org, g.Upstream, -int(g.N), now)
+	p.account(g.Org, now).pending -= int(g.N)
+}
+
+// Lost drops what a dead or restarted router held and waited for. Its service
+// stays in the ledger.
+func (p *Pool) Lost(id wire.NodeID, now time.Time) {
+	rt := p.routers[id]
+	if rt == nil {
+		return
+	}
+	p.clearRows(rt, now)
+	for _, o := range rt.out {
+		p.end(o, now)
+	}
+	delete(p.routers, id)
+}
+
+// Offsets returns the accounts' offsets, for the routers that would follow.
+func (p *Pool) Offsets() []wire.Offset {
+	var out []wire.Offset
+	for org, a := range p.accounts {
+		if a.offset > 0 {
+			out = append(out, wire.Offset{Org: org, Norm: uint64(a.offset * ledger.Scale)})
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Org < out[j].Org })
+	return out
+}
+
+// Adopt merges offsets a former scheduler copied, by the larger.
+func (p *Pool) Adopt(offsets []wire.Offset, now time.Time) {
+	for _, o := range offsets {
+		a := p.account(o.Org, now)
+		a.offset = max(a.offset, float64(o.Norm)/ledger.Scale)
+	}
+}
+
+// Backlog returns, for status pages, the waiting and held requests of each
+// organisation.
+func (p *Pool) Backlog() map[version.ID]Load {
+	out := map[version.ID]Load{}
+	for org, a := range p.accounts {
+		if a.waiting > 0 || a.held > 0 {
+			out[org] = Load{Waiting: a.waiting, Held: a.held, Service: p.served(a)}
+		}
+	}
+	return out
+}
+
+// Load is one organisation's part of a pool; Service is over share, in units.
+type Load struct {
+	Waiting int     `json:"waiting"`
+	Held    int     `json:"held"`
+	Service float64 `json:"service"`
+}
+
+// UpstreamLoad is one upstream as its scheduler sees it.
+type UpstreamLoad struct {
+	Name  string `json:"name"`
+	Used  int    `json:"used"`
+	Limit int    `json:"limit"`
+	Slots int    `json:"slots"`
+	Drain bool   `json:"leaving"`
+}
+
+// Upstreams returns every upstream's load, in the version's order.
+func (p *Pool) Upstreams() []UpstreamLoad {
+	out := make([]UpstreamLoad, 0, len(p.upOrder))
+	for _, id := range p.upOrder {
+		u := p.ups[id]
+		out = append(out, UpstreamLoad{u.def.Name, u.used, p.capacity(u), u.def.Slots, u.drain || u.def.Leaving})
+	}
+	return out
+}
+
+// Routers returns how many routers report to this scheduler.
+func (p *Pool) Routers() int { return len(p.routers) }
--- /dev/null
+++ b/internal/process/operator.go
@@ -0,0 +1,71 @@
+package process
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sort"
+	"strings"
+
+	"github.com/gorilla/mux"
+	"github.com/rcrowley/go-metrics"
+)
+
+// operatorHandler serves health, readiness, status and metrics, on the
+// operators' listener only.
+func operatorHandler(d *Driver, reg metrics.Registry) http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
+	r.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !d.Ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprintln(w, "ready")
+	})
+	r.HandleFunc("/status", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(d.View()) // the operator may be gone
+	})
+	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		writeMetrics(w, d, reg)
+	})
+	return r
+}
+
+// writeMetrics renders the registry in the Prometheus text format.
+func writeMetrics(w http.ResponseWriter, d *Driver, reg metrics.Registry) {
+	lines := map[string]string{}
+	reg.Each(func(name string, m any) {
+		switch m := m.(type) {
+		case metrics.Counter:
+			lines[promName(name)] = fmt.Sprintf("%d", m.Count())
+		case metrics.Gauge:
+			lines[promName(name)] = fmt.Sprintf("%d", m.Value())
+		}
+	})
+	if v := d.View(); v != nil {
+		lines["silverswitch_configuration_revision"] = fmt.Sprintf("%d", v.Revision)
+		lines["silverswitch_requests_waiting"] = fmt.Sprintf("%d", v.Waiting)
+		lines["silverswitch_requests_running"] = fmt.Sprintf("%d", v.Running)
+		lines["silverswitch_grants_used"] = fmt.Sprintf("%d", v.Entry.GrantsUsed)
+		lines["silverswitch_grants_returned"] = fmt.Sprintf("%d", v.Entry.GrantsReturned)
+		lines["silverswitch_grants_late"] = fmt.Sprintf("%d", v.Entry.GrantsLate)
+		lines["silverswitch_credits_used"] = fmt.Sprintf("%d", v.Entry.CreditsUsed)
+		lines["silverswitch_pauses"] = fmt.Sprintf("%d", v.Counts.Woke)
+		lines["silverswitch_same_revision_values"] = fmt.Sprintf("%d", v.Counts.SameRevision)
+	}
+	names := make([]string, 0, len(lines))
+	for n := range lines {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	for _, n := range names {
+		fmt.Fprintln(w, n, lines[n])
+	}
+}
+
+func promName(name string) string {
+	return "silverswitch_" + strings.NewReplacer(".", "_", "-", "_").Replace(name)
+}
--- /dev/null
+++ b/internal/process/settings.go
@@ -0,0 +1,263 @@
+// Package process holds what lives as long as the process: its settings, the
+// control goroutine, the listeners, and starting and stopping in order.
+package process
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/silverswitch/silverswitch/internal/conn"
+	"github.com/silverswitch/silverswitch/internal/core/wire"
+	"github.com/silverswitch/silverswitch/internal/inifile"
+	"github.com/silverswitch/silverswitch/internal/request"
+)
+
+// ErrSettings is a settings file that cannot be used.
+var ErrSettings = errorx.NewNamespace("process").NewType("settings")
+
+// Settings are fixed for the process's life. Each field names its key.
+type Settings struct {
+	Peer     string        // [router] peer_address: UDP and TCP, also the router's identity
+	Place    string        // [router] place
+	Callers  string        // [router] caller_address
+	Public   string        // [router] caller_url
+	Operator string        // [router] operator_address
+	Seeds    []wire.NodeID // [fleet] seeds
+	Secret   string        // [fleet] secret
+	Platform string        // [platform] url
+	CertFile string        // [tls] certificate
+	KeyFile  string        // [tls] key
+	PlainOK  bool          // [tls] plain_text_allowed
+	LogLevel string        // [log] level
+	Exporter string        // [trace] exporter
+	Collect  string        // [trace] endpoint
+	Sample   float64       // [trace] ratio
+	Wait     time.Duration // [stop] balancer_wait
+	Bound    time.Duration // [stop] bound, 0 for none
+	Limits   request.Limits
+	Header   int           // [limits] header_bytes
+	HeadTime time.Duration // [limits] header_time
+	IdleTime time.Duration // [limits] idle_time
+}
+
+// Bounds of the settings.
+const (
+	minBytes  = 1 << 10
+	maxBytes  = 256 << 20
+	maxPeriod = time.Hour
+)
+
+// Defaults is a settings file with every key; those that have no default are to
+// be filled in.
+const Defaults = `; silverswitchd settings. Addresses are IP numbers with a port.
+[router]
+; UDP and TCP towards other routers; also this router's name in the fleet.
+peer_address = 127.0.0.1:7100
+; The failure domain this router stands in, a place of fleet.ini.
+place = hakata-a
+caller_address = 127.0.0.1:8100
+; How callers reach this router, for redirects from other places.
+caller_url = http://127.0.0.1:8100
+; Health, readiness, status and metrics.
+operator_address = 127.0.0.1:9100
+
+[fleet]
+; Peer addresses to begin with; the VM list adds others.
+seeds = 127.0.0.1:7101
+; At least 16 bytes, the same on every router.
+secret = change-this-secret-now
+
+[platform]
+url = http://127.0.0.1:7000
+
+[tls]
+certificate =
+key =
+; Needed for callers over plain text on an address that is not loopback.
+plain_text_allowed = false
+
+[limits]
+body_bytes = 4194304
+answer_bytes = 16777216
+body_time = 20s
+stall_time = 30s
+header_bytes = 32768
+header_time = 10s
+idle_time = 2m0s
+
+[log]
+; debug, info, warn or error
+level = info
+
+[trace]
+; off, stdout or otlp
+exporter = off
+endpoint = http://127.0.0.1:4318
+ratio = 0.01
+
+[stop]
+; How long the balancer takes to notice that this router is not ready.
+balancer_wait = 5s
+; 0s waits for every request, however long.
+bound = 0s
+`
+
+// LoadSettings reads and checks a settings file.
+func LoadSettings(path string) (Settings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, ErrSettings.Wrap(err, "read settings")
+	}
+	return ParseSettings(path, string(raw))
+}
+
+// ParseSettings checks the text of a settings file; all faults are returned.
+func ParseSettings(file, text string) (Settings, error) {
+	var faults inifile.Faults
+	r := reader{found: map[string]*inifile.Section{}, file: file, faults: &faults}
+	for _, s := range inifile.Parse(file, text, &faults) {
+		r.found[s.Name] = s
+	}
+	s := r.read()
+	r.refuseOthers()
+	return s, faults.OrNil()
+}
+
+// reader reads the sections of a settings file.
+type reader struct {
+	file   string
+	found  map[string]*inifile.Section
+	asked  []string
+	faults *inifile.Faults
+}
+
+func (r *reader) section(name string) *inifile.Section {
+	r.asked = append(r.asked, name)
+	if s := r.found[name]; s != nil {
+		return s
+	}
+	return inifile.New(r.file, name, map[string]string{}, r.faults)
+}
+
+func (r *reader) refuseOthers() {
+	for name, s := range r.found {
+		known := false
+		for _, a := range r.asked {
+			known = known || a == name
+		}
+		if !known {
+			s.Fault("", "", "only the sections "+strings.Join(r.asked, ", "))
+		}
+	}
+	sort.SliceStable(*r.faults, func(i, j int) bool { return (*r.faults)[i].Error() < (*r.faults)[j].Error() })
+}
+
+func (r *reader) read() Settings {
+	var s Settings
+	r.readRouter(&s)
+	r.readFleet(&s)
+	r.readTLS(&s)
+	r.readLimits(&s)
+	r.readRest(&s)
+	return s
+}
+
+func (r *reader) readRouter(s *Settings) {
+	sec := r.section("router")
+	s.Peer = sec.Address("peer_address")
+	s.Place = sec.Text("place")
+	s.Callers = sec.Address("caller_address")
+	s.Public = httpURL(sec, "caller_url")
+	s.Operator = sec.Address("operator_address")
+	sec.Done()
+}
+
+func httpURL(sec *inifile.Section, key string) string {
+	text := sec.Text(key)
+	u, err := url.Parse(text)
+	if text != "" && (err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https")) {
+		sec.Fault(key, text, "a URL like http://10.0.0.7:8100")
+	}
+	return strings.TrimSuffix(text, "/")
+}
+
+func (r *reader) readFleet(s *Settings) {
+	sec := r.section("fleet")
+	if sec.Has("seeds") && sec.TextOr("seeds", "") != "" {
+		for _, a := range sec.List("seeds") {
+			if _, err := netip.ParseAddrPort(a); err != nil {
+				sec.Fault("seeds", a, "IP numbers with ports, like 10.0.0.7:7100, separated by commas")
+			}
+			s.Seeds = append(s.Seeds, wire.NodeID(a))
+		}
+	} else {
+		sec.TextOr("seeds", "")
+	}
+	s.Secret = sec.Text("secret")
+	if s.Secret != "" && len(s.Secret) < conn.MinSecret {
+		sec.Fault("secret", "(hidden)", fmt.Sprintf("at least %d bytes", conn.MinSecret))
+	}
+	sec.Done()
+	plat := r.section("platform")
+	s.Platform = httpURL(plat, "url")
+	plat.Done()
+}
+
+func (r *reader) readTLS(s *Settings) {
+	sec := r.section("tls")
+	s.CertFile = sec.TextOr("certificate", "")
+	s.KeyFile = sec.TextOr("key", "")
+	s.PlainOK = sec.Boolean("plain_text_allowed", false)
+	if (s.CertFile == "") != (s.KeyFile == "") {
+		sec.Fault("key", s.KeyFile, "certificate and key together, or neither")
+	}
+	if s.CertFile == "" && !s.PlainOK && !loopback(s.Callers) {
+		sec.Fault("certificate", "", "a certificate, or plain_text_allowed = true, since caller_address "+s.Callers+" is not loopback")
+	}
+	sec.Done()
+}
+
+func loopback(addr string) bool {
+	ap, err := netip.ParseAddrPort(addr)
+	return err == nil && ap.Addr().IsLoopback()
+}
+
+func (r *reader) readLimits(s *Settings) {
+	sec := r.section("limits")
+	def := request.DefaultLimits
+	s.Limits = request.Limits{
+		Body:      int64(sec.Integer("body_bytes", int(def.Body), minBytes, maxBytes)),
+		Answer:    int64(sec.Integer("answer_bytes", int(def.Answer), minBytes, maxBytes)),
+		BodyTime:  sec.Duration("body_time", def.BodyTime, time.Millisecond, maxPeriod),
+		StallTime: sec.Duration("stall_time", def.StallTime, time.Millisecond, maxPeriod),
+	}
+	s.Header = sec.Integer("header_bytes", 32<<10, minBytes, 1<<20)
+	s.HeadTime = sec.Duration("header_time", 10*time.Second, time.Millisecond, maxPeriod)
+	s.IdleTime = sec.Duration("idle_time", 2*time.Minute, time.Millisecond, maxPeriod)
+	sec.Done()
+}
+
+func (r *reader) readRest(s *Settings) {
+	log := r.section("log")
+	s.LogLevel = log.OneOf("level", "info", "debug", "info", "warn", "error")
+	log.Done()
+	tr := r.section("trace")
+	s.Exporter = tr.OneOf("exporter", "off", "off", "stdout", "otlp")
+	s.Collect = tr.TextOr("endpoint", "")
+	if s.Exporter == "otlp" {
+		s.Collect = httpURL(tr, "endpoint")
+	}
+	s.Sample = tr.Number("ratio", 0.01, 0, 1)
+	tr.Done()
+	stop := r.section("stop")
+	s.Wait = stop.Duration("balancer_wait", 5*time.Second, 0, maxPeriod)
+	s.Bound = stop.Duration("bound", 0, 0, 24*time.Hour)
+	stop.Done()
+}
--- /dev/null
+++ b/internal/process/tracing.go
@@ -0,0 +1,41 @@
+package process
+
+import (
+	"context"
+	"os"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	"go.opentelemetry.io/otel/sdk/trace"
+)
+
+// startTracing sets the tracer that the settings ask for. The returned function
+// sends what is left.
+func startTracing(ctx context.Context, s Settings) (func(context.Context) error, error) {
+	otel.SetTextMapPropagator(propagation.TraceContext{})
+	var exp trace.SpanExporter
+	var err error
+	switch s.Exporter {
+	case "off":
+		return func(context.Context) error { return nil }, nil
+	case "stdout":
+		exp, err = stdouttrace.New(stdouttrace.WithWriter(os.Stdout))
+	case "otlp":
+		exp, err = otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(s.Collect+"/v1/traces"))
+	}
+	if err != nil {
+		return nil, ErrSettings.Wrap(err, "trace exporter")
+	}
+	res := resource.NewSchemaless(attribute.String("service.name", "silverswitchd"), attribute.String("service.instance.id", s.Peer))
+	p := trace.NewTracerProvider(
+		trace.WithBatcher(exp),
+		trace.WithResource(res),
+		trace.WithSampler(trace.ParentBased(trace.TraceIDRatioBased(s.Sample))),
+	)
+	otel.SetTracerProvider(p)
+	return p.Shutdown, nil
+}
--- /dev/null
+++ b/internal/request/count.go
@@ -0,0 +1,72 @@
+package request
+
+import (
+	"sync"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/silverswitch/silverswitch/internal/request/outcome"
+)
+
+// counters are the callers' side of the metrics page.
+type counters struct {
+	reg      metrics.Registry
+	arrived  metrics.Counter
+	retried  metrics.Counter
+	resumed  metrics.Counter
+	repeated metrics.Counter // events received again after a resume
+	foreign  metrics.Counter // answers that named another request
+}
+
+func newCounters(reg metrics.Registry) counters {
+	c := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, reg) }
+	return counters{
+		reg:      reg,
+		arrived:  c("requests.arrived"),
+		retried:  c("requests.retried"),
+		resumed:  c("streams.resumed"),
+		repeated: c("streams.repeated_events"),
+		foreign:  c("answers.foreign"),
+	}
+}
+
+// outcome counts one request's end by kind and reason.
+func (c counters) outcome(k outcome.Kind, reason string) {
+	name := "requests.outcome." + string(k)
+	if reason != "" {
+		name += "." + reason
+	}
+	metrics.GetOrRegisterCounter(name, c.reg).Inc(1)
+}
+
+// Retry budget: retries are at most this part of answers, on every router and so
+// over the fleet, beyond a small reserve.
+const (
+	budgetPart    = 0.1
+	budgetReserve = 10
+)
+
+// retryBudget keeps failures from multiplying load. It may be used by any
+// goroutine.
+type retryBudget struct {
+	mu   sync.Mutex
+	left float64
+}
+
+func newRetryBudget() *retryBudget { return &retryBudget{left: budgetReserve} }
+
+func (b *retryBudget) earn() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.left = min(b.left+budgetPart, budgetReserve)
+}
+
+func (b *retryBudget) take() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.left < 1 {
+		return false
+	}
+	b.left--
+	return true
+}
--- /dev/null
+++ b/internal/request/outcome/outcome.go
@@ -0,0 +1,143 @@
+// Package outcome holds the three ends of a request and how a caller is told.
+// An outcome is a value: one is built once, where it is known, and written once.
+package outcome
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/silverswitch/silverswitch/internal/core/entry"
+)
+
+// Kind is what is known of a request at its end.
+type Kind string
+
+// The outcomes. NotRun is legal only while nothing of the request has reached an
+// upstream, or when the upstream's own reply proves that it did not start.
+const (
+	Answered Kind = "answered"
+	NotRun   Kind = "not-run"
+	Unknown  Kind = "unknown"
+)
+
+// Headers of every response.
+const (
+	HeaderOutcome   = "Silverswitch-Outcome"
+	HeaderReason    = "Silverswitch-Reason"
+	HeaderRequestID = "X-Request-Id"
+)
+
+// Reasons beside those of entry.Reason, which share the header.
+const (
+	ReasonKey         = "unknown-api-key"
+	ReasonApplication = "unknown-application"
+	ReasonBody        = "bad-body"
+	ReasonTooLarge    = "body-too-large"
+	ReasonSlow        = "body-too-slow"
+	ReasonHeader      = "bad-header"
+	ReasonPath        = "unknown-path"
+	ReasonPlace       = "router-not-in-allowed-place"
+	ReasonCanceled    = "caller-went-away"
+	ReasonUpstream    = "upstream-failed"
+	ReasonBroken      = "answer-broken"
+	ReasonForeign     = "answer-of-another-request"
+)
+
+// Failure is an outcome without an answer.
+type Failure struct {
+	Kind   Kind
+	Status int
+	Reason string
+	Detail string        // for a person; never content
+	After  time.Duration // when to come back, 0 for never
+	Where  string        // Location of a redirect
+}
+
+// Error makes a Failure usable as an error inside a handler.
+func (f Failure) Error() string { return f.Reason + ": " + f.Detail }
+
+// BadRequest is a request that no router would run.
+func BadRequest(status int, reason, detail string) Failure {
+	return Failure{Kind: NotRun, Status: status, Reason: reason, Detail: detail}
+}
+
+// Refused maps a decision of the core to a failure. With doubt an earlier
+// attempt with the same key may have run, and the outcome is unknown.
+func Refused(why entry.Reason, after time.Duration, doubt bool) Failure {
+	f := Failure{Kind: NotRun, Status: statusOf(why), Reason: string(why), Detail: details[why], After: after}
+	if doubt {
+		f.Kind = Unknown
+	}
+	return f
+}
+
+func statusOf(why entry.Reason) int {
+	switch why {
+	case entry.ReasonQueueFull:
+		return http.StatusTooManyRequests
+	case entry.ReasonWithdrawn:
+		return http.StatusForbidden
+	case entry.ReasonKeyTaken, entry.ReasonKeyExpired, entry.ReasonKeyForgotten:
+		return http.StatusConflict
+	}
+	return http.StatusServiceUnavailable
+}
+
+var details = map[entry.Reason]string{
+	entry.ReasonQueueFull:    "the organisation's queue at this router is full",
+	entry.ReasonDeadline:     "the deadline passes before a slot is free",
+	entry.ReasonNoUpstream:   "no upstream in the organisation's places takes new work",
+	entry.ReasonNoVersion:    "this router has no configuration yet",
+	entry.ReasonWithdrawn:    "the organisation may not call this application here",
+	entry.ReasonStopping:     "this router is stopping",
+	entry.ReasonNoWitnesses:  "too few routers could vouch for the idempotency key",
+	entry.ReasonKeyTaken:     "another attempt with this idempotency key runs, has run, or may have run",
+	entry.ReasonKeyExpired:   "the idempotency key was minted too long ago or in the future",
+	entry.ReasonKeyForgotten: "routers that remember keys of that time are gone",
+	entry.ReasonRetryBudget:  "the upstream failed and the retry budget is spent",
+	entry.ReasonPaused:       "this router was paused",
+}
+
+// body is the one shape of every error. It follows the OpenAI error object, so
+// that client libraries show it.
+type body struct {
+	Error struct {
+		Message    string  `json:"message"`
+		Type       string  `json:"type"`
+		Code       string  `json:"code"`
+		Outcome    Kind    `json:"outcome"`
+		RetryAfter float64 `json:"retry_after_seconds,omitempty"`
+		RequestID  string  `json:"request_id"`
+	} `json:"error"`
+}
+
+// Write sends a failure to the caller.
+func Write(w http.ResponseWriter, id string, f Failure) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderOutcome, string(f.Kind))
+	h.Set(HeaderReason, f.Reason)
+	h.Set(HeaderRequestID, id)
+	if f.After > 0 {
+		h.Set("Retry-After", strconv.Itoa(seconds(f.After)))
+	}
+	if f.Where != "" {
+		h.Set("Location", f.Where)
+	}
+	var b body
+	b.Error.Message = f.Detail
+	b.Error.Type = "silverswitch_error"
+	b.Error.Code = f.Reason
+	b.Error.Outcome = f.Kind
+	b.Error.RetryAfter = f.After.Seconds()
+	b.Error.RequestID = id
+	w.WriteHeader(f.Status)
+	_ = json.NewEncoder(w).Encode(b) // the caller may be gone
+}
+
+// seconds rounds up: coming back early would only be refused again.
+func seconds(d time.Duration) int {
+	return int((d + time.Second - 1) / time.Second)
+}
--- /dev/null
+++ b/internal/request/run.go
@@ -0,0 +1,185 @@
+package request
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/silverswitch/silverswitch/internal/core/entry"
+	"github.com/silverswitch/silverswitch/internal/core/wire"
+	"github.com/silverswitch/silverswitch/internal/request/outcome"
+	"github.com/silverswitch/silverswitch/internal/request/relay"
+	"github.com/silverswitch/silverswitch/internal/version"
+)
+
+const (
+	// maxTries bounds the attempts of one request that may be repeated.
+	maxTries = 4
+	// staleStart is how old a slot may be when it is used: after a pause the
+	// place rule and the lease are asked for again.
+	staleStart = 500 * time.Millisecond
+)
+
+// run carries one request from its ticket to its outcome.
+type run struct {
+	s        *Server
+	v        *visit
+	app      *version.Application
+	call     relay.Call
+	streams  bool
+	ticket   *Ticket
+	ctx      context.Context
+	deadline time.Time
+	tries    int
+}
+
+// loop waits for a slot and tries, until there is an outcome.
+func (r *run) loop() {
+	for {
+		d, ok := r.wait()
+		if !ok {
+			return
+		}
+		if time.Since(d.At) > staleStart {
+			r.s.ctl.Return(r.ticket, false)
+			continue
+		}
+		if r.attempt(d.Upstream) {
+			return
+		}
+	}
+}
+
+// wait returns a slot, or false after the outcome has been told.
+func (r *run) wait() (Decision, bool) {
+	_, span := r.s.tracer.Start(r.ctx, "queue")
+	defer span.End()
+	d, ok := r.ticket.Wait(r.v.r.Context())
+	if !ok {
+		r.abandon()
+		return d, false
+	}
+	if d.Upstream == nil {
+		span.SetAttributes(attribute.String("refused", string(d.Refusal.Reason)))
+		r.s.failVisit(r.v, outcome.Refused(d.Refusal.Reason, d.Refusal.After, d.Refusal.Doubt))
+		return d, false
+	}
+	span.AddEvent("grant", trace.WithAttributes(attribute.String("upstream", d.Upstream.Name)))
+	return d, true
+}
+
+// abandon gives up a request whose caller went away while it waited. A slot may
+// have come at the same moment; it is given back unused.
+func (r *run) abandon() {
+	r.s.ctl.Cancel(r.ticket)
+	r.s.count.outcome(outcome.NotRun, outcome.ReasonCanceled)
+}
+
+// attempt runs the request at an upstream once. It returns true when the outcome
+// has been told, and false when the request waits for another slot.
+func (r *run) attempt(u *version.Upstream) bool {
+	r.tries++
+	id := uuid.Must(uuid.NewV7()).String()
+	ctx, span := r.s.tracer.Start(r.ctx, "upstream", trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(attribute.String("upstream", u.Name), attribute.String("place", u.Place)))
+	defer span.End()
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	res := relay.Send(ctx, r.s.ups, u, id, r.call)
+	if res.Leaving {
+		r.s.ctl.Leaving(u.ID)
+	}
+	switch res.State {
+	case relay.Replied:
+		p := &passage{run: r, upstream: u, attempt: id, res: res, ctx: ctx, stop: stop, began: time.Now()}
+		return p.deliver()
+	case relay.NotSent, relay.NotBegun:
+		span.SetAttributes(attribute.Bool("not_run", true))
+		return r.again(res.State == relay.NotSent)
+	case relay.Foreign:
+		r.s.count.foreign.Inc(1)
+	}
+	return r.failed(u, id, res)
+}
+
+// again waits for another slot after an attempt that provably did not run.
+func (r *run) again(failed bool) bool {
+	if r.tries < maxTries && r.ctx.Err() == nil {
+		r.s.ctl.Return(r.ticket, failed)
+		return false
+	}
+	r.finish(wire.Sample{Failed: 1}, false)
+	r.s.failVisit(r.v, outcome.Refused(entry.ReasonNoUpstream, time.Second, false))
+	return true
+}
+
+// failed ends an attempt that may have run. Only what is idempotent is tried
+// again, within the budget.
+func (r *run) failed(u *version.Upstream, id string, res relay.Result) bool {
+	gone := r.v.r.Context().Err() != nil
+	if gone || r.ctx.Err() != nil {
+		relay.Cancel(r.s.ups, u, id, r.call.Organisation)
+	}
+	if !gone && r.app.Idempotent && r.tries < maxTries && r.ctx.Err() == nil && r.s.budget.take() {
+		r.s.count.retried.Inc(1)
+		r.s.ctl.Return(r.ticket, true)
+		return false
+	}
+	r.finish(wire.Sample{Failed: 1}, false)
+	reason := outcome.ReasonUpstream
+	if res.State == relay.Foreign {
+		reason = outcome.ReasonForeign
+	}
+	status := http.StatusBadGateway
+	if r.ctx.Err() != nil {
+		status = http.StatusGatewayTimeout
+	}
+	r.s.failVisit(r.v, outcome.Failure{Kind: outcome.Unknown, Status: status, Reason: reason, Detail: "the upstream gave no whole answer; the request may have run"})
+	return true
+}
+
+func (r *run) finish(s wire.Sample, answered bool) {
+	r.s.ctl.Finish(r.ticket, s, answered)
+	if answered {
+		r.s.budget.earn()
+	}
+}
+
+// passHeaders are the upstream's headers that reach callers.
+var passHeaders = []string{"Content-Type", "Content-Language", "Cache-Control", "Retry-After", "Etag", "Last-Modified"}
+
+func (r *run) writeHead(res *http.Response, kind outcome.Kind, length int) {
+	h := r.v.w.Header()
+	for _, name := range passHeaders {
+		if v, ok := res.Header[name]; ok {
+			h[name] = v
+		}
+	}
+	h.Set(outcome.HeaderRequestID, r.v.terms.ID)
+	if kind != "" {
+		h.Set(outcome.HeaderOutcome, string(kind))
+	}
+	if length >= 0 {
+		h.Set("Content-Length", strconv.Itoa(length))
+	}
+	r.v.w.WriteHeader(res.StatusCode)
+}
+
+// readWhole reads an answer that is not a stream. An answer cut short or over
+// the bound is an error, never a shorter answer.
+func readWhole(res *http.Response, limit int64) ([]byte, error) {
+	raw, err := io.ReadAll(io.LimitReader(res.Body, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(raw)) > limit {
+		return nil, io.ErrShortBuffer
+	}
+	return raw, nil
+}
--- /dev/null
+++ b/internal/request/server.go
@@ -0,0 +1,314 @@
+package request
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/rcrowley/go-metrics"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/silverswitch/silverswitch/internal/conn"
+	"github.com/silverswitch/silverswitch/internal/core/claim"
+	"github.com/silverswitch/silverswitch/internal/core/entry"
+	"github.com/silverswitch/silverswitch/internal/request/caller"
+	"github.com/silverswitch/silverswitch/internal/request/outcome"
+	"github.com/silverswitch/silverswitch/internal/request/relay"
+	"github.com/silverswitch/silverswitch/internal/version"
+)
+
+// Limits on what callers may send.
+type Limits struct {
+	Body       int64         // bytes of one body
+	Answer     int64         // bytes of one answer that is not a stream
+	BodyTime   time.Duration // to send the body
+	StallTime  time.Duration // longest pause of an upstream's stream
+	TokenAhead int           // reserved
+}
+
+// DefaultLimits suit syllabi of a few hundred pages.
+var DefaultLimits = Limits{
+	Body:      4 << 20,
+	Answer:    16 << 20,
+	BodyTime:  20 * time.Second,
+	StallTime: 30 * time.Second,
+}
+
+// Server answers callers. It may be used by any goroutine.
+type Server struct {
+	ctl    Control
+	ups    *conn.Upstreams
+	limits Limits
+	budget *retryBudget
+	count  counters
+	tracer trace.Tracer
+}
+
+// NewServer returns the callers' handler's state.
+func NewServer(ctl Control, ups *conn.Upstreams, limits Limits, reg metrics.Registry) *Server {
+	return &Server{
+		ctl:    ctl,
+		ups:    ups,
+		limits: limits,
+		budget: newRetryBudget(),
+		count:  newCounters(reg),
+		tracer: otel.Tracer("silverswitch"),
+	}
+}
+
+// Handler returns the routes for callers.
+func (s *Server) Handler() http.Handler {
+	r := mux.NewRouter().UseEncodedPath()
+	r.HandleFunc("/v1/chat/completions", s.withOrganisation(s.completion)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/models", s.withOrganisation(s.models)).Methods(http.MethodGet)
+	r.PathPrefix("/v1/apps/{app}/").HandlerFunc(s.withOrganisation(s.plain))
+	r.NotFoundHandler = http.HandlerFunc(s.notFound)
+	r.MethodNotAllowedHandler = http.HandlerFunc(s.notFound)
+	return r
+}
+
+func (s *Server) notFound(w http.ResponseWriter, r *http.Request) {
+	s.fail(w, caller.RequestID(r), outcome.BadRequest(http.StatusNotFound, outcome.ReasonPath,
+		"allowed: POST /v1/chat/completions, GET /v1/models, /v1/apps/{application}/{path}"))
+}
+
+// visit is one request between its headers and its outcome.
+type visit struct {
+	w     http.ResponseWriter
+	r     *http.Request
+	ver   *version.Version
+	org   *version.Organisation
+	terms caller.Terms
+	span  trace.Span
+}
+
+// withOrganisation decides from the headers alone: who calls, whether this
+// router stands in a place the organisation allows, and under which terms.
+func (s *Server) withOrganisation(next func(*visit)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.count.arrived.Inc(1)
+		ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+		ctx, span := s.tracer.Start(ctx, "entry", trace.WithSpanKind(trace.SpanKindServer))
+		defer span.End()
+		v := &visit{w: w, r: r.WithContext(ctx), span: span}
+		if err := s.admit(v); err != nil {
+			s.failVisit(v, err)
+			return
+		}
+		span.SetAttributes(attribute.String("organisation", v.org.Name), attribute.String("request_id", v.terms.ID))
+		next(v)
+	}
+}
+
+func (s *Server) admit(v *visit) error {
+	v.terms.ID = caller.RequestID(v.r)
+	v.ver = s.ctl.Version()
+	if v.ver == nil {
+		return outcome.Refused(entry.ReasonNoVersion, time.Second, false)
+	}
+	org, err := caller.Authenticate(v.ver, v.r)
+	if err != nil {
+		return err
+	}
+	v.org = org
+	if !org.Allows(s.ctl.Place()) {
+		return s.elsewhere(v)
+	}
+	v.terms, err = caller.Read(v.r, v.terms.ID)
+	return err
+}
+
+// elsewhere redirects to a router in an allowed place, before the body is read.
+func (s *Server) elsewhere(v *visit) error {
+	f := outcome.BadRequest(http.StatusMisdirectedRequest, outcome.ReasonPlace, "this router stands outside the organisation's places")
+	if base := s.ctl.Redirect(v.org.Places); base != "" {
+		f.Status = http.StatusTemporaryRedirect
+		f.Where = base + v.r.URL.RequestURI()
+	} else {
+		f.Status = http.StatusServiceUnavailable
+		f.After = 5 * time.Second
+	}
+	return f
+}
+
+func (s *Server) models(v *visit) {
+	type model struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		OwnedBy string `json:"owned_by"`
+	}
+	list := struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}{Object: "list", Data: []model{}}
+	for _, app := range v.org.Applications {
+		if v.ver.Services[app.Service].Kind == version.KindModel {
+			list.Data = append(list.Data, model{ID: app.Name, Object: "model", OwnedBy: v.org.Name})
+		}
+	}
+	sort.Slice(list.Data, func(i, j int) bool { return list.Data[i].ID < list.Data[j].ID })
+	v.w.Header().Set("Content-Type", "application/json")
+	v.w.Header().Set(outcome.HeaderOutcome, string(outcome.Answered))
+	v.w.Header().Set(outcome.HeaderRequestID, v.terms.ID)
+	_ = json.NewEncoder(v.w).Encode(list) // the caller may be gone
+}
+
+// completion serves the OpenAI-style route; the model names the application.
+func (s *Server) completion(v *visit) {
+	raw, err := s.readBody(v)
+	if err != nil {
+		s.failVisit(v, err)
+		return
+	}
+	var fields map[string]json.RawMessage
+	var model string
+	var streams bool
+	if err := readCompletion(raw, &fields, &model, &streams); err != nil {
+		s.failVisit(v, err)
+		return
+	}
+	app, err := s.application(v, model, version.KindModel)
+	if err != nil {
+		s.failVisit(v, err)
+		return
+	}
+	fields["model"], _ = json.Marshal(app.Service) // a string always encodes
+	body, err := json.Marshal(fields)
+	if err != nil {
+		s.failVisit(v, outcome.BadRequest(http.StatusBadRequest, outcome.ReasonBody, err.Error()))
+		return
+	}
+	s.serve(v, app, relay.Call{Method: http.MethodPost, Path: "/v1/chat/completions", Body: body}, streams)
+}
+
+func readCompletion(raw []byte, fields *map[string]json.RawMessage, model *string, streams *bool) error {
+	bad := func(detail string) error {
+		return outcome.BadRequest(http.StatusBadRequest, outcome.ReasonBody, detail)
+	}
+	if err := json.Unmarshal(raw, fields); err != nil || *fields == nil {
+		return bad("allowed: one JSON object")
+	}
+	if err := json.Unmarshal((*fields)["model"], model); err != nil || *model == "" {
+		return bad("model: allowed: the name of an application; GET /v1/models lists them")
+	}
+	if s, ok := (*fields)["stream"]; ok {
+		if err := json.Unmarshal(s, streams); err != nil {
+			return bad("stream: allowed: true or false")
+		}
+	}
+	if m, ok := (*fields)["messages"]; !ok || len(m) == 0 || m[0] != '[' {
+		return bad("messages: allowed: a list")
+	}
+	return nil
+}
+
+// plain serves calls to plain services; the path names the application.
+func (s *Server) plain(v *visit) {
+	name, err := url.PathUnescape(mux.Vars(v.r)["app"])
+	if err != nil {
+		s.failVisit(v, outcome.BadRequest(http.StatusNotFound, outcome.ReasonPath, "application name is not a valid path segment"))
+		return
+	}
+	app, err := s.application(v, name, version.KindPlain)
+	if err != nil {
+		s.failVisit(v, err)
+		return
+	}
+	raw, err := s.readBody(v)
+	if err != nil {
+		s.failVisit(v, err)
+		return
+	}
+	path := strings.TrimPrefix(v.r.URL.EscapedPath(), "/v1/apps/"+mux.Vars(v.r)["app"])
+	if v.r.URL.RawQuery != "" {
+		path += "?" + v.r.URL.RawQuery
+	}
+	s.serve(v, app, relay.Call{Method: v.r.Method, Path: path, Body: raw}, false)
+}
+
+func (s *Server) application(v *visit, name string, kind version.Kind) (*version.Application, error) {
+	app := v.org.Applications[name]
+	if app == nil || v.ver.Services[app.Service].Kind != kind {
+		return nil, outcome.BadRequest(http.StatusNotFound, outcome.ReasonApplication, "the organisation has no such application on this route")
+	}
+	return app, nil
+}
+
+// readBody reads the content within its bounds of size and time.
+func (s *Server) readBody(v *visit) ([]byte, error) {
+	rc := http.NewResponseController(v.w)
+	_ = rc.SetReadDeadline(time.Now().Add(s.limits.BodyTime)) // not supported by test recorders
+	raw, err := io.ReadAll(http.MaxBytesReader(v.w, v.r.Body, s.limits.Body))
+	_ = rc.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return raw, nil
+	case errors.As(err, &tooLarge):
+		return nil, outcome.BadRequest(http.StatusRequestEntityTooLarge, outcome.ReasonTooLarge, "the body is larger than this router takes")
+	}
+	return nil, outcome.BadRequest(http.StatusRequestTimeout, outcome.ReasonSlow, "the body did not arrive whole in time")
+}
+
+// serve waits for a slot, carries the request, and tells the outcome.
+func (s *Server) serve(v *visit, app *version.Application, call relay.Call, streams bool) {
+	key, err := s.key(v, app)
+	if err != nil {
+		s.failVisit(v, err)
+		return
+	}
+	timeout := app.Timeout
+	if v.terms.Timeout > 0 {
+		timeout = min(timeout, v.terms.Timeout)
+	}
+	deadline := time.Now().Add(timeout)
+	ctx, stop := context.WithDeadline(v.r.Context(), deadline)
+	defer stop()
+	call.Header = v.r.Header
+	call.Organisation = v.org.Name
+	call.Repeatable = app.Idempotent
+	t := s.ctl.Submit(entry.Request{
+		Org:      v.org.ID,
+		App:      app.Name,
+		Urgent:   v.terms.Urgent || app.Priority == version.PriorityUrgent,
+		Deadline: deadline,
+	}, key)
+	run := &run{s: s, v: v, app: app, call: call, streams: streams, ticket: t, ctx: ctx, deadline: deadline}
+	run.loop()
+}
+
+// key reads the idempotency key. Only what may not be repeated needs it.
+func (s *Server) key(v *visit, app *version.Application) (*claim.Key, error) {
+	if app.Idempotent || v.terms.Key == "" {
+		return nil, nil
+	}
+	k, err := claim.ParseKey(v.org.Name, app.Name, v.terms.Key)
+	if err != nil {
+		return nil, outcome.BadRequest(http.StatusBadRequest, outcome.ReasonHeader, err.Error())
+	}
+	return &k, nil
+}
+
+func (s *Server) failVisit(v *visit, err error) {
+	var f outcome.Failure
+	if !errors.As(err, &f) {
+		f = outcome.BadRequest(http.StatusBadRequest, outcome.ReasonBody, err.Error())
+	}
+	v.span.SetAttributes(attribute.String("outcome", string(f.Kind)), attribute.String("reason", f.Reason))
+	s.fail(v.w, v.terms.ID, f)
+}
+
+func (s *Server) fail(w http.ResponseWriter, id string, f outcome.Failure) {
+	s.count.outcome(f.Kind, f.Reason)
+	outcome.Write(w, id, f)
+}
--- /dev/null
+++ b/internal/request/stream/event.go
@@ -0,0 +1,100 @@
+// Package stream reads server-sent events from an upstream, one event at a time
+// and with a bound on its size, keeping the bytes as they came.
+package stream
+
+import (
+	"bufio"
+	"bytes"
+	"strconv"
+
+	"github.com/joomcode/errorx"
+)
+
+// MaxEvent is the largest event read, in bytes.
+const MaxEvent = 1 << 20
+
+// NoPosition is the Position of an event without a numeric id.
+const NoPosition = -1
+
+// ErrEvent is a stream that is not server-sent events within the bound.
+var ErrEvent = errorx.NewNamespace("stream").NewType("event")
+
+var (
+	fieldID   = []byte("id:")
+	fieldData = []byte("data:")
+	doneData  = []byte("[DONE]")
+)
+
+// Event is one server-sent event.
+type Event struct {
+	Position int64  // from the id field, or NoPosition
+	Data     []byte // the data field's value; of several lines, the last
+	Raw      []byte // all lines with the empty one that ends the event
+}
+
+// Done reports whether the event ends a completion stream.
+func (e Event) Done() bool { return bytes.Equal(e.Data, doneData) }
+
+// Read returns the next event. It returns io.EOF only between two events, and
+// io.ErrUnexpectedEOF or the reader's error inside one. The event's bytes are
+// appended to buf, which the caller may use again for the next.
+func Read(r *bufio.Reader, buf []byte) (Event, error) {
+	e := Event{Position: NoPosition, Raw: buf[:0]}
+	for {
+		line, err := r.ReadSlice('\n')
+		start := len(e.Raw)
+		e.Raw = append(e.Raw, line...)
+		if len(e.Raw) > MaxEvent {
+			return e, ErrEvent.New("event of more than %d bytes", MaxEvent)
+		}
+		if err == bufio.ErrBufferFull {
+			if e.Raw, err = readRest(r, e.Raw); err != nil {
+				return e, err
+			}
+		} else if err != nil {
+			return e, atEnd(err, len(e.Raw))
+		}
+		text := bytes.TrimRight(e.Raw[start:], "\r\n")
+		if len(text) == 0 {
+			return e, nil
+		}
+		e.field(text)
+	}
+}
+
+// readRest reads on after a line longer than the reader's buffer.
+func readRest(r *bufio.Reader, raw []byte) ([]byte, error) {
+	for {
+		line, err := r.ReadSlice('\n')
+		raw = append(raw, line...)
+		if len(raw) > MaxEvent {
+			return raw, ErrEvent.New("event of more than %d bytes", MaxEvent)
+		}
+		if err == nil {
+			return raw, nil
+		}
+		if err != bufio.ErrBufferFull {
+			return raw, atEnd(err, len(raw))
+		}
+	}
+}
+
+// atEnd keeps a clean end apart from one inside an event.
+func atEnd(err error, read int) error {
+	if read == 0 {
+		return err
+	}
+	return ErrEvent.Wrap(err, "ended inside an event")
+}
+
+func (e *Event) field(line []byte) {
+	switch {
+	case bytes.HasPrefix(line, fieldID):
+		text := string(bytes.TrimSpace(line[len(fieldID):]))
+		if n, err := strconv.ParseInt(text, 10, 64); err == nil && n >= 0 {
+			e.Position = n
+		}
+	case bytes.HasPrefix(line, fieldData):
+		e.Data = bytes.TrimPrefix(line[len(fieldData):], []byte(" "))
+	}
+}
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,107 @@
+package standin
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+)
+
+// Platform is a stand-in for the configuration service and the VM list. Routers
+// only read it; PUT is the operators' side.
+type Platform struct {
+	mu     sync.Mutex
+	values map[string]value
+	wake   chan struct{}
+	down   bool
+	calls  int
+}
+
+type value struct {
+	raw []byte
+	rev int
+}
+
+// NewPlatform returns a platform that has published nothing.
+func NewPlatform() *Platform {
+	return &Platform{values: map[string]value{}, wake: make(chan struct{})}
+}
+
+// Handler returns the platform's routes.
+func (p *Platform) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/values/{name}", p.get).Methods(http.MethodGet)
+	r.HandleFunc("/v1/values/{name}", p.put).Methods(http.MethodPut)
+	r.HandleFunc("/calls", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, map[string]int{"calls": p.Calls()}) })
+	return r
+}
+
+// Publish sets a value, as the operators do.
+func (p *Platform) Publish(name string, raw []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.values[name] = value{raw: raw, rev: p.values[name].rev + 1}
+	close(p.wake)
+	p.wake = make(chan struct{})
+}
+
+// SetDown makes every read fail, or work again.
+func (p *Platform) SetDown(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+}
+
+// Calls returns the reads so far.
+func (p *Platform) Calls() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.calls
+}
+
+func (p *Platform) put(w http.ResponseWriter, r *http.Request) {
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 1<<20))
+	if err != nil {
+		http.Error(w, "allowed: at most 1 MB", http.StatusRequestEntityTooLarge)
+		return
+	}
+	p.Publish(mux.Vars(r)["name"], raw)
+}
+
+func (p *Platform) look(name string) (value, chan struct{}, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.values[name], p.wake, p.down
+}
+
+// get answers at once with a value other than the one the reader has, or waits.
+func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	p.calls++
+	p.mu.Unlock()
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait"))
+	until := time.After(time.Duration(wait) * time.Second)
+	for {
+		v, wake, down := p.look(mux.Vars(r)["name"])
+		if down {
+			http.Error(w, "down", http.StatusServiceUnavailable)
+			return
+		}
+		if v.rev > 0 && r.URL.Query().Get("after") != strconv.Itoa(v.rev) {
+			w.Header().Set("X-Revision", strconv.Itoa(v.rev))
+			_, _ = w.Write(v.raw) // the reader may be gone
+			return
+		}
+		select {
+		case <-wake:
+		case <-until:
+			w.WriteHeader(http.StatusNotModified)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/version/describe.go
@@ -0,0 +1,198 @@
+package version
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+)
+
+// Describe renders what an organisation gets, for a person.
+func (v *Version) Describe(o *Organisation) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "organisation %s (template %s)\n", o.Name, o.Template)
+	fmt.Fprintf(&b, "  places       %s\n", strings.Join(o.PlaceNames(), ", "))
+	fmt.Fprintf(&b, "  share        %g\n", o.Share)
+	fmt.Fprintf(&b, "  queue limit  %d at each router\n", o.QueueLimit)
+	fmt.Fprintf(&b, "  keys         %d\n", len(o.KeyHashes))
+	for _, name := range sortedNames(o.Applications) {
+		a := o.Applications[name]
+		fmt.Fprintf(&b, "  application %s\n", name)
+		fmt.Fprintf(&b, "    service %s (%s), idempotent %t, priority %s, unit %s, worth %g, timeout %s\n",
+			a.Service, v.Services[a.Service].Kind, a.Idempotent, a.Priority, a.Unit, a.Worth, a.Timeout)
+		fmt.Fprintf(&b, "    upstreams %s\n", v.upstreamNames(o, a.Service))
+	}
+	return b.String()
+}
+
+func (v *Version) upstreamNames(o *Organisation, service string) string {
+	var names []string
+	for _, id := range sortedIDs(v.Upstreams) {
+		u := v.Upstreams[id]
+		if u.Service == service && o.Allows(u.Place) {
+			names = append(names, u.Name+"@"+u.Place)
+		}
+	}
+	if len(names) == 0 {
+		return "none: every request is refused"
+	}
+	sort.Strings(names)
+	return strings.Join(names, ", ")
+}
+
+// PlaceNames returns the organisation's places, sorted.
+func (o *Organisation) PlaceNames() []string {
+	var out []string
+	for p := range o.Places {
+		out = append(out, p)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Organisations in name order.
+func sortedNames[V any](m map[string]V) []string {
+	out := make([]string, 0, len(m))
+	for n := range m {
+		out = append(out, n)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Names returns the organisations' names, sorted.
+func (v *Version) Names() []string { return sortedNames(v.byName) }
+
+// Change is one difference between two versions.
+type Change struct {
+	Subject string
+	What    string
+}
+
+// Diff lists what a newer version changes: who comes and goes, who gains or
+// loses a place, a share or an application, and which upstreams change.
+func Diff(old, new *Version) []Change {
+	var out []Change
+	add := func(subject, format string, args ...any) {
+		out = append(out, Change{subject, fmt.Sprintf(format, args...)})
+	}
+	for _, name := range union(old.byName, new.byName) {
+		a, b := old.byName[name], new.byName[name]
+		switch {
+		case a == nil:
+			add("organisation "+name, "added: places %s, share %g", strings.Join(b.PlaceNames(), ", "), b.Share)
+		case b == nil:
+			add("organisation "+name, "removed")
+		default:
+			diffOrganisation(a, b, add)
+		}
+	}
+	diffUpstreams(old, new, add)
+	return out
+}
+
+func diffOrganisation(a, b *Organisation, add func(string, string, ...any)) {
+	subject := "organisation " + a.Name
+	for _, p := range union(a.Places, b.Places) {
+		if a.Places[p] != b.Places[p] {
+			add(subject, "%s place %s", gainsOrLoses(b.Places[p]), p)
+		}
+	}
+	if a.Share != b.Share {
+		add(subject, "share %g -> %g", a.Share, b.Share)
+	}
+	if a.QueueLimit != b.QueueLimit {
+		add(subject, "queue limit %d -> %d", a.QueueLimit, b.QueueLimit)
+	}
+	if fmt.Sprint(a.KeyHashes) != fmt.Sprint(b.KeyHashes) {
+		add(subject, "API keys change")
+	}
+	for _, n := range union(a.Applications, b.Applications) {
+		x, y := a.Applications[n], b.Applications[n]
+		if x == nil || y == nil {
+			add(subject, "%s application %s", gainsOrLoses(y != nil), n)
+		} else if *x != *y {
+			add(subject, "application %s: %+v -> %+v", n, *x, *y)
+		}
+	}
+}
+
+func gainsOrLoses(gains bool) string {
+	if gains {
+		return "gains"
+	}
+	return "loses"
+}
+
+func diffUpstreams(old, new *Version, add func(string, string, ...any)) {
+	a, b := upstreamsByName(old), upstreamsByName(new)
+	for _, n := range union(a, b) {
+		x, y := a[n], b[n]
+		switch {
+		case x == nil:
+			add("upstream "+n, "added: %s in %s, %d slots", y.Service, y.Place, y.Slots)
+		case y == nil:
+			add("upstream "+n, "removed")
+		case *x != *y:
+			add("upstream "+n, "%s in %s, %d slots, leaving %t -> %s in %s, %d slots, leaving %t",
+				x.Service, x.Place, x.Slots, x.Leaving, y.Service, y.Place, y.Slots, y.Leaving)
+		}
+	}
+}
+
+func upstreamsByName(v *Version) map[string]*Upstream {
+	out := map[string]*Upstream{}
+	for _, u := range v.Upstreams {
+		out[u.Name] = u
+	}
+	return out
+}
+
+func union[V any](a, b map[string]V) []string {
+	all := map[string]bool{}
+	for n := range a {
+		all[n] = true
+	}
+	for n := range b {
+		all[n] = true
+	}
+	return sortedNames(all)
+}
+
+// Explain says, a line a step, where a request would go or why it would be
+// refused. place is that of the router it enters by, or "" for any.
+func (v *Version) Explain(org, app, place string) []string {
+	o := v.byName[org]
+	if o == nil {
+		return []string{"refused, not-run: no organisation " + org}
+	}
+	a := o.Applications[app]
+	if a == nil {
+		return []string{"refused, not-run: " + org + " has no application " + app}
+	}
+	if place != "" && !o.Allows(place) {
+		return []string{fmt.Sprintf("redirected: a router in %s may not handle %s; allowed: %s", place, org, strings.Join(o.PlaceNames(), ", "))}
+	}
+	var lines []string
+	usable := 0
+	for _, id := range sortedIDs(v.Upstreams) {
+		u := v.Upstreams[id]
+		if u.Service != a.Service {
+			continue
+		}
+		switch {
+		case !o.Allows(u.Place):
+			lines = append(lines, fmt.Sprintf("  not %s: place %s is not allowed", u.Name, u.Place))
+		case u.Leaving:
+			lines = append(lines, fmt.Sprintf("  not %s: leaving", u.Name))
+		default:
+			usable++
+			lines = append(lines, fmt.Sprintf("  may use %s in %s, %d slots", u.Name, u.Place, u.Slots))
+		}
+	}
+	sort.Strings(lines)
+	head := fmt.Sprintf("runs on one of %d upstreams of %s, share %g, priority %s, idempotent %t", usable, a.Service, o.Share, a.Priority, a.Idempotent)
+	if usable == 0 {
+		head = "refused, not-run: no upstream of " + a.Service + " in allowed places"
+	}
+	return append([]string{head}, lines...)
+}
