Decision core over a small lab; control messages made smaller

Ruled out as the main part: membership (0.3 KB/s). Cause: every report carried the whole list of held slots, every report was answered by itself, acknowledgements went out alone.

--- a/internal/conn/route.go
+++ b/internal/conn/route.go
@@ -12,6 +12,7 @@
 // Route is the UDP socket to all other routers. Send may be called by one
 // goroutine, Receive by another.
 type Route struct {
+	self     wire.NodeID
 	sock     *net.UDPConn
 	sealer   *Sealer
 	SentB    metrics.Counter // bytes with UDP and IP headers
@@ -37,6 +38,7 @@
 	}
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, reg) }
 	return &Route{
+		self:     wire.NodeID(addr),
 		sock:     sock,
 		sealer:   sealer,
 		SentB:    counter("control.sent.bytes"),
@@ -61,7 +63,7 @@
 		r.SendFail.Inc(1)
 		return
 	}
-	sealed := r.sealer.Seal(raw, []byte(to))
+	sealed := r.sealer.Seal(raw, bound(r.self, to))
 	if _, err := r.sock.WriteToUDPAddrPort(sealed, ap); err != nil {
 		r.SendFail.Inc(1)
 		return
@@ -70,17 +72,18 @@
 	r.SentB.Inc(int64(len(sealed) + headerBytes))
 }
 
-// Receive returns the next datagram for self. Whatever is not sealed by this
+// Receive returns the next datagram. Whatever is not sealed by this
 // fleet for this router is counted and dropped. The error is the socket's end.
-func (r *Route) Receive(self wire.NodeID, buf []byte) (*wire.Datagram, error) {
+func (r *Route) Receive(buf []byte) (*wire.Datagram, error) {
 	for {
-		n, _, err := r.sock.ReadFromUDPAddrPort(buf)
+		n, src, err := r.sock.ReadFromUDPAddrPort(buf)
 		if err != nil {
 			return nil, ErrPeer.Wrap(err, "receive")
 		}
 		r.RecvN.Inc(1)
 		r.RecvB.Inc(int64(n + headerBytes))
-		raw, err := r.sealer.Open(buf[:n], []byte(self))
+		from := wire.NodeID(netip.AddrPortFrom(src.Addr().Unmap(), src.Port()).String())
+		raw, err := r.sealer.Open(buf[:n], bound(from, r.self))
 		if err != nil {
 			r.Refused.Inc(1)
 			continue
@@ -90,9 +93,16 @@
 			r.Refused.Inc(1)
 			continue
 		}
+		d.From = from
 		return d, nil
 	}
 }
 
+// bound is what sealing a datagram binds beside its content: both ends, so that
+// one recorded elsewhere cannot be sent on as another router's.
+func bound(from, to wire.NodeID) []byte {
+	return []byte(string(from) + " " + string(to))
+}
+
 // Close ends the socket.
 func (r *Route) Close() error { return r.sock.Close() }
--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -54,11 +54,13 @@
 
 // Timing of this router's side.
 const (
-	progressEvery = 500 * time.Millisecond
-	keepAlive     = 400 * time.Millisecond
-	fullEvery     = 2 * time.Second
-	resendAfter   = 120 * time.Millisecond
-	silentFor     = 500 * time.Millisecond
+	progressEvery = 2 * time.Second
+	keepAlive     = 500 * time.Millisecond
+	fullEvery     = 20 * time.Second
+	arrivalDelay  = 100 * time.Millisecond // of a request that comes to a full pool
+	ackDelay      = time.Second            // of a report that only acknowledges grants
+	resendAfter   = 1300 * time.Millisecond
+	silentFor     = 2 * time.Second
 	minComeBack   = time.Second
 	maxComeBack   = 2 * time.Minute
 	paceHalf      = 0.8 // weight of the former pace when a grant arrives
@@ -71,7 +73,7 @@
 	running  bool
 	upstream version.ID
 	pool     version.ID
-	served   uint64 // already in norm, in thousandths of a unit
+	served   uint64 // already in norm, in hundredths of a unit
 }
 
 type queueKey struct {
@@ -105,6 +107,7 @@
 type Entry struct {
 	ver     *version.Version
 	place   string
+	began   time.Time // of the process: zero of the clock that reports carry
 	flights map[uint64]*flight
 	queues  map[queueKey]*queue
 	byOrg   map[version.ID]int // waiting requests of each organisation
@@ -114,6 +117,8 @@
 	started []Start
 	refused []Refusal
 	Counts  Counts
+
+	nextDeadline time.Time // no waiting flight's deadline is earlier
 }
 
 // Counts are this router's totals since its start.
@@ -124,9 +129,10 @@
 }
 
 // New returns an entry without requests, for a router in a place.
-func New(place string) *Entry {
+func New(place string, start time.Time) *Entry {
 	return &Entry{
 		place:   place,
+		began:   start,
 		flights: map[uint64]*flight{},
 		queues:  map[queueKey]*queue{},
 		byOrg:   map[version.ID]int{},
@@ -245,6 +251,7 @@
 		return
 	}
 	f.queue = q
+	e.awaits(f)
 	e.byOrg[f.Org]++
 	if f.Urgent {
 		q.urgent = append(q.urgent, f)
@@ -252,6 +259,22 @@
 		q.normal = append(q.normal, f)
 	}
 	e.touch(q)
+	e.hurry(q, f, now)
+}
+
+// hurry tells the schedulers of a request at once when there may be a slot for
+// it, a little later when the pool is full and the queue was empty, and with the
+// next report when others of the queue wait before it.
+func (e *Entry) hurry(q *queue, f *flight, now time.Time) {
+	for _, id := range q.pools {
+		p := e.pool(id)
+		switch {
+		case !p.tight || f.Urgent:
+			p.tellBy(now)
+		case q.len() == 1:
+			p.tellBy(now.Add(arrivalDelay))
+		}
+	}
 }
 
 // position is how many requests would start before a new one.
@@ -345,7 +368,7 @@
 		return
 	}
 	p := e.pool(f.pool)
-	p.release(f.Org, f.upstream)
+	p.release(f.Org, f.upstream, now)
 	if failed {
 		p.sample(wire.Sample{Upstream: f.upstream, Failed: 1})
 	}
@@ -355,6 +378,7 @@
 		e.refuse(f, ReasonDeadline, minComeBack)
 		return
 	}
+	e.awaits(f)
 	e.byOrg[f.Org]++
 	if f.Urgent {
 		f.queue.urgent = append([]*flight{f}, f.queue.urgent...)
@@ -389,14 +413,14 @@
 
 // Finish ends a running request with its final service and what was seen of
 // its upstream.
-func (e *Entry) Finish(id uint64, units float64, s wire.Sample) {
+func (e *Entry) Finish(id uint64, units float64, s wire.Sample, now time.Time) {
 	f := e.flights[id]
 	if f == nil || !f.running {
 		return
 	}
 	e.charge(f, units)
 	p := e.pool(f.pool)
-	p.release(f.Org, f.upstream)
+	p.release(f.Org, f.upstream, now)
 	s.Upstream = f.upstream
 	p.sample(s)
 	delete(e.flights, id)
--- a/internal/core/entry/pool.go
+++ b/internal/core/entry/pool.go
@@ -23,23 +23,28 @@
 	answered  time.Time // last answer, or the first report without one
 	tight     bool
 
-	changed    map[version.ID]uint32 // row changed after this report
-	progress   map[version.ID]bool
-	lastMoved  time.Time
-	held       map[version.ID]map[version.ID]uint32 // organisation, upstream
-	credits    map[version.ID]uint32                // upstream
-	creditsTo  time.Time
-	samples    map[version.ID]wire.Sample
-	needFull   bool
-	grantsOpen bool // grants arrived: acknowledge without delay
+	changed   map[version.ID]uint32 // row changed after this report
+	moved     map[heldKey]uint32    // held count changed after this report
+	progress  map[version.ID]bool
+	lastMoved time.Time
+	held      map[version.ID]map[version.ID]uint32 // organisation, upstream
+	credits   map[version.ID]uint32                // upstream
+	creditsTo time.Time
+	samples   map[version.ID]wire.Sample
+	needFull  bool
+	due       time.Time // when news must go out at the latest; zero without news
 }
 
+// heldKey is one cell of what the router holds in a pool.
+type heldKey struct{ org, up version.ID }
+
 func (e *Entry) pool(id version.ID) *poolView {
 	p := e.pools[id]
 	if p == nil {
 		p = &poolView{
 			id:       id,
 			changed:  map[version.ID]uint32{},
+			moved:    map[heldKey]uint32{},
 			progress: map[version.ID]bool{},
 			held:     map[version.ID]map[version.ID]uint32{},
 			credits:  map[version.ID]uint32{},
@@ -61,10 +66,10 @@
 		p.held[org] = map[version.ID]uint32{}
 	}
 	p.held[org][up]++
-	p.dirty(org)
+	p.move(org, up)
 }
 
-func (p *poolView) release(org, up version.ID) {
+func (p *poolView) release(org, up version.ID, now time.Time) {
 	p.held[org][up]--
 	if p.held[org][up] == 0 {
 		delete(p.held[org], up)
@@ -72,6 +77,13 @@
 	if len(p.held[org]) == 0 {
 		delete(p.held, org)
 	}
+	p.tellBy(now)
+	p.move(org, up)
+}
+
+// move marks one held count changed.
+func (p *poolView) move(org, up version.ID) {
+	p.moved[heldKey{org, up}] = p.seq
 	p.dirty(org)
 }
 
@@ -86,17 +98,23 @@
 	p.samples[s.Upstream] = s
 }
 
+// tellBy bounds how long the scheduler waits for news.
+func (p *poolView) tellBy(at time.Time) {
+	if p.due.IsZero() || at.Before(p.due) {
+		p.due = at
+	}
+}
+
 func (p *poolView) dropCredits(up version.ID) {
 	if p.credits[up] > 0 {
 		delete(p.credits, up)
-		p.dirty(0)
+		p.move(0, up)
 	}
 }
 
 func (p *poolView) dropAllCredits() {
-	if len(p.credits) > 0 {
-		p.credits = map[version.ID]uint32{}
-		p.dirty(0)
+	for up := range p.credits {
+		p.dropCredits(up)
 	}
 }
 
@@ -130,7 +148,7 @@
 	if p.credits[up] == 0 {
 		delete(p.credits, up)
 	}
-	p.dirty(0)
+	p.move(0, up)
 }
 
 func sortedKeys(m map[version.ID]uint32) []version.ID {
@@ -186,19 +204,23 @@
 	p.seen = max(p.seen, g.Seen)
 	p.forgetAnswered()
 	p.tight = g.Tight
-	late := now.Sub(time.UnixMilli(g.Asked)) >= sched.Lease
+	asked := e.began.Add(time.Duration(g.Asked) * time.Millisecond)
+	late := now.Sub(asked) >= sched.Lease
 	for _, grant := range g.List {
 		if grant.No != p.acked+1 {
 			continue
 		}
 		p.acked++
-		p.grantsOpen = true
+		p.tellBy(now.Add(ackDelay))
 		e.useGrant(p, grant, late, now)
 	}
 	if g.Tight {
+		if len(p.credits) > 0 {
+			p.tellBy(now)
+		}
 		p.dropAllCredits()
 	} else if !late {
-		p.creditsTo = time.UnixMilli(g.Asked).Add(sched.Lease)
+		p.creditsTo = asked.Add(sched.Lease)
 	}
 }
 
@@ -215,6 +237,11 @@
 			delete(p.changed, org)
 		}
 	}
+	for k, at := range p.moved {
+		if at < p.seen {
+			delete(p.moved, k)
+		}
+	}
 }
 
 func (e *Entry) useGrant(p *poolView, g wire.Grant, late bool, now time.Time) {
@@ -225,7 +252,7 @@
 	}
 	if g.Org == 0 {
 		p.credits[g.Upstream] += g.N
-		p.dirty(0)
+		p.move(0, g.Upstream)
 		return
 	}
 	p.dirty(g.Org)
@@ -266,11 +293,8 @@
 
 // Tick refuses what its deadline has passed, and lets unused credits lapse.
 func (e *Entry) Tick(now time.Time) {
-	for _, id := range e.sortedFlights() {
-		f := e.flights[id]
-		if !f.running && !now.Before(f.Deadline) {
-			e.refuse(f, ReasonDeadline, e.lateComeBack(f))
-		}
+	if !now.Before(e.nextDeadline) {
+		e.expire(now)
 	}
 	for _, p := range e.pools {
 		if len(p.credits) > 0 && !now.Before(p.creditsTo) {
@@ -279,6 +303,30 @@
 	}
 }
 
+// expire refuses the late, and notes the next deadline of those that wait.
+func (e *Entry) expire(now time.Time) {
+	next := now.Add(maxComeBack)
+	for _, id := range e.sortedFlights() {
+		f := e.flights[id]
+		if f.running {
+			continue
+		}
+		if !now.Before(f.Deadline) {
+			e.refuse(f, ReasonDeadline, e.lateComeBack(f))
+		} else if f.Deadline.Before(next) {
+			next = f.Deadline
+		}
+	}
+	e.nextDeadline = next
+}
+
+// awaits keeps nextDeadline at or before that of every waiting flight.
+func (e *Entry) awaits(f *flight) {
+	if f.Deadline.Before(e.nextDeadline) {
+		e.nextDeadline = f.Deadline
+	}
+}
+
 func (e *Entry) lateComeBack(f *flight) time.Duration {
 	if f.queue == nil {
 		return minComeBack
--- a/internal/core/entry/report.go
+++ b/internal/core/entry/report.go
@@ -8,6 +8,9 @@
 	"github.com/silverswitch/silverswitch/internal/version"
 )
 
+// oldUnit is the unit of Row.Old.
+const oldUnit = 100 * time.Millisecond
+
 // Outgoing is a report for a pool's scheduler.
 type Outgoing struct {
 	To     wire.NodeID
@@ -78,7 +81,8 @@
 	moved := len(p.progress) > 0 && now.Sub(p.lastMoved) >= progressEvery
 	again := p.seq > p.seen && len(p.changed) > 0 && since >= resendAfter
 	alive := (p.busy() || e.waitsIn(p)) && since >= keepAlive
-	if !p.needFull && !p.unsent() && !p.grantsOpen && !moved && !again && !alive {
+	news := (!p.due.IsZero() && !now.Before(p.due)) || (p.unsent() && since >= ackDelay)
+	if !p.needFull && !news && !moved && !again && !alive {
 		return wire.Report{}, false
 	}
 	if p.seq == p.seen {
@@ -88,7 +92,7 @@
 	orgs := e.rowsFor(p, full, moved)
 	p.seq++
 	p.lastSent = now
-	p.grantsOpen = false
+	p.due = time.Time{}
 	if full {
 		p.needFull = false
 		p.lastFull = now
@@ -97,7 +101,7 @@
 		p.lastMoved = now
 		p.progress = map[version.ID]bool{}
 	}
-	r := wire.Report{Pool: p.id, Seq: p.seq, Asked: wire.Millis(now), Term: p.term, Acked: p.acked, Full: full, Seen: p.takeSamples()}
+	r := wire.Report{Pool: p.id, Seq: p.seq, Asked: uint32(now.Sub(e.began).Milliseconds()), Term: p.term, Acked: p.acked, Full: full, Seen: p.takeSamples()}
 	for _, org := range orgs {
 		r.Rows = append(r.Rows, e.row(p, org, now))
 	}
@@ -138,6 +142,7 @@
 		if len(p.credits) > 0 {
 			p.changed[0] = p.seq
 		}
+		p.moveAll()
 	}
 	for org := range p.changed {
 		set[org] = true
@@ -157,11 +162,10 @@
 
 func (e *Entry) row(p *poolView, org version.ID, now time.Time) wire.Row {
 	r := wire.Row{Org: org, Norm: e.norm[org]}
+	r.Held = p.heldMoved(org)
 	if org == 0 {
-		r.Held = heldList(p.credits)
 		return r
 	}
-	r.Held = heldList(p.held[org])
 	for _, q := range e.queues {
 		if q.key.org != org || !contains(q.pools, p.id) {
 			continue
@@ -169,17 +173,38 @@
 		r.Waiting += uint32(q.len())
 		r.Urgent += uint32(len(q.urgent))
 		if f := q.head(); f != nil {
-			r.OldMS = max(r.OldMS, uint32(now.Sub(f.arrived).Milliseconds()))
+			r.Old = max(r.Old, uint32(now.Sub(f.arrived)/oldUnit))
 		}
 	}
 	return r
 }
 
-func heldList(m map[version.ID]uint32) []wire.Held {
-	out := make([]wire.Held, 0, len(m))
-	for _, id := range sortedKeys(m) {
-		out = append(out, wire.Held{Upstream: id, N: m[id]})
+// moveAll marks everything held as changed, for a full report.
+func (p *poolView) moveAll() {
+	for up := range p.credits {
+		p.moved[heldKey{0, up}] = p.seq
+	}
+	for org, ups := range p.held {
+		for up := range ups {
+			p.moved[heldKey{org, up}] = p.seq
+		}
+	}
+}
+
+// heldMoved lists an organisation's held counts that the scheduler may not know.
+func (p *poolView) heldMoved(org version.ID) []wire.Held {
+	var out []wire.Held
+	for k := range p.moved {
+		if k.org != org {
+			continue
+		}
+		n := p.held[org][k.up]
+		if org == 0 {
+			n = p.credits[k.up]
+		}
+		out = append(out, wire.Held{Upstream: k.up, N: n})
 	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Upstream < out[j].Upstream })
 	return out
 }
 
--- a/internal/core/io.go
+++ b/internal/core/io.go
@@ -198,15 +198,24 @@
 	return true
 }
 
+// headVersion tells the version in force where every router hears it in time:
+// on pings and acks, and on everything just after a change.
+func (n *Node) headVersion(d *wire.Datagram) {
+	if n.ver == nil {
+		return
+	}
+	if d.Ping != nil || d.Ack != nil || n.lastTick.Sub(n.changedAt) < versionSpread {
+		d.Version = &n.ver.Number
+	}
+}
+
 // seal puts the head on every datagram.
 func (n *Node) seal() {
 	self := n.members.Self()
 	for _, id := range n.order {
 		d := n.box[id]
 		d.From, d.Inc, d.Refute, d.State = self.ID, self.Inc, self.Refute, self.State
-		if n.ver != nil {
-			d.Version = n.ver.Number
-		}
+		n.headVersion(d)
 		d.Updates = n.members.Piggyback(id)
 		d.Drains = n.drainsToTell()
 		n.out = append(n.out, Send{To: id, Datagram: d})
--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -12,7 +12,7 @@
 )
 
 // Scale is how many parts of one unit of service over share a cell counts.
-const Scale = 1000
+const Scale = 100
 
 type cellKey struct {
 	node wire.NodeID
@@ -78,7 +78,7 @@
 	return a
 }
 
-// Sum returns an organisation's service over its share, in thousandths.
+// Sum returns an organisation's service over its share, in hundredths.
 func (l *Ledger) Sum(org version.ID) uint64 {
 	if a := l.accounts[org]; a != nil {
 		return a.sum
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -14,7 +14,7 @@
 
 // Timing of the failure detector.
 const (
-	ProbeEvery    = 500 * time.Millisecond
+	ProbeEvery    = time.Second
 	ackTimeout    = 200 * time.Millisecond
 	suspectFor    = 1500 * time.Millisecond
 	retryDead     = 2 * time.Second
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -32,6 +32,7 @@
 	fetchAgain    = time.Second
 	drainHold     = time.Minute
 	drainSpread   = 5 * time.Second
+	versionSpread = 2 * time.Second
 	watchers      = 2
 	pushTo        = 3
 	copiesPerSend = 64
@@ -76,6 +77,7 @@
 	lastTick   time.Time
 	lastLedger time.Time
 	lastCopy   time.Time
+	changedAt  time.Time // of the version in force
 	lastTerm   uint64
 	copyFrom   int
 	heardPeer  bool
@@ -117,7 +119,7 @@
 	n := &Node{
 		set:      set,
 		members:  member.New(self, set.Seeds, now, rnd),
-		entry:    entry.New(set.Place),
+		entry:    entry.New(set.Place, now),
 		led:      ledger.New(),
 		witness:  claim.NewWitness(now),
 		pools:    map[version.ID]*hosted{},
@@ -151,7 +153,7 @@
 	case Progress:
 		n.entry.Progress(in.ID, in.Units)
 	case Finish:
-		n.finish(in)
+		n.finish(in, now)
 	case Return:
 		n.entry.Return(in.ID, in.Failed, now)
 	case NewVersion:
@@ -216,7 +218,9 @@
 		n.post(s)
 	}
 	n.heardPeer = true
-	n.offer(d.From, d.Version, now)
+	if d.Version != nil {
+		n.offer(d.From, *d.Version, now)
+	}
 	for _, id := range d.Drains {
 		n.markDrain(id, drain{}, now)
 	}
@@ -261,6 +265,7 @@
 		}
 	}
 	n.ver = v
+	n.changedAt = now
 	n.owners.clear()
 	n.entry.SetVersion(v)
 	for id, p := range n.pools {
--- a/internal/core/pools.go
+++ b/internal/core/pools.go
@@ -94,7 +94,7 @@
 }
 
 func (n *Node) takeOver(pool version.ID, now time.Time) *hosted {
-	n.lastTerm = max(n.lastTerm+1, uint64(now.UnixMilli()))
+	n.lastTerm = max(n.lastTerm+1, uint64(wire.IncarnationAt(now)))
 	p := &hosted{Pool: sched.New(pool, n.lastTerm, n.ver, n.led, n.set.Sched, now)}
 	p.Adopt(n.offsetList(pool), now)
 	for id := range n.drains {
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -96,8 +96,8 @@
 }
 
 // finish ends a running request. Its key stays held: it may have run.
-func (n *Node) finish(in Finish) {
-	n.entry.Finish(in.ID, in.Units, in.Sample)
+func (n *Node) finish(in Finish, now time.Time) {
+	n.entry.Finish(in.ID, in.Units, in.Sample, now)
 	ask := n.holds[in.ID]
 	if ask == nil {
 		return
--- a/internal/core/sched/account.go
+++ b/internal/core/sched/account.go
@@ -32,20 +32,19 @@
 	return a
 }
 
-// addWaiting takes a row's waiting count. An organisation that returns from
+// setWaiting moves the waiting count by n. An organisation that returns from
 // idleness starts at the virtual time now served: no hoarding, no penalty
 // (start-time fair queueing, Goyal 1996).
-func (a *account) addWaiting(n int, clock float64, now time.Time, served func(*account) float64) {
-	if n == 0 {
-		return
-	}
-	if a.waiting == 0 && now.Sub(a.lastWait) > idleAfter {
+func (a *account) setWaiting(n int, clock float64, now time.Time, served func(*account) float64) {
+	if a.waiting == 0 && n > 0 && now.Sub(a.lastWait) > idleAfter {
 		if behind := clock - served(a); behind > 0 {
 			a.offset += behind
 		}
 	}
 	a.waiting += n
-	a.lastWait = now
+	if a.waiting > 0 || n < 0 {
+		a.lastWait = now
+	}
 }
 
 // addHeld moves the slots held, after booking the slot-seconds until now.
--- a/internal/core/sched/plan.go
+++ b/internal/core/sched/plan.go
@@ -44,7 +44,10 @@
 // grantWaiting fills free slots from the backlog, least score first.
 func (p *Pool) grantWaiting(now time.Time) {
 	waiting := p.backlogged()
-	p.tight = len(waiting) > 0
+	if tight := len(waiting) > 0; tight != p.tight {
+		p.tight = tight
+		p.tellAll()
+	}
 	if !p.tight {
 		return
 	}
@@ -61,6 +64,13 @@
 	}
 }
 
+// tellAll sends every router an answer now: the pool turned full, or free again.
+func (p *Pool) tellAll() {
+	for _, rt := range p.routers {
+		rt.fresh = true
+	}
+}
+
 func without(accounts []*account, a *account) []*account {
 	kept := accounts[:0]
 	for _, x := range accounts {
@@ -132,15 +142,15 @@
 // It returns false when no router that was heard lately has one.
 func (p *Pool) give(a *account, u *upstream, now time.Time) bool {
 	var best wire.NodeID
-	var bestRow *wire.Row
+	var bestRow *row
 	for _, id := range p.routerIDs() {
 		rt := p.routers[id]
-		row := rt.rows[a.org]
-		if row == nil || int(row.Waiting) <= rt.pendingOf(a.org) || now.Sub(rt.heard) > freshFor {
+		r := rt.rows[a.org]
+		if r == nil || int(r.waiting) <= rt.pendingOf(a.org) || now.Sub(rt.heard) > freshFor {
 			continue
 		}
-		if bestRow == nil || ahead(rt, row, p.routers[best], bestRow) {
-			best, bestRow = id, row
+		if bestRow == nil || p.ahead(a.org, rt, r, p.routers[best], bestRow) {
+			best, bestRow = id, r
 		}
 	}
 	if bestRow == nil {
@@ -152,19 +162,20 @@
 }
 
 // ahead orders two routers' requests of one organisation.
-func ahead(x *router, a *wire.Row, y *router, b *wire.Row) bool {
-	ax, by := int(a.Urgent) > x.pendingOf(a.Org), int(b.Urgent) > y.pendingOf(b.Org)
-	if ax != by {
-		return ax
+func (p *Pool) ahead(org version.ID, x *router, a *row, y *router, b *row) bool {
+	px, py := x.pendingOf(org), y.pendingOf(org)
+	ux, uy := int(a.urgent) > px, int(b.urgent) > py
+	if ux != uy {
+		return ux
 	}
-	return ageKey(x, a) > ageKey(y, b)
+	return p.ageKey(a, px) > p.ageKey(b, py)
 }
 
 // ageKey favours the oldest request; each grant on its way to a router counts
 // against it, so that one old request does not draw every slot there.
-func ageKey(rt *router, row *wire.Row) float64 {
-	left := int(row.Waiting) - rt.pendingOf(row.Org)
-	return float64(row.OldMS) * float64(left) / float64(row.Waiting)
+func (p *Pool) ageKey(r *row, pending int) float64 {
+	left := float64(int(r.waiting)-pending) / float64(r.waiting)
+	return p.at.Sub(r.since).Seconds() * left
 }
 
 func (rt *router) pendingOf(org version.ID) int {
@@ -182,7 +193,7 @@
 	g := wire.Grant{No: rt.nextNo, Org: org, Upstream: u.def.ID, N: uint32(n)}
 	rt.nextNo++
 	rt.out = append(rt.out, g)
-	rt.owes = true
+	rt.fresh = true
 	p.use(org, u.def.ID, n, now)
 	p.account(org, now).pending += n
 }
@@ -230,8 +241,8 @@
 func (rt *router) credits() int {
 	n := rt.pendingOf(0)
 	if row := rt.rows[0]; row != nil {
-		for _, h := range row.Held {
-			n += int(h.N)
+		for _, h := range row.held {
+			n += int(h)
 		}
 	}
 	return n
@@ -260,11 +271,11 @@
 	for _, id := range p.routerIDs() {
 		rt := p.routers[id]
 		resend := len(rt.out) > 0 && now.Sub(rt.sent) >= resendAfter && now.Sub(rt.heard) < Lease
-		due := rt.owes || resend
-		if !due {
+		answer := rt.owes && now.Sub(rt.sent) >= answerWithin
+		if !rt.fresh && !answer && !resend {
 			continue
 		}
-		rt.owes = false
+		rt.owes, rt.fresh = false, false
 		rt.sent = now
 		g := wire.Grants{Pool: p.id, Term: p.term, Seen: rt.seq, Asked: rt.asked, Tight: p.tight}
 		g.List = append(g.List, rt.out...)
--- a/internal/core/sched/sched.go
+++ b/internal/core/sched/sched.go
@@ -22,8 +22,9 @@
 	// it asked, and by the scheduler from after it gave.
 	Lease        = 2 * time.Second
 	leaseMargin  = 500 * time.Millisecond
-	resendAfter  = 150 * time.Millisecond
-	freshFor     = time.Second // no new grant to a router silent for longer
+	resendAfter  = 1500 * time.Millisecond // longer than a router may delay its acknowledgement
+	answerWithin = 800 * time.Millisecond  // of a report that brought no grant
+	freshFor     = time.Second             // no new grant to a router silent for longer
 	idleAfter    = 3 * time.Second
 	rateHalfLife = 20 * time.Second
 	creditActive = 5 * time.Second
@@ -66,16 +67,28 @@
 type router struct {
 	inc    wire.Incarnation
 	seq    uint32
-	asked  int64
+	asked  uint32
 	acked  uint32
 	nextNo uint32
 	heard  time.Time
 	sent   time.Time
-	owes   bool
-	rows   map[version.ID]*wire.Row
+	owes   bool // an answer
+	fresh  bool // grants that were not sent yet
+	rows   map[version.ID]*row
 	out    []wire.Grant // not acknowledged
 }
 
+// oldUnit is the unit of wire.Row.Old.
+const oldUnit = 100 * time.Millisecond
+
+// row is what one router has of one organisation.
+type row struct {
+	waiting uint32
+	urgent  uint32
+	since   time.Time // arrival of the oldest waiting request
+	held    map[version.ID]uint32
+}
+
 // New returns a scheduler of a pool that has heard nobody yet.
 func New(id version.ID, term uint64, v *version.Version, led *ledger.Ledger, opt Options, now time.Time) *Pool {
 	p := &Pool{
@@ -135,7 +148,7 @@
 	}
 	if rt == nil || inc > rt.inc {
 		p.Lost(from, now)
-		rt = &router{inc: inc, rows: map[version.ID]*wire.Row{}, nextNo: 1}
+		rt = &router{inc: inc, rows: map[version.ID]*row{}, nextNo: 1}
 		p.routers[from] = rt
 	}
 	rt.owes = true
@@ -179,29 +192,42 @@
 	rt.out = kept
 }
 
-func (p *Pool) setRow(from wire.NodeID, rt *router, row *wire.Row, now time.Time) {
-	p.removeRow(rt, row.Org, now)
-	rt.rows[row.Org] = row
-	a := p.account(row.Org, now)
-	a.addWaiting(int(row.Waiting), p.clock, now, p.served)
-	for _, h := range row.Held {
-		p.use(row.Org, h.Upstream, int(h.N), now)
+// setRow takes a row: counts are absolute, held ones only where they changed.
+func (p *Pool) setRow(from wire.NodeID, rt *router, in *wire.Row, now time.Time) {
+	r := rt.rows[in.Org]
+	if r == nil {
+		r = &row{held: map[version.ID]uint32{}}
+		rt.rows[in.Org] = r
 	}
-	if row.Org != 0 {
-		gain := p.led.Merge(from, rt.inc, row.Org, row.Norm)
+	a := p.account(in.Org, now)
+	a.setWaiting(int(in.Waiting)-int(r.waiting), p.clock, now, p.served)
+	r.waiting, r.urgent = in.Waiting, in.Urgent
+	r.since = now.Add(-time.Duration(in.Old) * oldUnit)
+	for _, h := range in.Held {
+		p.use(in.Org, h.Upstream, int(h.N)-int(r.held[h.Upstream]), now)
+		r.held[h.Upstream] = h.N
+		if h.N == 0 {
+			delete(r.held, h.Upstream)
+		}
+	}
+	if in.Org != 0 {
+		gain := p.led.Merge(from, rt.inc, in.Org, in.Norm)
 		a.gain += float64(gain) / ledger.Scale
 	}
+	if r.waiting == 0 && len(r.held) == 0 {
+		delete(rt.rows, in.Org)
+	}
 }
 
 func (p *Pool) removeRow(rt *router, org version.ID, now time.Time) {
-	row := rt.rows[org]
-	if row == nil {
+	r := rt.rows[org]
+	if r == nil {
 		return
 	}
 	delete(rt.rows, org)
-	p.account(org, now).waiting -= int(row.Waiting)
-	for _, h := range row.Held {
-		p.use(org, h.Upstream, -int(h.N), now)
+	p.account(org, now).waiting -= int(r.waiting)
+	for up, n := range r.held {
+		p.use(org, up, -int(n), now)
 	}
 }
 
--- a/internal/core/wire/wire.go
+++ b/internal/core/wire/wire.go
@@ -15,10 +15,25 @@
 // NodeID is a router's peer address, "ip:port".
 type NodeID string
 
-// Incarnation is a process's start in milliseconds of wall time; a restarted
-// router has a higher one and remembers nothing of the former.
+// Incarnation is a process's start, in tenths of a second since 2025; a restarted
+// router has a higher one and remembers nothing of the former. It and what is
+// counted from it fit four bytes on the wire until 2038.
 type Incarnation uint64
 
+// epoch2025 is the zero of Incarnation and of terms, in Unix milliseconds.
+const epoch2025 = 1735689600_000
+
+// tenth is the unit of Incarnation in milliseconds.
+const tenth = 100
+
+// IncarnationAt returns the incarnation of a process that starts at a moment.
+func IncarnationAt(t time.Time) Incarnation {
+	return Incarnation((t.UnixMilli() - epoch2025) / tenth)
+}
+
+// Start returns the moment an incarnation names.
+func (i Incarnation) Start() time.Time { return time.UnixMilli(int64(i)*tenth + epoch2025) }
+
 // State is what is known of a router.
 type State uint8
 
@@ -49,21 +64,21 @@
 
 // Datagram is everything one router tells another at one moment.
 type Datagram struct {
-	From    NodeID         `cbor:"1,keyasint"`
-	Inc     Incarnation    `cbor:"2,keyasint"`
-	Refute  uint32         `cbor:"3,keyasint,omitempty"`
-	State   State          `cbor:"4,keyasint,omitempty"`
-	Version version.Number `cbor:"5,keyasint"`
-	Updates []Update       `cbor:"6,keyasint,omitempty"`
-	Drains  []version.ID   `cbor:"7,keyasint,omitempty"` // upstreams known to be leaving
-	Ping    *Ping          `cbor:"8,keyasint,omitempty"`
-	Ack     *Ack           `cbor:"9,keyasint,omitempty"`
-	Reports []Report       `cbor:"10,keyasint,omitempty"`
-	Grants  []Grants       `cbor:"11,keyasint,omitempty"`
-	Ledger  *Ledger        `cbor:"12,keyasint,omitempty"`
-	Claims  []Claim        `cbor:"13,keyasint,omitempty"`
-	Votes   []Vote         `cbor:"14,keyasint,omitempty"`
-	States  []PoolState    `cbor:"15,keyasint,omitempty"`
+	From    NodeID          `cbor:"-"` // the socket it came from; sealing binds it
+	Inc     Incarnation     `cbor:"2,keyasint"`
+	Refute  uint32          `cbor:"3,keyasint,omitempty"`
+	State   State           `cbor:"4,keyasint,omitempty"`
+	Version *version.Number `cbor:"5,keyasint,omitempty"` // on pings, acks, and after a change
+	Updates []Update        `cbor:"6,keyasint,omitempty"`
+	Drains  []version.ID    `cbor:"7,keyasint,omitempty"` // upstreams known to be leaving
+	Ping    *Ping           `cbor:"8,keyasint,omitempty"`
+	Ack     *Ack            `cbor:"9,keyasint,omitempty"`
+	Reports []Report        `cbor:"10,keyasint,omitempty"`
+	Grants  []Grants        `cbor:"11,keyasint,omitempty"`
+	Ledger  *Ledger         `cbor:"12,keyasint,omitempty"`
+	Claims  []Claim         `cbor:"13,keyasint,omitempty"`
+	Votes   []Vote          `cbor:"14,keyasint,omitempty"`
+	States  []PoolState     `cbor:"15,keyasint,omitempty"`
 }
 
 // Ping asks for an Ack. When Target is set, the receiver asks it in its place.
@@ -85,7 +100,7 @@
 	_     struct{} `cbor:",toarray"`
 	Pool  version.ID
 	Seq   uint32 // number of this report; older ones are dropped
-	Asked int64  // sender's clock in ms, echoed by the grants that answer
+	Asked uint32 // ms since the sender's start, echoed by the grants that answer
 	Term  uint64 // the scheduler's term the sender follows, 0 at first contact
 	Acked uint32 // last grant number taken in that term
 	Full  bool   // rows not listed are empty
@@ -99,8 +114,8 @@
 	Org     version.ID
 	Waiting uint32
 	Urgent  uint32
-	OldMS   uint32 // age of the oldest waiting request
-	Norm    uint64 // service received through the sender since its start, over share, in thousandths
+	Old     uint32 // age of the oldest waiting request, in tenths of a second
+	Norm    uint64 // service received through the sender since its start, over share, in hundredths
 	Held    []Held
 }
 
@@ -128,7 +143,7 @@
 	Pool  version.ID
 	Term  uint64
 	Seen  uint32 // last report seen
-	Asked int64  // its clock; the receiver counts the lease from here
+	Asked uint32 // its clock; the receiver counts the lease from here
 	Tight bool   // the pool has a backlog: give unused credits back
 	WaitS uint32 // seconds between two grants to the receiver's next organisation
 	List  []Grant
@@ -262,11 +277,8 @@
 	if err := decoder.Unmarshal(raw, d); err != nil {
 		return nil, ErrDecode.Wrap(err, "decode")
 	}
-	if d.From == "" || d.State > Dead {
-		return nil, ErrDecode.New("datagram without a sender")
+	if d.State > Dead {
+		return nil, ErrDecode.New("state = %d: allowed: at most %d", d.State, Dead)
 	}
 	return d, nil
 }
-
-// Millis is a moment as the milliseconds that messages carry.
-func Millis(t time.Time) int64 { return t.UnixMilli() }
--- /dev/null
+++ b/internal/lab/tenants.go
@@ -0,0 +1,214 @@
+package lab
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"time"
+
+	"github.com/silverswitch/silverswitch/internal/version"
+)
+
+// Fleet describes the upstreams and organisations of a lab.
+type Fleet struct {
+	Places  []string // all in one region
+	Engines int      // spread over the places in turn
+	Slots   int
+	Orgs    []Org
+}
+
+// Org is one organisation of a lab.
+type Org struct {
+	Name   string
+	Places []string // nil for all
+	Share  float64  // 0 for 1
+	Unit   version.Unit
+	Worth  float64
+	Hint   int
+}
+
+// Load builds the fleet's version through the loader that routers use.
+func (f Fleet) Load(revision uint64) *version.Version {
+	p := version.Packed{Revision: revision, Files: map[string]string{version.FleetFile: f.fleetText()}}
+	p.Files["templates/all.ini"] = `[template]
+name = all
+parameters = places, share, unit, worth
+[organisation]
+places = ${places}
+share = ${share}
+queue_limit = 100000
+[application chat]
+service = model
+idempotent = true
+unit = ${unit}
+worth = ${worth}
+timeout = 2h
+[application order]
+service = model
+idempotent = false
+priority = urgent
+unit = ${unit}
+worth = ${worth}
+timeout = 1m
+`
+	for i, o := range f.Orgs {
+		p.Files[fmt.Sprintf("organisations/%s.ini", o.Name)] = f.orgText(i, o)
+	}
+	raw, err := p.Encode()
+	if err != nil {
+		panic(err)
+	}
+	v, err := version.Load(raw)
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
+func (f Fleet) fleetText() string {
+	var b strings.Builder
+	for _, p := range f.Places {
+		fmt.Fprintf(&b, "[place %s]\nregion = r1\n", p)
+	}
+	fmt.Fprintf(&b, "[service model]\n")
+	for i := range f.Engines {
+		fmt.Fprintf(&b, "[upstream e%d]\nservice = model\nplace = %s\naddress = 127.0.0.1:%d\nslots = %d\n",
+			i, f.Places[i%len(f.Places)], 20000+i, f.Slots)
+	}
+	return b.String()
+}
+
+func (f Fleet) orgText(i int, o Org) string {
+	if o.Places == nil {
+		o.Places = f.Places
+	}
+	if o.Share == 0 {
+		o.Share = 1
+	}
+	if o.Unit == "" {
+		o.Unit = version.UnitTokens
+	}
+	if o.Worth == 0 {
+		o.Worth = 400
+	}
+	return fmt.Sprintf("[organisation]\nname = %s\ntemplate = all\nkey_sha256 = %064x\n[parameters]\nplaces = %s\nshare = %g\nunit = %s\nworth = %g\n",
+		o.Name, i+1, strings.Join(o.Places, ","), o.Share, o.Unit, o.Worth)
+}
+
+// Sizes of answers, in tokens: lognormal with a mean near 465.
+const (
+	LargestAnswer = 4096
+	sizeMu        = 5.6
+	sizeSigma     = 1.04
+)
+
+// Size draws one answer's tokens.
+func (w *World) Size() int {
+	n := math.Exp(sizeMu + sizeSigma*w.rnd.NormFloat64())
+	return int(min(max(n, 1), LargestAnswer))
+}
+
+const (
+	patience = time.Hour
+	again    = 50 * time.Millisecond // a closed-loop caller's pause after a refusal
+)
+
+// Tenant keeps a number of requests open at the given hosts, for ever; when its
+// host is down a caller comes back by another.
+func (w *World) Tenant(o *version.Organisation, app string, open int, hosts []int) {
+	for i := range open {
+		w.caller(o, app, hosts, i)
+	}
+}
+
+func (w *World) caller(o *version.Organisation, app string, hosts []int, i int) {
+	h := w.hostFor(o, hosts, i)
+	if h == nil {
+		w.After(time.Second, func() { w.caller(o, app, hosts, i) })
+		return
+	}
+	finished := false
+	next := func() {
+		if !finished {
+			finished = true
+			w.caller(o, app, hosts, i)
+		}
+	}
+	w.Submit(h, o, app, w.Size(), patience, nil, func(j *Job) {
+		if j.Refused != "" {
+			w.After(again, next)
+			return
+		}
+		next()
+	})
+	w.watchHost(h, next)
+}
+
+// watchHost sends a caller elsewhere when its router dies.
+func (w *World) watchHost(h *Host, next func()) {
+	if h.onDeath == nil {
+		h.onDeath = []func(){}
+	}
+	h.onDeath = append(h.onDeath, next)
+}
+
+func (w *World) hostFor(o *version.Organisation, hosts []int, i int) *Host {
+	for k := range hosts {
+		if h := w.Hosts[w.Order[hosts[(i+k)%len(hosts)]]]; h.Up && o.Allows(h.Place) {
+			return h
+		}
+	}
+	for k := range w.Order {
+		if h := w.Hosts[w.Order[(i+k)%len(w.Order)]]; h.Up && o.Allows(h.Place) {
+			return h
+		}
+	}
+	return nil
+}
+
+// Meter follows the gap between backlogged organisations, and the slots used
+// while work waits.
+type Meter struct {
+	Gap  float64 // largest, in largest requests, over share
+	used float64
+	all  float64
+	base map[version.ID]float64
+}
+
+// Utilisation is the part of all slots that were used.
+func (m *Meter) Utilisation() float64 { return m.used / m.all }
+
+// Watch measures every second from now on. value returns each organisation's
+// service, in parts of the largest request.
+func (w *World) Watch(orgs []*version.Organisation, slots int, value func() map[version.ID]float64) *Meter {
+	m := &Meter{base: value()}
+	var look func()
+	look = func() {
+		m.look(orgs, value())
+		for _, n := range w.Running {
+			m.used += float64(n)
+		}
+		m.all += float64(slots)
+		w.After(time.Second, look)
+	}
+	w.After(time.Second, look)
+	return m
+}
+
+func (m *Meter) look(orgs []*version.Organisation, now map[version.ID]float64) {
+	lo, hi := math.Inf(1), math.Inf(-1)
+	for _, o := range orgs {
+		v := (now[o.ID] - m.base[o.ID]) / o.Share
+		lo, hi = min(lo, v), max(hi, v)
+	}
+	m.Gap = max(m.Gap, hi-lo)
+}
+
+// Tokens returns service in tokens, in parts of the largest request.
+func (w *World) Tokens() map[version.ID]float64 {
+	out := w.Service()
+	for id := range out {
+		out[id] /= LargestAnswer
+	}
+	return out
+}
--- a/internal/process/daemon.go
+++ b/internal/process/daemon.go
@@ -67,7 +67,7 @@
 }
 
 func (d *Daemon) coreSettings() core.Settings {
-	inc := wire.Incarnation(time.Now().UnixMilli())
+	inc := wire.IncarnationAt(time.Now())
 	return core.Settings{
 		ID:     wire.NodeID(d.set.Peer),
 		Inc:    inc,
@@ -154,7 +154,7 @@
 func (d *Daemon) receive() {
 	buf := make([]byte, 64<<10)
 	for {
-		m, err := d.route.Receive(wire.NodeID(d.set.Peer), buf)
+		m, err := d.route.Receive(buf)
 		if err != nil {
 			return
 		}
