--- a/Makefile
+++ b/Makefile
@@ -13,3 +13,6 @@
 
 test: lint
 	go test -race -timeout 5m ./...
+
+bench:
+	go run ./cmd/bench
--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -63,7 +63,8 @@
 	silentFor     = 2 * time.Second
 	minComeBack   = time.Second
 	maxComeBack   = 2 * time.Minute
-	paceHalf      = 0.8 // weight of the former pace when a grant arrives
+	paceHalfLife  = 30 * time.Second // of a start in the estimate of the pace
+	paceMinStarts = 3                // decayed starts below which there is no estimate
 )
 
 type flight struct {
@@ -87,7 +88,7 @@
 	pools     []version.ID
 	urgent    []*flight
 	normal    []*flight
-	pace      time.Duration // between two starts, smoothed
+	starts    float64 // decayed count of starts, see pace
 	lastStart time.Time
 }
 
@@ -243,10 +244,10 @@
 func (e *Entry) enqueue(f *flight, q *queue, now time.Time) {
 	limit := e.ver.Organisations[f.Org].QueueLimit
 	if e.byOrg[f.Org] >= limit {
-		e.refuse(f, ReasonQueueFull, e.comeBack(q, q.len()))
+		e.refuse(f, ReasonQueueFull, e.comeBack(q, now))
 		return
 	}
-	if wait := q.pace * time.Duration(q.position(f.Urgent)); now.Add(wait).After(f.Deadline) {
+	if wait := q.pace(now) * time.Duration(q.position(f.Urgent)); now.Add(wait).After(f.Deadline) {
 		e.refuse(f, ReasonDeadline, clampComeBack(now.Add(wait).Sub(f.Deadline)))
 		return
 	}
@@ -285,9 +286,9 @@
 	return q.len()
 }
 
-// comeBack is the time in which the queue works off n requests at its pace.
-func (e *Entry) comeBack(q *queue, n int) time.Duration {
-	return clampComeBack(q.pace * time.Duration(n) / 2)
+// comeBack is the time in which the queue works off half of what waits.
+func (e *Entry) comeBack(q *queue, now time.Time) time.Duration {
+	return clampComeBack(q.pace(now) * time.Duration(q.len()) / 2)
 }
 
 func clampComeBack(d time.Duration) time.Duration {
--- a/internal/core/entry/pool.go
+++ b/internal/core/entry/pool.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -14,7 +15,7 @@
 type poolView struct {
 	id        version.ID
 	scheduler wire.NodeID
-	term      uint64
+	epoch     uint32 // of grant numbers; raised when they begin anew
 	acked     uint32
 	seq       uint32
 	seen      uint32 // last report the scheduler answered
@@ -181,26 +182,39 @@
 	f.queue.started(now)
 }
 
-// started updates the pace at which the queue is worked off.
+// started counts a start for the queue's pace.
 func (q *queue) started(now time.Time) {
-	if !q.lastStart.IsZero() {
-		gap := now.Sub(q.lastStart)
-		q.pace = time.Duration(paceHalf*float64(q.pace) + (1-paceHalf)*float64(gap))
-	}
+	q.starts = q.recent(now) + 1
 	q.lastStart = now
 }
 
+// recent is the count of starts, each halved every paceHalfLife.
+func (q *queue) recent(now time.Time) float64 {
+	return q.starts * math.Exp2(-now.Sub(q.lastStart).Seconds()/paceHalfLife.Seconds())
+}
+
+// pace is the expected time between two starts, or 0 when too few were seen.
+func (q *queue) pace(now time.Time) time.Duration {
+	n := q.recent(now)
+	if n < paceMinStarts {
+		return 0
+	}
+	perSecond := n * math.Ln2 / paceHalfLife.Seconds()
+	return time.Duration(float64(time.Second) / perSecond)
+}
+
 // Grants takes a scheduler's answer. Grants of another scheduler than the one
 // followed, repeated, out of order or late are not used.
 func (e *Entry) Grants(from wire.NodeID, g *wire.Grants, now time.Time) {
 	p := e.pools[g.Pool]
-	if p == nil || from != p.scheduler || g.Seen > p.seq || g.Term < p.term {
+	if p == nil || from != p.scheduler || g.Seen > p.seq || g.Epoch != p.epoch {
 		return
 	}
-	if g.Term > p.term {
-		p.follow(g.Term)
-	}
 	p.answered = now
+	if g.Reset {
+		p.restart()
+		return
+	}
 	p.seen = max(p.seen, g.Seen)
 	p.forgetAnswered()
 	p.tight = g.Tight
@@ -224,10 +238,13 @@
 	}
 }
 
-func (p *poolView) follow(term uint64) {
-	p.term = term
+// restart begins the numbering of grants anew: what the scheduler granted before
+// and was not taken is void.
+func (p *poolView) restart() {
+	p.epoch++
 	p.acked = 0
 	p.dropAllCredits()
+	p.needFull = true
 }
 
 // forgetAnswered clears the rows that a report the scheduler saw has carried.
@@ -312,7 +329,7 @@
 			continue
 		}
 		if !now.Before(f.Deadline) {
-			e.refuse(f, ReasonDeadline, e.lateComeBack(f))
+			e.refuse(f, ReasonDeadline, e.lateComeBack(f, now))
 		} else if f.Deadline.Before(next) {
 			next = f.Deadline
 		}
@@ -327,11 +344,11 @@
 	}
 }
 
-func (e *Entry) lateComeBack(f *flight) time.Duration {
+func (e *Entry) lateComeBack(f *flight, now time.Time) time.Duration {
 	if f.queue == nil {
 		return minComeBack
 	}
-	return e.comeBack(f.queue, f.queue.len())
+	return e.comeBack(f.queue, now)
 }
 
 // Woke gives up every grant and credit after a pause: others may have taken the
--- a/internal/core/entry/report.go
+++ b/internal/core/entry/report.go
@@ -50,11 +50,8 @@
 		return
 	}
 	p.scheduler = id
-	p.term = 0
-	p.acked = 0
 	p.answered = now
-	p.dropAllCredits()
-	p.needFull = true
+	p.restart()
 }
 
 // silent reports a scheduler that has left reports unanswered.
@@ -101,7 +98,7 @@
 		p.lastMoved = now
 		p.progress = map[version.ID]bool{}
 	}
-	r := wire.Report{Pool: p.id, Seq: p.seq, Asked: uint32(now.Sub(e.began).Milliseconds()), Term: p.term, Acked: p.acked, Full: full, Seen: p.takeSamples()}
+	r := wire.Report{Pool: p.id, Seq: p.seq, Asked: uint32(now.Sub(e.began).Milliseconds()), Epoch: p.epoch, Acked: p.acked, Full: full, Seen: p.takeSamples()}
 	for _, org := range orgs {
 		r.Rows = append(r.Rows, e.row(p, org, now))
 	}
--- a/internal/core/io.go
+++ b/internal/core/io.go
@@ -217,6 +217,7 @@
 		d.From, d.Inc, d.Refute, d.State = self.ID, self.Inc, self.Refute, self.State
 		n.headVersion(d)
 		d.Updates = n.members.Piggyback(id)
+		d.Tell = n.members.Lacks(id)
 		d.Drains = n.drainsToTell()
 		n.out = append(n.out, Send{To: id, Datagram: d})
 	}
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -49,6 +49,7 @@
 	lastDed time.Time
 	rnd     *rand.Rand
 	relays  map[uint32]relay
+	tell    map[wire.NodeID]bool // routers that asked for this one's own update
 	seq     uint32
 	Changes int // counts changes of state, for whoever caches a view
 }
@@ -82,6 +83,7 @@
 		roster:  map[wire.NodeID]bool{},
 		rnd:     rnd,
 		relays:  map[uint32]relay{},
+		tell:    map[wire.NodeID]bool{},
 	}
 	for _, id := range seeds {
 		t.meet(id, now)
@@ -194,6 +196,9 @@
 // Hear takes a datagram's membership part. It returns acks and relayed pings.
 func (t *Table) Hear(d *wire.Datagram, now time.Time) []Send {
 	t.direct(d, now)
+	if d.Tell {
+		t.tell[d.From] = true
+	}
 	for _, u := range d.Updates {
 		t.learn(u, now)
 	}
@@ -247,6 +252,7 @@
 	}
 	if m.Place == "" && u.Place != "" {
 		m.Place, m.Public = u.Place, u.Public
+		t.Changes++
 	}
 	if supersedes(u, m.Update) {
 		t.set(m, u, now)
@@ -304,6 +310,13 @@
 	return bits
 }
 
+// Lacks reports whether a router's place is not known yet. Where a pool is
+// scheduled depends on places, so views that lack one would disagree for ever.
+func (t *Table) Lacks(id wire.NodeID) bool {
+	m := t.members[id]
+	return m != nil && m.Place == ""
+}
+
 // Piggyback returns the updates for a datagram to a router. One that is held
 // dead or suspect is told so, that it may refute.
 func (t *Table) Piggyback(to wire.NodeID) []wire.Update {
@@ -311,6 +324,10 @@
 	if m := t.members[to]; m != nil && m.State >= wire.Suspect && m.Inc != 0 {
 		out = append(out, m.Update)
 	}
+	if t.tell[to] {
+		delete(t.tell, to)
+		out = append(out, t.self)
+	}
 	sort.SliceStable(t.rumours, func(i, j int) bool { return t.rumours[i].left > t.rumours[j].left })
 	for i := range t.rumours {
 		if len(out) >= maxPiggyback {
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -78,7 +78,6 @@
 	lastLedger time.Time
 	lastCopy   time.Time
 	changedAt  time.Time // of the version in force
-	lastTerm   uint64
 	copyFrom   int
 	heardPeer  bool
 	leaving    bool
@@ -218,6 +217,9 @@
 		n.post(s)
 	}
 	n.heardPeer = true
+	if d.Tell {
+		n.to(d.From)
+	}
 	if d.Version != nil {
 		n.offer(d.From, *d.Version, now)
 	}
--- a/internal/core/pools.go
+++ b/internal/core/pools.go
@@ -94,8 +94,7 @@
 }
 
 func (n *Node) takeOver(pool version.ID, now time.Time) *hosted {
-	n.lastTerm = max(n.lastTerm+1, uint64(wire.IncarnationAt(now)))
-	p := &hosted{Pool: sched.New(pool, n.lastTerm, n.ver, n.led, n.set.Sched, now)}
+	p := &hosted{Pool: sched.New(pool, n.ver, n.led, n.set.Sched, now)}
 	p.Adopt(n.offsetList(pool), now)
 	for id := range n.drains {
 		p.Drain(id, true)
@@ -186,7 +185,8 @@
 }
 
 // schedulersFor returns the other routers that schedule a pool any of the
-// organisations may use.
+// organisations may use, and those that would follow them: cells that came in
+// through a router that dies would otherwise be lost with its scheduler.
 func (n *Node) schedulersFor(rows []wire.LedgerRow) []wire.NodeID {
 	set := map[wire.NodeID]bool{}
 	for _, r := range rows {
@@ -196,7 +196,9 @@
 		}
 		for _, app := range o.Applications {
 			for _, pool := range n.ver.PoolsOf(o, app.Service) {
-				set[n.ownerOf(pool)] = true
+				for _, id := range n.ownersOf(pool) {
+					set[id] = true
+				}
 			}
 		}
 	}
--- a/internal/core/sched/account.go
+++ b/internal/core/sched/account.go
@@ -32,14 +32,14 @@
 	return a
 }
 
-// setWaiting moves the waiting count by n. An organisation that returns from
+// wait moves an account's waiting count by n. An organisation that returns from
 // idleness starts at the virtual time now served: no hoarding, no penalty
-// (start-time fair queueing, Goyal 1996).
-func (a *account) setWaiting(n int, clock float64, now time.Time, served func(*account) float64) {
-	if a.waiting == 0 && n > 0 && now.Sub(a.lastWait) > idleAfter {
-		if behind := clock - served(a); behind > 0 {
-			a.offset += behind
-		}
+// (start-time fair queueing, Goyal 1996). One whose oldest request is older than
+// this scheduler was waiting at the former one, and keeps its standing.
+func (p *Pool) wait(a *account, n int, oldest, now time.Time) {
+	idle := a.waiting == 0 && n > 0 && now.Sub(a.lastWait) > idleAfter
+	if idle && oldest.After(p.started) {
+		a.offset += max(0, p.clock-p.served(a))
 	}
 	a.waiting += n
 	if a.waiting > 0 || n < 0 {
--- a/internal/core/sched/plan.go
+++ b/internal/core/sched/plan.go
@@ -146,7 +146,7 @@
 	for _, id := range p.routerIDs() {
 		rt := p.routers[id]
 		r := rt.rows[a.org]
-		if r == nil || int(r.waiting) <= rt.pendingOf(a.org) || now.Sub(rt.heard) > freshFor {
+		if rt.reset || r == nil || int(r.waiting) <= rt.pendingOf(a.org) || now.Sub(rt.heard) > freshFor {
 			continue
 		}
 		if bestRow == nil || p.ahead(a.org, rt, r, p.routers[best], bestRow) {
@@ -222,7 +222,7 @@
 func (p *Pool) activeRouters(now time.Time) []wire.NodeID {
 	var out []wire.NodeID
 	for _, id := range p.routerIDs() {
-		if now.Sub(p.routers[id].heard) < creditActive {
+		if rt := p.routers[id]; !rt.reset && now.Sub(rt.heard) < creditActive {
 			out = append(out, id)
 		}
 	}
@@ -277,7 +277,7 @@
 		}
 		rt.owes, rt.fresh = false, false
 		rt.sent = now
-		g := wire.Grants{Pool: p.id, Term: p.term, Seen: rt.seq, Asked: rt.asked, Tight: p.tight}
+		g := wire.Grants{Pool: p.id, Epoch: rt.epoch, Seen: rt.seq, Asked: rt.asked, Tight: p.tight, Reset: rt.reset}
 		g.List = append(g.List, rt.out...)
 		out = append(out, Send{To: id, Grants: g})
 	}
--- a/internal/core/sched/sched.go
+++ b/internal/core/sched/sched.go
@@ -41,7 +41,6 @@
 // Pool is the scheduler's state of one pool. The control goroutine owns it.
 type Pool struct {
 	id       version.ID
-	term     uint64
 	started  time.Time
 	opt      Options
 	ver      *version.Version
@@ -66,6 +65,8 @@
 
 type router struct {
 	inc    wire.Incarnation
+	epoch  uint32 // the router's numbering of grants
+	reset  bool   // the router counts grants that this state does not know
 	seq    uint32
 	asked  uint32
 	acked  uint32
@@ -90,10 +91,9 @@
 }
 
 // New returns a scheduler of a pool that has heard nobody yet.
-func New(id version.ID, term uint64, v *version.Version, led *ledger.Ledger, opt Options, now time.Time) *Pool {
+func New(id version.ID, v *version.Version, led *ledger.Ledger, opt Options, now time.Time) *Pool {
 	p := &Pool{
 		id:       id,
-		term:     term,
 		started:  now,
 		opt:      opt,
 		routers:  map[wire.NodeID]*router{},
@@ -148,7 +148,7 @@
 	}
 	if rt == nil || inc > rt.inc {
 		p.Lost(from, now)
-		rt = &router{inc: inc, rows: map[version.ID]*row{}, nextNo: 1}
+		rt = &router{inc: inc, rows: map[version.ID]*row{}, epoch: r.Epoch, nextNo: 1}
 		p.routers[from] = rt
 	}
 	rt.owes = true
@@ -158,9 +158,10 @@
 	rt.seq = r.Seq
 	rt.asked = r.Asked
 	rt.heard = now
-	if r.Term == p.term {
-		p.acknowledge(rt, r.Acked, now)
+	if r.Epoch != rt.epoch {
+		p.restart(rt, r.Epoch, now)
 	}
+	p.acknowledge(rt, r.Acked, now)
 	if r.Full {
 		p.clearRows(rt, now)
 	}
@@ -178,8 +179,22 @@
 	}
 }
 
+// restart begins the numbering of grants anew, as the router has: it follows this
+// scheduler again after another, or was asked to. Grants on their way are void,
+// and it will not take them, or their slots would never come back.
+func (p *Pool) restart(rt *router, epoch uint32, now time.Time) {
+	for _, o := range rt.out {
+		p.end(o, now)
+	}
+	rt.epoch, rt.reset, rt.out, rt.acked, rt.nextNo = epoch, false, nil, 0, 1
+}
+
 // acknowledge ends the grants a router has taken; its rows now show them.
 func (p *Pool) acknowledge(rt *router, acked uint32, now time.Time) {
+	if acked >= rt.nextNo {
+		rt.reset = true // it counts grants of a state this scheduler has lost
+		return
+	}
 	rt.acked = max(rt.acked, acked)
 	kept := rt.out[:0]
 	for _, o := range rt.out {
@@ -200,9 +215,13 @@
 		rt.rows[in.Org] = r
 	}
 	a := p.account(in.Org, now)
-	a.setWaiting(int(in.Waiting)-int(r.waiting), p.clock, now, p.served)
-	r.waiting, r.urgent = in.Waiting, in.Urgent
+	if in.Org != 0 {
+		gain := p.led.Merge(from, rt.inc, in.Org, in.Norm)
+		a.gain += float64(gain) / ledger.Scale
+	}
 	r.since = now.Add(-time.Duration(in.Old) * oldUnit)
+	p.wait(a, int(in.Waiting)-int(r.waiting), r.since, now)
+	r.waiting, r.urgent = in.Waiting, in.Urgent
 	for _, h := range in.Held {
 		p.use(in.Org, h.Upstream, int(h.N)-int(r.held[h.Upstream]), now)
 		r.held[h.Upstream] = h.N
@@ -210,10 +229,6 @@
 			delete(r.held, h.Upstream)
 		}
 	}
-	if in.Org != 0 {
-		gain := p.led.Merge(from, rt.inc, in.Org, in.Norm)
-		a.gain += float64(gain) / ledger.Scale
-	}
 	if r.waiting == 0 && len(r.held) == 0 {
 		delete(rt.rows, in.Org)
 	}
--- a/internal/core/wire/wire.go
+++ b/internal/core/wire/wire.go
@@ -20,7 +20,7 @@
 // counted from it fit four bytes on the wire until 2038.
 type Incarnation uint64
 
-// epoch2025 is the zero of Incarnation and of terms, in Unix milliseconds.
+// epoch2025 is the zero of Incarnation, in Unix milliseconds.
 const epoch2025 = 1735689600_000
 
 // tenth is the unit of Incarnation in milliseconds.
@@ -70,7 +70,8 @@
 	State   State           `cbor:"4,keyasint,omitempty"`
 	Version *version.Number `cbor:"5,keyasint,omitempty"` // on pings, acks, and after a change
 	Updates []Update        `cbor:"6,keyasint,omitempty"`
-	Drains  []version.ID    `cbor:"7,keyasint,omitempty"` // upstreams known to be leaving
+	Tell    bool            `cbor:"16,keyasint,omitempty"` // the sender lacks the receiver's own update
+	Drains  []version.ID    `cbor:"7,keyasint,omitempty"`  // upstreams known to be leaving
 	Ping    *Ping           `cbor:"8,keyasint,omitempty"`
 	Ack     *Ack            `cbor:"9,keyasint,omitempty"`
 	Reports []Report        `cbor:"10,keyasint,omitempty"`
@@ -101,8 +102,8 @@
 	Pool  version.ID
 	Seq   uint32 // number of this report; older ones are dropped
 	Asked uint32 // ms since the sender's start, echoed by the grants that answer
-	Term  uint64 // the scheduler's term the sender follows, 0 at first contact
-	Acked uint32 // last grant number taken in that term
+	Epoch uint32 // of grant numbers; the sender raises it to begin anew
+	Acked uint32 // last grant number taken in that epoch
 	Full  bool   // rows not listed are empty
 	Rows  []Row
 	Seen  []Sample
@@ -141,11 +142,11 @@
 type Grants struct {
 	_     struct{} `cbor:",toarray"`
 	Pool  version.ID
-	Term  uint64
+	Epoch uint32
 	Seen  uint32 // last report seen
 	Asked uint32 // its clock; the receiver counts the lease from here
 	Tight bool   // the pool has a backlog: give unused credits back
-	WaitS uint32 // seconds between two grants to the receiver's next organisation
+	Reset bool   // the scheduler has lost count: begin a new epoch
 	List  []Grant
 }
 
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -83,8 +83,11 @@
 	Peers   []wire.NodeID // seeds of new hosts
 	Make    func(core.Settings, time.Time) Router
 
+	Speed map[version.ID]float64 // of an upstream, 1 where not set
+
 	rnd   *rand.Rand
 	queue events
+	full  map[version.ID][]*Job // waiting inside an upstream whose slots are taken
 	seq   int
 	jobs  map[*Job]bool
 }
@@ -105,6 +108,7 @@
 		TokenIn: 75 * time.Millisecond, First: 300 * time.Millisecond,
 		Bytes: map[wire.NodeID]int64{}, Served: map[version.ID]float64{}, Counted: map[version.ID]float64{},
 		Running: map[version.ID]int{}, Events: map[string]int{},
+		Speed: map[version.ID]float64{}, full: map[version.ID][]*Job{},
 		rnd: rand.New(rand.NewPCG(seed, 1)), jobs: map[*Job]bool{},
 	}
 }
@@ -263,23 +267,40 @@
 func (w *World) start(j *Job, up version.ID) {
 	u := w.Version.Upstreams[up]
 	j.Starts++
-	j.Running, j.Upstream, j.Began = true, u, w.Now
+	j.Upstream = u
 	if !j.Org.Allows(u.Place) || !j.Org.Allows(j.Host.Place) {
 		w.Strays++
 	}
-	w.Running[up]++
+	if w.Running[up] >= u.Slots {
+		w.full[up] = append(w.full[up], j)
+		return
+	}
+	w.begin(j)
+}
+
+// begin takes a slot of the job's upstream.
+func (w *World) begin(j *Job) {
+	j.Running, j.Began = true, w.Now
+	w.Running[j.Upstream.ID]++
 	w.jobs[j] = true
 	starts := j.Starts
-	w.After(w.First+w.TokenIn*time.Duration(j.Tokens), func() {
+	w.After(w.First+w.tokenIn(j)*time.Duration(j.Tokens), func() {
 		if j.Running && j.Starts == starts {
 			w.finish(j)
 		}
 	})
 }
 
+func (w *World) tokenIn(j *Job) time.Duration {
+	if s := w.Speed[j.Upstream.ID]; s > 0 {
+		return time.Duration(float64(w.TokenIn) / s)
+	}
+	return w.TokenIn
+}
+
 // Generated is how many tokens a running job has made so far.
 func (w *World) Generated(j *Job) float64 {
-	n := int((w.Now.Sub(j.Began) - w.First) / w.TokenIn)
+	n := int((w.Now.Sub(j.Began) - w.First) / w.tokenIn(j))
 	return float64(min(max(n, 0), j.Tokens))
 }
 
@@ -291,7 +312,7 @@
 	if app.Unit == version.UnitAnswered {
 		units = app.Worth
 	}
-	gap := uint32(w.TokenIn.Milliseconds())
+	gap := uint32(min(w.tokenIn(j).Milliseconds(), 75))
 	w.Step(j.Host, core.Finish{ID: j.ID, Units: units, Sample: wire.Sample{N: 1, GapMS: gap}, Answered: true})
 	w.end(j, func(*Job) {})
 }
@@ -303,8 +324,17 @@
 	}
 	w.Served[j.Org.ID] += w.Generated(j)
 	j.Running = false
-	w.Running[j.Upstream.ID]--
+	up := j.Upstream.ID
+	w.Running[up]--
 	delete(w.jobs, j)
+	for len(w.full[up]) > 0 {
+		next := w.full[up][0]
+		w.full[up] = w.full[up][1:]
+		if next.Host.Up {
+			w.begin(next)
+			return
+		}
+	}
 }
 
 func (w *World) end(j *Job, set func(*Job)) {
