--- a/internal/request/server.go
+++ b/internal/request/server.go
@@ -249,12 +249,14 @@
 	rc := http.NewResponseController(v.w)
 	_ = rc.SetReadDeadline(time.Now().Add(s.limits.BodyTime)) // not supported by test recorders
 	raw, err := io.ReadAll(http.MaxBytesReader(v.w, v.r.Body, s.limits.Body))
-	_ = rc.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err == nil:
+	if err == nil {
+		_ = rc.SetReadDeadline(time.Time{})
 		return raw, nil
-	case errors.As(err, &tooLarge):
+	}
+	// The deadline stays: net/http would wait for the rest before it answers.
+	v.w.Header().Set("Connection", "close")
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
 		return nil, outcome.BadRequest(http.StatusRequestEntityTooLarge, outcome.ReasonTooLarge, "the body is larger than this router takes")
 	}
 	return nil, outcome.BadRequest(http.StatusRequestTimeout, outcome.ReasonSlow, "the body did not arrive whole in time")
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -21,6 +21,8 @@
 	Gap     time.Duration // between tokens
 	Tokens  int           // of an answer without max_tokens
 	CutAt   int           // connection is cut once before this event, 0 for never
+	LoseAt  int           // the stream is lost before this event, 0 for never
+	Crossed bool          // replies name another attempt
 
 	gate
 	mu      sync.Mutex
@@ -35,6 +37,7 @@
 	echo     string
 	canceled bool
 	cut      bool
+	lost     bool
 }
 
 type completion struct {
@@ -73,6 +76,9 @@
 	g := e.begin(id, c)
 	defer e.end()
 	w.Header().Set("X-Request-Id", id)
+	if e.Crossed {
+		w.Header().Set("X-Request-Id", "another")
+	}
 	if c.Stream {
 		e.stream(w, r, id, g, 0)
 		return
@@ -169,6 +175,10 @@
 func (e *Engine) cutsBefore(g *generation, i int) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.LoseAt > 0 && i == e.LoseAt {
+		g.lost = true
+		return true
+	}
 	if e.CutAt == 0 || i != e.CutAt || g.cut {
 		return false
 	}
@@ -183,7 +193,7 @@
 	e.mu.Unlock()
 	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	from, err := strconv.Atoi(r.URL.Query().Get("from"))
-	if g == nil || err != nil || from < 0 || from > g.total {
+	if g == nil || g.lost || err != nil || from < 0 || from > g.total {
 		http.Error(w, "no such stream or position", http.StatusNotFound)
 		return
 	}
