Process tests: kills, freezes, rolling restart, 2,000 streams

Cause found on the way: a router that starts took up to 7.3 s to see the fleet, because seeds it had not yet pinged were buried after 1.5 s and asked again one every 2 s. It now greets 8 seeds at once and buries only who was asked.

--- /dev/null
+++ b/cmd/silverswitchd/process_test.go
@@ -0,0 +1,419 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/silverswitch/silverswitch/internal/process"
+	"github.com/silverswitch/silverswitch/internal/standin"
+	"github.com/silverswitch/silverswitch/internal/version"
+)
+
+// The tests here run real processes on loopback, kill, stop and freeze them, and
+// check safety and the eventual outcome, never a time.
+
+var daemonPath, standinPath string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "silverswitch")
+	if err != nil {
+		panic(err)
+	}
+	build := exec.Command("go", "build", "-o", dir, "github.com/silverswitch/silverswitch/cmd/silverswitchd", "github.com/silverswitch/silverswitch/cmd/standin")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		panic(err)
+	}
+	daemonPath, standinPath = filepath.Join(dir, "silverswitchd"), filepath.Join(dir, "standin")
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+type router struct {
+	peer, place, callers, operator string
+	settings                       string
+	cmd                            *exec.Cmd
+}
+
+type fleet struct {
+	t        *testing.T
+	platform string
+	engines  []string
+	counter  string
+	routers  []*router
+
+	mu  sync.Mutex
+	why []string
+}
+
+func freeAddr(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (f *fleet) run(path string, args ...string) *exec.Cmd {
+	cmd := exec.Command(path, args...)
+	require.NoError(f.t, cmd.Start())
+	f.t.Cleanup(func() {
+		_ = cmd.Process.Kill() // it may have ended
+		_ = cmd.Wait()
+	})
+	return cmd
+}
+
+func (f *fleet) standin(args ...string) string {
+	addr := freeAddr(f.t)
+	f.run(standinPath, append([]string{"-listen", addr}, args...)...)
+	require.Eventually(f.t, func() bool {
+		c, err := net.Dial("tcp", addr)
+		if err == nil {
+			c.Close()
+		}
+		return err == nil
+	}, 10*time.Second, 10*time.Millisecond)
+	return addr
+}
+
+func newFleet(t *testing.T, routers, slots int, gap time.Duration) *fleet {
+	f := &fleet{t: t}
+	f.platform = f.standin("-kind", "platform")
+	for range 2 {
+		f.engines = append(f.engines, f.standin("-kind", "engine", "-gap", gap.String()))
+	}
+	f.counter = f.standin("-kind", "plain", "-delay", "5ms")
+	f.publish(slots)
+	var peers []string
+	for range routers {
+		peers = append(peers, freeAddr(t))
+	}
+	var list process.VMList
+	for _, p := range peers {
+		list.VMs = append(list.VMs, process.VM{Role: "router", Address: p, State: "live"})
+	}
+	raw, err := json.Marshal(list)
+	require.NoError(t, err)
+	f.put(process.ValueVMs, raw)
+	for i, p := range peers {
+		f.routers = append(f.routers, &router{peer: p, place: fmt.Sprintf("p%d", i%2), callers: freeAddr(t), operator: freeAddr(t)})
+	}
+	for _, r := range f.routers {
+		f.boot(r, peers)
+	}
+	for _, r := range f.routers {
+		f.ready(r, routers)
+	}
+	return f
+}
+
+func (f *fleet) publish(slots int) {
+	fleetText := "[place p0]\nregion = r\n[place p1]\nregion = r\n[service model]\n[service counter]\nkind = plain\n"
+	for i, a := range f.engines {
+		fleetText += fmt.Sprintf("[upstream e%d]\nservice = model\nplace = p%d\naddress = %s\nslots = %d\n", i, i, a, slots)
+	}
+	fleetText += fmt.Sprintf("[upstream c]\nservice = counter\nplace = p0\naddress = %s\nslots = 32\n", f.counter)
+	raw, err := version.Packed{Revision: 1, Files: map[string]string{
+		version.FleetFile:     fleetText,
+		"templates/t.ini":     "[template]\nname = t\n[organisation]\nplaces = p0, p1\nqueue_limit = 5000\n[application chat]\nservice = model\nidempotent = true\ntimeout = 60s\n[application order]\nservice = counter\nunit = answered\ntimeout = 10s\n",
+		"organisations/o.ini": "[organisation]\nname = o\ntemplate = t\nkey_sha256 = 2c70e12b7a0646f92279f427c7b38e7334d8e5389cff167a1dc30e73f826b683\n",
+	}}.Encode() // the hash is of the word "key"
+	require.NoError(f.t, err)
+	f.put(process.ValueConfiguration, raw)
+}
+
+func (f *fleet) put(name string, raw []byte) {
+	req, err := http.NewRequest(http.MethodPut, "http://"+f.platform+"/v1/values/"+name, strings.NewReader(string(raw)))
+	require.NoError(f.t, err)
+	res, err := http.DefaultClient.Do(req)
+	require.NoError(f.t, err)
+	res.Body.Close()
+}
+
+func (f *fleet) boot(r *router, peers []string) {
+	if r.settings == "" {
+		r.settings = filepath.Join(f.t.TempDir(), "r.ini")
+		text := fmt.Sprintf("[router]\npeer_address = %s\nplace = %s\ncaller_address = %s\ncaller_url = http://%s\noperator_address = %s\n[fleet]\nseeds = %s\nsecret = a-secret-for-tests-only\n[platform]\nurl = http://%s\n[log]\nlevel = error\n[stop]\nbalancer_wait = 300ms\n",
+			r.peer, r.place, r.callers, r.callers, r.operator, strings.Join(peers, ","), f.platform)
+		require.NoError(f.t, os.WriteFile(r.settings, []byte(text), 0o600))
+	}
+	r.cmd = f.run(daemonPath, "-settings", r.settings)
+}
+
+// ready waits until the router is ready and sees the fleet alive.
+func (f *fleet) ready(r *router, routers int) {
+	require.Eventually(f.t, func() bool {
+		res, err := http.Get("http://" + r.operator + "/status")
+		if err != nil {
+			return false
+		}
+		defer res.Body.Close()
+		raw, _ := io.ReadAll(res.Body)
+		return strings.Contains(string(raw), `"ready":true`) && strings.Count(string(raw), `"state":"alive"`) >= routers-1
+	}, 30*time.Second, 50*time.Millisecond)
+}
+
+// order sends an order with a key and returns its outcome header, or "broken".
+func (f *fleet) order(r *router, key string) string {
+	req, _ := http.NewRequest(http.MethodPost, "http://"+r.callers+"/v1/apps/order/orders", strings.NewReader(`{}`))
+	req.Header.Set("Authorization", "Bearer key")
+	req.Header.Set("Idempotency-Key", key)
+	res, err := (&http.Client{Timeout: 20 * time.Second}).Do(req)
+	if err != nil {
+		return "broken"
+	}
+	defer res.Body.Close()
+	if _, err := io.ReadAll(res.Body); err != nil {
+		return "broken"
+	}
+	return res.Header.Get("Silverswitch-Outcome")
+}
+
+// stream reads one stream and returns its events, and whether it ended whole.
+// What it was instead is kept for the failure's message.
+func (f *fleet) stream(r *router, tokens int) (int, bool) {
+	n, whole, why := f.read(r, tokens)
+	if !whole {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.why = append(f.why, fmt.Sprintf("%s after %d events: %s", r.callers, n, why))
+	}
+	return n, whole
+}
+
+func (f *fleet) read(r *router, tokens int) (int, bool, string) {
+	body := fmt.Sprintf(`{"model":"chat","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"x"}]}`, tokens)
+	req, _ := http.NewRequest(http.MethodPost, "http://"+r.callers+"/v1/chat/completions", strings.NewReader(body))
+	req.Header.Set("Authorization", "Bearer key")
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, false, err.Error()
+	}
+	defer res.Body.Close()
+	n, done := 0, false
+	s := bufio.NewScanner(res.Body)
+	for s.Scan() {
+		if s.Text() == "data: [DONE]" {
+			done = true
+		} else if strings.HasPrefix(s.Text(), "data: ") {
+			n++
+		}
+	}
+	return n, done && s.Err() == nil, fmt.Sprint(res.Status, res.Header, s.Err())
+}
+
+// runs counts how often each key ran at the plain service.
+func (f *fleet) runs() map[string]int {
+	res, err := http.Get("http://" + f.counter + "/journal")
+	require.NoError(f.t, err)
+	defer res.Body.Close()
+	var entries []standin.Entry
+	require.NoError(f.t, json.NewDecoder(res.Body).Decode(&entries))
+	out := map[string]int{}
+	for _, e := range entries {
+		out[e.Key]++
+	}
+	return out
+}
+
+// Callers keep sending orders, each key through several routers, while routers
+// are killed, frozen, woken and started again. No key runs twice, none that was
+// told not-run at its only or last word ran, and every answered one ran.
+func TestOrdersUnderKillsAndFreezes(t *testing.T) {
+	f := newFleet(t, 5, 8, time.Millisecond)
+	time.Sleep(5500 * time.Millisecond) // witnesses vouch for keys minted 5 s after their start
+	var mu sync.Mutex
+	words := map[string][]string{}
+	var wg sync.WaitGroup
+	var over atomic.Bool
+	for c := range 10 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := 0; !over.Load(); i++ {
+				key := uuid.Must(uuid.NewV7()).String()
+				for try := range 3 {
+					word := f.order(f.routers[(c+i+try)%5], key)
+					mu.Lock()
+					words[key] = append(words[key], word)
+					mu.Unlock()
+					if word == "answered" {
+						break
+					}
+				}
+			}
+		}()
+	}
+	f.torment()
+	over.Store(true)
+	wg.Wait()
+	runs := f.runs()
+	answered := 0
+	for key, told := range words {
+		assert.LessOrEqual(t, runs[key], 1, "%s ran %d times: %v", key, runs[key], told)
+		last := told[len(told)-1]
+		if last == "answered" {
+			answered++
+			assert.Equal(t, 1, runs[key], "%s answered: %v", key, told)
+		}
+		if last == "not-run" {
+			assert.Zero(t, runs[key], "%s told not-run: %v", key, told)
+		}
+	}
+	assert.Greater(t, answered, 50)
+	t.Logf("%d keys, %d answered", len(words), answered)
+}
+
+// torment kills, freezes and restarts routers one after another.
+func (f *fleet) torment() {
+	for round := range 3 {
+		victim, sleeper := f.routers[round], f.routers[4-round/2]
+		time.Sleep(time.Second)
+		require.NoError(f.t, sleeper.cmd.Process.Signal(syscall.SIGSTOP))
+		require.NoError(f.t, victim.cmd.Process.Kill())
+		_ = victim.cmd.Wait() // killed
+		time.Sleep(3 * time.Second)
+		require.NoError(f.t, sleeper.cmd.Process.Signal(syscall.SIGCONT))
+		f.boot(victim, nil)
+		time.Sleep(time.Second)
+	}
+}
+
+// A rolling restart of the whole fleet under load fails no request.
+func TestRollingRestartFailsNoRequest(t *testing.T) {
+	f := newFleet(t, 4, 64, 5*time.Millisecond)
+	var ok, bad atomic.Int64
+	var down [4]atomic.Bool // the balancer's view: readiness
+	var over atomic.Bool
+	var wg sync.WaitGroup
+	for c := range 16 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := c; !over.Load(); i++ {
+				if down[i%4].Load() {
+					continue
+				}
+				if n, whole := f.stream(f.routers[i%4], 40); whole && n == 40 {
+					ok.Add(1)
+				} else {
+					bad.Add(1)
+				}
+			}
+		}()
+	}
+	for i, r := range f.routers {
+		time.Sleep(time.Second)
+		require.NoError(t, r.cmd.Process.Signal(syscall.SIGTERM))
+		time.Sleep(50 * time.Millisecond) // the balancer notices within balancer_wait
+		down[i].Store(true)
+		require.NoError(t, r.cmd.Wait(), "a planned stop exits with 0")
+		f.boot(r, nil)
+		f.ready(r, 4)
+		down[i].Store(false)
+	}
+	over.Store(true)
+	wg.Wait()
+	assert.Zero(t, bad.Load(), "%v", f.why)
+	assert.Greater(t, ok.Load(), int64(100))
+	t.Logf("%d streams whole", ok.Load())
+}
+
+// Killing a router breaks its callers' streams visibly, and only those.
+func TestKilledRouterBreaksStreamsVisibly(t *testing.T) {
+	f := newFleet(t, 3, 64, 20*time.Millisecond)
+	var wg sync.WaitGroup
+	whole := make([]bool, 12)
+	events := make([]int, 12)
+	for i := range whole {
+		wg.Add(1)
+		go func() { defer wg.Done(); events[i], whole[i] = f.stream(f.routers[i%3], 150) }()
+	}
+	time.Sleep(1500 * time.Millisecond)
+	require.NoError(t, f.routers[0].cmd.Process.Kill())
+	wg.Wait()
+	for i := range whole {
+		if i%3 == 0 {
+			assert.False(t, whole[i], "a shortened stream looked whole")
+		} else {
+			assert.True(t, whole[i])
+			assert.Equal(t, 150, events[i])
+		}
+	}
+}
+
+// A second signal ends at once, and the exit code says that requests were cut.
+func TestSecondSignalEndsAtOnce(t *testing.T) {
+	f := newFleet(t, 2, 8, 100*time.Millisecond)
+	go f.stream(f.routers[0], 600)
+	time.Sleep(time.Second)
+	p := f.routers[0].cmd
+	require.NoError(t, p.Process.Signal(syscall.SIGTERM))
+	time.Sleep(500 * time.Millisecond)
+	require.NoError(t, p.Process.Signal(syscall.SIGTERM))
+	assert.Error(t, p.Wait())
+	assert.Equal(t, exitCut, p.ProcessState.ExitCode())
+}
+
+// 2,000 concurrent streams through one router stay within 256 MB.
+func TestTwoThousandStreamsFitTheirMemory(t *testing.T) {
+	f := newFleet(t, 2, 1500, 100*time.Millisecond)
+	var wg sync.WaitGroup
+	var whole atomic.Int64
+	for range 2000 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if n, ok := f.stream(f.routers[0], 60); ok && n == 60 {
+				whole.Add(1)
+			}
+		}()
+	}
+	wg.Wait()
+	assert.Equal(t, int64(2000), whole.Load())
+	peak := peakMB(t, f.routers[0].cmd.Process.Pid)
+	t.Logf("peak memory %d MB", peak)
+	assert.Less(t, peak, 256)
+}
+
+// peakMB reads a process's largest resident set so far.
+func peakMB(t *testing.T, pid int) int {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	require.NoError(t, err)
+	for _, line := range strings.Split(string(raw), "\n") {
+		var kb int
+		if n, _ := fmt.Sscanf(line, "VmHWM: %d kB", &kb); n == 1 {
+			return kb / 1024
+		}
+	}
+	t.Fatal("no VmHWM")
+	return 0
+}
+
+func TestExitCodesOfBadSettings(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "bad.ini")
+	require.NoError(t, os.WriteFile(path, []byte("[router]\nplaec = x\n"), 0o600))
+	cmd := exec.Command(daemonPath, "-check", path)
+	out, err := cmd.CombinedOutput()
+	require.Error(t, err)
+	assert.Equal(t, exitSettings, cmd.ProcessState.ExitCode())
+	assert.Contains(t, string(out), "plaec")
+}
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -21,6 +21,7 @@
 	forgetAfter   = 10 * time.Minute
 	helpers       = 2
 	maxPiggyback  = 6
+	greetings     = 8 // routers pinged at once at the start
 	spreadPerNode = 4 // times an update is sent for each doubling of the fleet
 )
 
@@ -29,6 +30,7 @@
 	wire.Update
 	Since time.Time // of the present state
 	Heard time.Time // last datagram from it
+	asked bool      // it was pinged since it was met
 }
 
 type rumour struct {
@@ -47,6 +49,7 @@
 	rumours []rumour
 	lastRun time.Time
 	lastDed time.Time
+	greeted bool
 	rnd     *rand.Rand
 	relays  map[uint32]relay
 	tell    map[wire.NodeID]bool // routers that asked for this one's own update
--- a/internal/core/member/probe.go
+++ b/internal/core/member/probe.go
@@ -12,6 +12,10 @@
 	var out []Send
 	out = append(out, t.chase(now)...)
 	t.bury(now)
+	if !t.greeted {
+		t.greeted = true
+		out = append(out, t.greet(now)...)
+	}
 	if now.Sub(t.lastRun) >= ProbeEvery {
 		t.lastRun = now
 		out = append(out, t.startProbe(now)...)
@@ -54,7 +58,7 @@
 // list does not name.
 func (t *Table) bury(now time.Time) {
 	for id, m := range t.members {
-		if m.State == wire.Suspect && now.Sub(m.Since) >= suspectFor {
+		if m.State == wire.Suspect && m.asked && now.Sub(m.Since) >= suspectFor {
 			u := m.Update
 			u.State = wire.Dead
 			t.set(m, u, now)
@@ -98,8 +102,24 @@
 	return nil
 }
 
+// greet pings a few of the seeds at once, so that a router that starts is known
+// and hears of the others within a round trip.
+func (t *Table) greet(now time.Time) []Send {
+	var out []Send
+	t.rnd.Shuffle(len(t.order), func(i, j int) { t.order[i], t.order[j] = t.order[j], t.order[i] })
+	for _, id := range t.order[:min(greetings, len(t.order))] {
+		out = append(out, t.ping(id, now)...)
+	}
+	t.probe.open = false // none of them is a probe: silence proves nothing yet
+	return out
+}
+
 func (t *Table) ping(id wire.NodeID, now time.Time) []Send {
 	t.seq++
+	if m := t.members[id]; !m.asked {
+		m.asked = true
+		m.Since = now
+	}
 	t.probe = probe{seq: t.seq, target: id, sent: now, open: true}
 	return []Send{{To: id, Ping: &wire.Ping{Seq: t.seq}}}
 }
