--- a/cmd/silverswitchd/process_test.go
+++ b/cmd/silverswitchd/process_test.go
@@ -64,13 +64,6 @@
 	why []string
 }
 
-func freeAddr(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func (f *fleet) run(path string, args ...string) *exec.Cmd {
 	cmd := exec.Command(path, args...)
 	require.NoError(f.t, cmd.Start())
@@ -82,7 +75,7 @@
 }
 
 func (f *fleet) standin(args ...string) string {
-	addr := freeAddr(f.t)
+	addr := standin.FreeAddr()
 	f.run(standinPath, append([]string{"-listen", addr}, args...)...)
 	require.Eventually(f.t, func() bool {
 		c, err := net.Dial("tcp", addr)
@@ -104,7 +97,7 @@
 	f.publish(slots)
 	var peers []string
 	for range routers {
-		peers = append(peers, freeAddr(t))
+		peers = append(peers, standin.FreeAddr())
 	}
 	var list process.VMList
 	for _, p := range peers {
@@ -114,7 +107,7 @@
 	require.NoError(t, err)
 	f.put(process.ValueVMs, raw)
 	for i, p := range peers {
-		f.routers = append(f.routers, &router{peer: p, place: fmt.Sprintf("p%d", i%2), callers: freeAddr(t), operator: freeAddr(t)})
+		f.routers = append(f.routers, &router{peer: p, place: fmt.Sprintf("p%d", i%2), callers: standin.FreeAddr(), operator: standin.FreeAddr()})
 	}
 	for _, r := range f.routers {
 		f.boot(r, peers)
@@ -160,15 +153,25 @@
 
 // ready waits until the router is ready and sees the fleet alive.
 func (f *fleet) ready(r *router, routers int) {
-	require.Eventually(f.t, func() bool {
+	var last string
+	ok := func() bool {
 		res, err := http.Get("http://" + r.operator + "/status")
 		if err != nil {
+			last = err.Error()
 			return false
 		}
 		defer res.Body.Close()
 		raw, _ := io.ReadAll(res.Body)
-		return strings.Contains(string(raw), `"ready":true`) && strings.Count(string(raw), `"state":"alive"`) >= routers-1
-	}, 30*time.Second, 50*time.Millisecond)
+		last = string(raw)
+		return strings.Contains(last, `"ready":true`) && strings.Count(last, `"state":"alive"`) >= routers-1
+	}
+	for range 600 {
+		if ok() {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	require.Fail(f.t, "router is not ready", "%s", last)
 }
 
 // order sends an order with a key and returns its outcome header, or "broken".
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -27,6 +27,7 @@
 
 	ledgerEvery   = 10 * time.Second
 	copyEvery     = time.Second
+	poolsEvery    = 200 * time.Millisecond
 	resignAfter   = 10 * time.Second // of silence, when another is the scheduler
 	forgetAfter   = 10 * time.Minute // of silence; a new start costs the settling time
 	readyWait     = 3 * time.Second
@@ -78,6 +79,7 @@
 	lastTick   time.Time
 	lastLedger time.Time
 	lastCopy   time.Time
+	lastPools  time.Time
 	changedAt  time.Time // of the version in force
 	copyFrom   int
 	heardPeer  bool
--- a/internal/core/pools.go
+++ b/internal/core/pools.go
@@ -155,6 +155,10 @@
 
 // tickPools drops dead routers from the pools, and pools nobody reports to.
 func (n *Node) tickPools(now time.Time) {
+	if len(n.pools) == 0 || now.Sub(n.lastPools) < poolsEvery {
+		return
+	}
+	n.lastPools = now
 	f := n.fraction()
 	for _, id := range n.poolIDs() {
 		p := n.pools[id]
--- a/internal/process/path_test.go
+++ b/internal/process/path_test.go
@@ -41,14 +41,6 @@
 
 var places = []string{"p0", "p1", "p2"}
 
-func freeAddr(t testing.TB) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func serve(t testing.TB, h http.Handler) string {
 	t.Helper()
 	s := httptest.NewServer(h)
@@ -87,7 +79,7 @@
 	plat := serve(f.t, f.platform.Handler())
 	var peers []string
 	for range places {
-		peers = append(peers, freeAddr(f.t))
+		peers = append(peers, standin.FreeAddr())
 	}
 	f.publish()
 	var list VMList
@@ -98,9 +90,9 @@
 	require.NoError(f.t, err)
 	f.platform.Publish(ValueVMs, raw)
 	for i, peer := range peers {
-		callers := freeAddr(f.t)
+		callers := standin.FreeAddr()
 		text := fmt.Sprintf("[router]\npeer_address = %s\nplace = %s\ncaller_address = %s\ncaller_url = http://%s\noperator_address = %s\n[fleet]\nseeds = %s\nsecret = %s\n[platform]\nurl = http://%s\n[limits]\nbody_bytes = 65536\nbody_time = 300ms\nheader_time = 300ms\n[stop]\nbalancer_wait = 100ms\n",
-			peer, places[i], callers, callers, freeAddr(f.t), strings.Join(peers, ","), testSecret, plat)
+			peer, places[i], callers, callers, standin.FreeAddr(), strings.Join(peers, ","), testSecret, plat)
 		set, err := ParseSettings("test", text)
 		require.NoError(f.t, err)
 		d, err := Start(set, zerolog.Nop())
--- /dev/null
+++ b/internal/standin/port.go
@@ -0,0 +1,46 @@
+package standin
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"sync/atomic"
+)
+
+// Ports handed out lie below the range from which systems take the ports of
+// outgoing connections, so that none is taken before a process listens on it.
+const (
+	firstPort = 20000
+	lastPort  = 32000
+)
+
+var nextPort atomic.Int64
+
+// FreeAddr returns a loopback address on which neither TCP nor UDP is in use,
+// and which this process has not handed out before.
+func FreeAddr() string {
+	const span = lastPort - firstPort
+	start := int64(os.Getpid()*97) % span
+	for range span {
+		port := firstPort + (start+nextPort.Add(1))%span
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		if free(addr) {
+			return addr
+		}
+	}
+	panic("no free port on loopback")
+}
+
+func free(addr string) bool {
+	t, err := net.Listen("tcp", addr)
+	if err != nil {
+		return false
+	}
+	defer t.Close()
+	u, err := net.ListenPacket("udp", addr)
+	if err != nil {
+		return false
+	}
+	u.Close()
+	return true
+}
