--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -18,6 +18,7 @@
 	ackTimeout    = 200 * time.Millisecond
 	suspectFor    = 1500 * time.Millisecond
 	retryDead     = 2 * time.Second
+	buryEvery     = 200 * time.Millisecond
 	forgetAfter   = 10 * time.Minute
 	helpers       = 2
 	maxPiggyback  = 6
@@ -40,21 +41,22 @@
 
 // Table is the membership state. The control goroutine owns it.
 type Table struct {
-	self    wire.Update
-	members map[wire.NodeID]*Member
-	roster  map[wire.NodeID]bool // from the VM list, a hint
-	order   []wire.NodeID
-	next    int
-	probe   probe
-	rumours []rumour
-	lastRun time.Time
-	lastDed time.Time
-	greeted bool
-	rnd     *rand.Rand
-	relays  map[uint32]relay
-	tell    map[wire.NodeID]bool // routers that asked for this one's own update
-	seq     uint32
-	Changes int // counts changes of state, for whoever caches a view
+	self     wire.Update
+	members  map[wire.NodeID]*Member
+	roster   map[wire.NodeID]bool // from the VM list, a hint
+	order    []wire.NodeID
+	next     int
+	probe    probe
+	rumours  []rumour
+	lastRun  time.Time
+	lastDed  time.Time
+	lastBury time.Time
+	greeted  bool
+	rnd      *rand.Rand
+	relays   map[uint32]relay
+	tell     map[wire.NodeID]bool // routers that asked for this one's own update
+	seq      uint32
+	Changes  int // counts changes of state, for whoever caches a view
 }
 
 type probe struct {
--- a/internal/core/member/probe.go
+++ b/internal/core/member/probe.go
@@ -11,7 +11,10 @@
 func (t *Table) Tick(now time.Time) []Send {
 	var out []Send
 	out = append(out, t.chase(now)...)
-	t.bury(now)
+	if now.Sub(t.lastBury) >= buryEvery {
+		t.lastBury = now
+		t.bury(now)
+	}
 	if !t.greeted {
 		t.greeted = true
 		out = append(out, t.greet(now)...)
