A refusal before the witnesses leaves a keyed request unknown; longer leases

Cause: an order whose first call ran could be told not-run by a router that had not asked the witnesses yet (body too large, no configuration, other place).

Grants may now be used for 5 s (2 s), and routers with waiting requests report at least every 2 s (500 ms): in a fleet with a backlog in most pools, keep-alives were most of the datagrams.

--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -54,11 +54,11 @@
 
 // Timing of this router's side.
 const (
-	progressEvery = 2 * time.Second        // in a full pool; elsewhere service is told with other news
-	keepAlive     = 500 * time.Millisecond // while requests wait
-	creditAlive   = 4 * time.Second        // while standing credits are in use
-	creditIdle    = 10 * time.Second       // unused credits are given back
-	quietDelay    = 3 * time.Second        // of news from a pool in which nothing waits
+	progressEvery = 2 * time.Second  // in a full pool; elsewhere service is told with other news
+	keepAlive     = 2 * time.Second  // while requests wait; well within a grant's lease
+	creditAlive   = 4 * time.Second  // while standing credits are in use
+	creditIdle    = 10 * time.Second // unused credits are given back
+	quietDelay    = 3 * time.Second  // of news from a pool in which nothing waits
 	fullEvery     = 20 * time.Second
 	arrivalDelay  = 100 * time.Millisecond // of a request that comes to a full pool
 	ackDelay      = time.Second            // of a report that only acknowledges grants
--- a/internal/core/sched/sched.go
+++ b/internal/core/sched/sched.go
@@ -20,7 +20,7 @@
 const (
 	// Lease is how long a grant may be used, counted by the router from before
 	// it asked, and by the scheduler from after it gave.
-	Lease = 2 * time.Second
+	Lease = 5 * time.Second
 	// CreditLease is that of a standing credit; a full pool calls credits back.
 	CreditLease  = 10 * time.Second
 	leaseMargin  = 500 * time.Millisecond
@@ -28,7 +28,7 @@
 	quietAnswer  = 3 * time.Second         // the same, in a pool in which nothing waits
 	tightFor     = 2 * time.Second         // without waiting requests until the pool counts as free
 	answerWithin = 800 * time.Millisecond  // of a report that brought no grant
-	freshFor     = time.Second             // no new grant to a router silent for longer
+	freshFor     = 3 * time.Second         // no new grant to a router silent for longer
 	idleAfter    = 3 * time.Second
 	rateHalfLife = 20 * time.Second
 	silentFor    = time.Minute      // three times as long as a router with work may be
--- a/internal/request/server.go
+++ b/internal/request/server.go
@@ -90,6 +90,7 @@
 	org   *version.Organisation
 	terms caller.Terms
 	span  trace.Span
+	open  bool // a key was given and no witness has ruled on it yet
 }
 
 // withOrganisation decides from the headers alone: who calls, whether this
@@ -100,7 +101,7 @@
 		ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 		ctx, span := s.tracer.Start(ctx, "entry", trace.WithSpanKind(trace.SpanKindServer))
 		defer span.End()
-		v := &visit{w: w, r: r.WithContext(ctx), span: span}
+		v := &visit{w: w, r: r.WithContext(ctx), span: span, open: r.Header.Get(caller.HeaderKey) != ""}
 		if err := s.admit(v); err != nil {
 			s.failVisit(v, err)
 			return
@@ -265,6 +266,7 @@
 // serve waits for a slot, carries the request, and tells the outcome.
 func (s *Server) serve(v *visit, app *version.Application, call relay.Call, streams bool) {
 	key, err := s.key(v, app)
+	v.open = false // no key that runs once, or the witnesses will rule on it
 	if err != nil {
 		s.failVisit(v, err)
 		return
@@ -306,6 +308,9 @@
 	if !errors.As(err, &f) {
 		f = outcome.BadRequest(http.StatusBadRequest, outcome.ReasonBody, err.Error())
 	}
+	if v.open && f.Kind == outcome.NotRun {
+		f.Kind = outcome.Unknown // an earlier call with the key may have run
+	}
 	v.span.SetAttributes(attribute.String("outcome", string(f.Kind)), attribute.String("reason", f.Reason))
 	s.fail(v.w, v.terms.ID, f)
 }
