--- a/internal/core/entry/pool.go
+++ b/internal/core/entry/pool.go
@@ -34,6 +34,7 @@
 	samples   map[version.ID]wire.Sample
 	needFull  bool
 	worked    time.Time // last request started in the pool
+	before    time.Time // the one before it
 	due       time.Time // when news must go out at the latest; zero without news
 }
 
@@ -182,7 +183,7 @@
 	f.running = true
 	f.upstream = up
 	f.pool = p.id
-	p.worked = now
+	p.before, p.worked = p.worked, now
 	p.hold(f.Org, up)
 	e.Counts.Started++
 	e.started = append(e.started, Start{ID: f.ID, Upstream: up})
--- a/internal/core/entry/report.go
+++ b/internal/core/entry/report.go
@@ -99,7 +99,7 @@
 		p.lastMoved = now
 		p.progress = map[version.ID]bool{}
 	}
-	r := wire.Report{Pool: p.id, Seq: p.seq, Asked: uint32(now.Sub(e.began).Milliseconds()), Epoch: p.epoch, Acked: p.acked, Full: full, Seen: p.takeSamples()}
+	r := wire.Report{Pool: p.id, Seq: p.seq, Asked: uint32(now.Sub(e.began).Milliseconds()), Epoch: p.epoch, Acked: p.acked, Full: full, Want: now.Sub(p.before) < creditIdle, Seen: p.takeSamples()}
 	for _, org := range orgs {
 		r.Rows = append(r.Rows, e.row(p, org, now))
 	}
--- a/internal/core/sched/plan.go
+++ b/internal/core/sched/plan.go
@@ -234,7 +234,7 @@
 func (p *Pool) activeRouters(now time.Time) []wire.NodeID {
 	var out []wire.NodeID
 	for _, id := range p.routerIDs() {
-		if rt := p.routers[id]; !rt.reset && now.Sub(rt.heard) < freshFor && now.Sub(rt.worked) < creditActive {
+		if rt := p.routers[id]; !rt.reset && rt.want && now.Sub(rt.heard) < freshFor {
 			out = append(out, id)
 		}
 	}
--- a/internal/core/sched/sched.go
+++ b/internal/core/sched/sched.go
@@ -31,8 +31,7 @@
 	freshFor     = 3 * time.Second         // no new grant to a router silent for longer
 	idleAfter    = 3 * time.Second
 	rateHalfLife = 20 * time.Second
-	silentFor    = time.Minute      // three times as long as a router with work may be
-	creditActive = 10 * time.Second // since a router last had work in the pool
+	silentFor    = time.Minute // three times as long as a router with work may be
 	maxCredits   = 8
 )
 
@@ -78,7 +77,7 @@
 	acked  uint32
 	nextNo uint32
 	heard  time.Time
-	worked time.Time // last report with work
+	want   bool // standing credits
 	sent   time.Time
 	owes   bool // an answer
 	fresh  bool // grants that were not sent yet
@@ -166,6 +165,7 @@
 	rt.seq = r.Seq
 	rt.asked = r.Asked
 	rt.heard = now
+	rt.want = r.Want
 	if r.Epoch != rt.epoch {
 		p.restart(rt, r.Epoch, now)
 	}
@@ -174,9 +174,6 @@
 		p.clearRows(rt, now)
 	}
 	for i := range r.Rows {
-		if r.Rows[i].Org != 0 {
-			rt.worked = now
-		}
 		p.setRow(from, rt, &r.Rows[i], now)
 	}
 	p.observe(r.Seen, now)
--- a/internal/tool/tool.go
+++ b/internal/tool/tool.go
@@ -123,7 +123,7 @@
 func loadDir(dir string, revision uint64) (*version.Version, []byte, error) {
 	p, err := version.PackDir(os.DirFS(dir), revision)
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, fmt.Errorf("%s: %w", dir, err)
 	}
 	raw, err := p.Encode()
 	if err != nil {
