A pool is full only when requests are left without a slot

Cause: every arrival in a quiet pool counted as a backlog for 2 s, and every router of the pool was told so, and told when it was over: most datagrams were empty answers of that kind.

--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -33,7 +33,7 @@
 	var idle, busy, backlog, rate, orgs slope
 	idle.Name, busy.Name = "nodes, no requests", "nodes, all else in proportion"
 	backlog.Name, rate.Name, orgs.Name = "backlogged organisations, 60 nodes", "requests/s a node, 60 nodes, no backlog", "organisations, 60 nodes"
-	for _, n := range []int{8, 24, 60, 120, 240, 360} {
+	for _, n := range []int{8, 24, 60, 120, 360} {
 		if n > largest {
 			break
 		}
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -25,7 +25,7 @@
 	// to have been frozen. It is shorter than any lease.
 	PauseLimit = time.Second
 
-	ledgerEvery   = 10 * time.Second
+	ledgerEvery   = 5 * time.Second
 	copyEvery     = time.Second
 	poolsEvery    = 200 * time.Millisecond
 	resignAfter   = 10 * time.Second // of silence, when another is the scheduler
--- a/internal/core/sched/plan.go
+++ b/internal/core/sched/plan.go
@@ -53,27 +53,36 @@
 	return CreditLease
 }
 
-// grantWaiting fills free slots from the backlog, least score first.
+// grantWaiting fills free slots from the backlog, least score first. The pool is
+// full when requests are left for which there is no slot: a request that comes to
+// a free slot is no backlog.
 func (p *Pool) grantWaiting(now time.Time) {
 	waiting := p.backlogged()
-	if len(waiting) > 0 {
-		p.waitedAt = now
-	}
-	if tight := now.Sub(p.waitedAt) < tightFor; tight != p.tight {
-		p.tight = tight
-		p.tellAll()
-	}
 	rate := p.poolRate()
 	for len(waiting) > 0 {
 		a, up := p.next(waiting, rate)
 		if a == nil {
-			return
+			break
 		}
 		p.clock = max(p.clock, p.leastServed(waiting))
 		if !p.give(a, up, now) {
 			waiting = without(waiting, a)
 		}
 	}
+	p.judgeFull(now)
+}
+
+// judgeFull tells every router when the pool turns full, or free again.
+func (p *Pool) judgeFull(now time.Time) {
+	for _, a := range p.accounts {
+		if a.org != 0 && a.waiting > a.pending {
+			p.waitedAt = now
+		}
+	}
+	if tight := now.Sub(p.waitedAt) < tightFor; tight != p.tight {
+		p.tight = tight
+		p.tellAll()
+	}
 }
 
 // tellAll sends every router an answer now: the pool turned full, or free again.
@@ -287,7 +296,7 @@
 		if p.tight {
 			within = answerWithin
 		}
-		answer := rt.owes && now.Sub(rt.sent) >= within
+		answer := rt.owes && (rt.reset || now.Sub(rt.sent) >= within)
 		if !rt.fresh && !answer && !resend {
 			continue
 		}
