--- a/internal/core/claim/claim_test.go
+++ b/internal/core/claim/claim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -117,7 +118,7 @@
 		a, b := Group(key, roster), Group(key, less)
 		differ := 0
 		for _, id := range b {
-			if !contains(a, id) {
+			if !slices.Contains(a, id) {
 				differ++
 			}
 		}
@@ -125,15 +126,6 @@
 	})
 }
 
-func contains(ids []wire.NodeID, id wire.NodeID) bool {
-	for _, x := range ids {
-		if x == id {
-			return true
-		}
-	}
-	return false
-}
-
 func TestSilentWitnessesEndTheAsk(t *testing.T) {
 	a := NewAsk(Key{Sum: [16]byte{1}, Minted: t0}, attempt(1), []wire.NodeID{"a", "b", "c"}, t0)
 	assert.Len(t, a.Due(t0), 3)
--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -82,34 +82,6 @@
 	served   uint64 // already in norm, in hundredths of a unit
 }
 
-type queueKey struct {
-	org     version.ID
-	service string
-}
-
-// queue is one organisation's waiting requests for one service.
-type queue struct {
-	key    queueKey
-	pools  []version.ID
-	urgent []*flight
-	normal []*flight
-	starts float64 // while others waited, decayed; see pace
-	busy   float64 // seconds in which requests waited, decayed alike
-	marked time.Time
-}
-
-func (q *queue) len() int { return len(q.urgent) + len(q.normal) }
-
-func (q *queue) head() *flight {
-	if len(q.urgent) > 0 {
-		return q.urgent[0]
-	}
-	if len(q.normal) > 0 {
-		return q.normal[0]
-	}
-	return nil
-}
-
 // Entry is this router's requests. The control goroutine owns it.
 type Entry struct {
 	ver     *version.Version
@@ -249,77 +221,6 @@
 	return false
 }
 
-func (e *Entry) enqueue(f *flight, q *queue, now time.Time) {
-	limit := e.ver.Organisations[f.Org].QueueLimit
-	if e.byOrg[f.Org] >= limit {
-		e.refuse(f, ReasonQueueFull, e.comeBack(q))
-		return
-	}
-	if wait := q.pace() * time.Duration(q.position(f.Urgent)); now.Add(wait).After(f.Deadline) {
-		e.refuse(f, ReasonDeadline, clampComeBack(now.Add(wait).Sub(f.Deadline)))
-		return
-	}
-	f.queue = q
-	e.awaits(f)
-	e.byOrg[f.Org]++
-	q.mark(now)
-	if f.Urgent {
-		q.urgent = append(q.urgent, f)
-	} else {
-		q.normal = append(q.normal, f)
-	}
-	e.touch(q)
-	e.hurry(q, f, now)
-}
-
-// hurry tells the schedulers of a request at once when there may be a slot for
-// it, a little later when the pool is full and the queue was empty, and with the
-// next report when others of the queue wait before it.
-func (e *Entry) hurry(q *queue, f *flight, now time.Time) {
-	for _, id := range q.pools {
-		p := e.pool(id)
-		switch {
-		case !p.tight || f.Urgent:
-			p.tellBy(now)
-		case q.len() == 1:
-			p.tellBy(now.Add(arrivalDelay))
-		}
-	}
-}
-
-// position is how many requests would start before a new one.
-func (q *queue) position(urgent bool) int {
-	if urgent {
-		return len(q.urgent)
-	}
-	return q.len()
-}
-
-// comeBack is the time in which the queue works off half of what waits.
-func (e *Entry) comeBack(q *queue) time.Duration {
-	return clampComeBack(q.pace() * time.Duration(q.len()) / 2)
-}
-
-func clampComeBack(d time.Duration) time.Duration {
-	return min(max(d, minComeBack), maxComeBack)
-}
-
-func (e *Entry) queue(k queueKey) *queue {
-	q := e.queues[k]
-	if q == nil {
-		q = &queue{key: k, pools: e.poolsOf(k)}
-		e.queues[k] = q
-	}
-	return q
-}
-
-// touch marks a queue's organisation changed in every pool it waits for.
-func (e *Entry) touch(q *queue) {
-	for _, id := range q.pools {
-		e.pool(id).dirty(q.key.org)
-	}
-}
-
 func (e *Entry) refuse(f *flight, why Reason, after time.Duration) {
 	e.dequeue(f)
 	delete(e.flights, f.ID)
@@ -327,28 +228,6 @@
 	e.refused = append(e.refused, Refusal{ID: f.ID, Reason: why, After: after})
 }
 
-// dequeue takes a flight out of its queue, if it waits in one.
-func (e *Entry) dequeue(f *flight) {
-	q := f.queue
-	if q == nil || f.running {
-		return
-	}
-	q.urgent = remove(q.urgent, f)
-	q.normal = remove(q.normal, f)
-	e.byOrg[f.Org]--
-	f.queue = nil
-	e.touch(q)
-}
-
-func remove(list []*flight, f *flight) []*flight {
-	for i, x := range list {
-		if x == f {
-			return append(list[:i:i], list[i+1:]...)
-		}
-	}
-	return list
-}
-
 // Cancel ends a waiting request whose caller went away, and reports whether it
 // did. A running one ends by Finish, when the upstream has confirmed.
 func (e *Entry) Cancel(id uint64) bool {
--- a/internal/core/entry/entry_test.go
+++ b/internal/core/entry/entry_test.go
@@ -252,3 +252,19 @@
 	assert.Equal(t, uint64(5500), f.norm[f.x])
 	assert.Zero(t, f.Running())
 }
+
+// A request may run for minutes without news; the scheduler forgets a router that
+// is silent for one.
+func TestLongRequestsAreToldAgain(t *testing.T) {
+	f := newFixture(t, "a,b", 1)
+	f.grants(wire.Grant{No: 1, Org: f.x, Upstream: f.u1, N: 1})
+	f.now = f.now.Add(ackDelay)
+	f.reports()
+	f.grants()
+	f.now = f.now.Add(fullEvery)
+	out := f.reports()
+	require.Len(t, out, 1)
+	require.True(t, out[0].Report.Full)
+	require.Len(t, out[0].Report.Rows, 1)
+	assert.Equal(t, []wire.Held{{Upstream: f.u1, N: 1}}, out[0].Report.Rows[0].Held)
+}
--- a/internal/core/entry/pool.go
+++ b/internal/core/entry/pool.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"math"
 	"sort"
 	"time"
 
@@ -189,27 +188,6 @@
 	e.started = append(e.started, Start{ID: f.ID, Upstream: up})
 }
 
-// mark books the time since the last mark as one in which requests waited, if
-// they did. It is called before the queue changes.
-func (q *queue) mark(now time.Time) {
-	if q.len() > 0 {
-		dt := now.Sub(q.marked).Seconds()
-		decay := math.Exp2(-dt / paceHalfLife.Seconds())
-		q.starts *= decay
-		q.busy = q.busy*decay + dt
-	}
-	q.marked = now
-}
-
-// pace is the expected time between two starts while requests wait, or 0 when
-// too few were seen.
-func (q *queue) pace() time.Duration {
-	if q.starts < paceMinStarts {
-		return 0
-	}
-	return time.Duration(q.busy / q.starts * float64(time.Second))
-}
-
 // Grants takes a scheduler's answer. Grants of another scheduler than the one
 // followed, repeated, out of order or late are not used.
 func (e *Entry) Grants(from wire.NodeID, g *wire.Grants, now time.Time) {
@@ -301,13 +279,6 @@
 	}
 }
 
-// unqueue takes a flight that starts out of its queue but keeps the queue known.
-func (e *Entry) unqueue(f *flight) {
-	q := f.queue
-	e.dequeue(f)
-	f.queue = q
-}
-
 // pick returns the organisation's first request that may run at the upstream.
 func (e *Entry) pick(p *poolView, g wire.Grant) *flight {
 	u := e.ver.Upstreams[g.Upstream]
@@ -337,37 +308,6 @@
 	}
 }
 
-// expire refuses the late, and notes the next deadline of those that wait.
-func (e *Entry) expire(now time.Time) {
-	next := now.Add(maxComeBack)
-	for _, id := range e.sortedFlights() {
-		f := e.flights[id]
-		if f.running {
-			continue
-		}
-		if !now.Before(f.Deadline) {
-			e.refuse(f, ReasonDeadline, e.lateComeBack(f))
-		} else if f.Deadline.Before(next) {
-			next = f.Deadline
-		}
-	}
-	e.nextDeadline = next
-}
-
-// awaits keeps nextDeadline at or before that of every waiting flight.
-func (e *Entry) awaits(f *flight) {
-	if f.Deadline.Before(e.nextDeadline) {
-		e.nextDeadline = f.Deadline
-	}
-}
-
-func (e *Entry) lateComeBack(f *flight) time.Duration {
-	if f.queue == nil {
-		return minComeBack
-	}
-	return e.comeBack(f.queue)
-}
-
 // Woke gives up every grant and credit after a pause: others may have taken the
 // slots back. Waiting requests are told to the schedulers again.
 func (e *Entry) Woke() {
--- a/internal/core/entry/report.go
+++ b/internal/core/entry/report.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -73,37 +74,69 @@
 	return false
 }
 
-func (e *Entry) report(p *poolView, now time.Time) (wire.Report, bool) {
+// why says what makes a report due.
+type why struct {
+	moved bool // service received in a full pool
+	full  bool // everything is told anew
+	due   bool
+}
+
+func (e *Entry) reasons(p *poolView, now time.Time) why {
 	since := now.Sub(p.lastSent)
 	waits := e.waitsIn(p)
-	moved := p.tight && len(p.progress) > 0 && now.Sub(p.lastMoved) >= progressEvery
-	again := p.seq > p.seen && len(p.changed) > 0 && since >= pick(p.tight || waits, resendAfter, quietResend)
+	hurried := p.tight || waits
+	w := why{
+		moved: p.tight && len(p.progress) > 0 && now.Sub(p.lastMoved) >= progressEvery,
+		full:  p.needFull || (p.busy() && now.Sub(p.lastFull) >= fullEvery),
+	}
+	again := p.seq > p.seen && len(p.changed) > 0 && since >= pick(hurried, resendAfter, quietResend)
 	alive := (waits && since >= keepAlive) || (len(p.credits) > 0 && since >= creditAlive)
-	news := (!p.due.IsZero() && !now.Before(p.due)) || (p.unsent() && since >= pick(p.tight || waits, ackDelay, quietDelay))
-	if !p.needFull && !news && !moved && !again && !alive {
+	asked := !p.due.IsZero() && !now.Before(p.due)
+	late := p.unsent() && since >= pick(hurried, ackDelay, quietDelay)
+	w.due = w.moved || w.full || again || alive || asked || late
+	return w
+}
+
+// report returns the next report for a pool, if one is due.
+func (e *Entry) report(p *poolView, now time.Time) (wire.Report, bool) {
+	w := e.reasons(p, now)
+	if !w.due {
 		return wire.Report{}, false
 	}
 	if p.seq == p.seen {
 		p.answered = now
 	}
-	full := p.needFull || (p.busy() && now.Sub(p.lastFull) >= fullEvery)
-	orgs := e.rowsFor(p, full, moved)
+	orgs := e.rowsFor(p, w)
+	p.sent(w, now)
+	r := wire.Report{
+		Pool:  p.id,
+		Seq:   p.seq,
+		Asked: uint32(now.Sub(e.began).Milliseconds()),
+		Epoch: p.epoch,
+		Acked: p.acked,
+		Full:  w.full,
+		Want:  now.Sub(p.before) < creditIdle,
+		Seen:  p.takeSamples(),
+	}
+	for _, org := range orgs {
+		r.Rows = append(r.Rows, e.row(p, org, now))
+	}
+	return r, true
+}
+
+// sent notes that a report goes out now.
+func (p *poolView) sent(w why, now time.Time) {
 	p.seq++
 	p.lastSent = now
 	p.due = time.Time{}
-	if full {
+	if w.full {
 		p.needFull = false
 		p.lastFull = now
 	}
-	if moved || full {
+	if w.moved || w.full {
 		p.lastMoved = now
 		p.progress = map[version.ID]bool{}
 	}
-	r := wire.Report{Pool: p.id, Seq: p.seq, Asked: uint32(now.Sub(e.began).Milliseconds()), Epoch: p.epoch, Acked: p.acked, Full: full, Want: now.Sub(p.before) < creditIdle, Seen: p.takeSamples()}
-	for _, org := range orgs {
-		r.Rows = append(r.Rows, e.row(p, org, now))
-	}
-	return r, true
 }
 
 // pick returns the delay for a pool with a backlog, or for a quiet one.
@@ -116,16 +149,7 @@
 
 func (e *Entry) waitsIn(p *poolView) bool {
 	for _, q := range e.queues {
-		if q.len() > 0 && contains(q.pools, p.id) {
-			return true
-		}
-	}
-	return false
-}
-
-func contains(ids []version.ID, id version.ID) bool {
-	for _, x := range ids {
-		if x == id {
+		if q.len() > 0 && slices.Contains(q.pools, p.id) {
 			return true
 		}
 	}
@@ -134,14 +158,14 @@
 
 // rowsFor lists the organisations whose rows the report carries. A full report
 // stays to be repeated until answered, like any changed row.
-func (e *Entry) rowsFor(p *poolView, full, moved bool) []version.ID {
+func (e *Entry) rowsFor(p *poolView, w why) []version.ID {
 	set := map[version.ID]bool{}
-	if full {
+	if w.full {
 		for org := range p.held {
 			p.changed[org] = p.seq
 		}
 		for _, q := range e.queues {
-			if q.len() > 0 && contains(q.pools, p.id) {
+			if q.len() > 0 && slices.Contains(q.pools, p.id) {
 				p.changed[q.key.org] = p.seq
 			}
 		}
@@ -153,7 +177,7 @@
 	for org := range p.changed {
 		set[org] = true
 	}
-	if moved {
+	if w.moved {
 		for org := range p.progress {
 			set[org] = true
 		}
@@ -173,7 +197,7 @@
 		return r
 	}
 	for _, q := range e.queues {
-		if q.key.org != org || !contains(q.pools, p.id) {
+		if q.key.org != org || !slices.Contains(q.pools, p.id) {
 			continue
 		}
 		r.Waiting += uint32(q.len())
--- a/internal/core/sched/sched_test.go
+++ b/internal/core/sched/sched_test.go
@@ -135,7 +135,7 @@
 
 func TestRouterThatCountsUnknownGrantsIsReset(t *testing.T) {
 	f := newFixture(t, Options{})
-	f.Report("r1", 1, &wire.Report{Seq: 9, Epoch: 3, Acked: 5, Rows: []wire.Row{waiting(f.x, 4)}}, t0)
+	f.Report("r1", 1, &wire.Report{Seq: 9, Epoch: 3, Acked: 5, Full: true, Rows: []wire.Row{waiting(f.x, 4)}}, t0)
 	sends := f.Plan(t0.Add(time.Second))
 	require.Len(t, sends, 1)
 	assert.True(t, sends[0].Grants.Reset)
--- a/internal/request/server.go
+++ b/internal/request/server.go
@@ -29,11 +29,10 @@
 
 // Limits on what callers may send.
 type Limits struct {
-	Body       int64         // bytes of one body
-	Answer     int64         // bytes of one answer that is not a stream
-	BodyTime   time.Duration // to send the body
-	StallTime  time.Duration // longest pause of an upstream's stream
-	TokenAhead int           // reserved
+	Body      int64         // bytes of one body
+	Answer    int64         // bytes of one answer that is not a stream
+	BodyTime  time.Duration // to send the body
+	StallTime time.Duration // longest pause of an upstream's stream
 }
 
 // DefaultLimits suit syllabi of a few hundred pages.
