A new scheduler looks ahead before it has seen earnings

Cause: just after a takeover some 160 slots were free at once and the rate of a slot was taken from no earnings (0), or from a whole former life's service in one report; the look-ahead was off, or wild, and nearly all went to one organisation (301 of 640 slots held where 107 are due). Ruled out: lost ledger cells (the scheduler's sums agreed with the truth within 0.5 %).

--- a/internal/core/sched/account.go
+++ b/internal/core/sched/account.go
@@ -47,6 +47,15 @@
 	}
 }
 
+// earn books service that slots held under this scheduler have earned. What a
+// router served before its first report here says nothing about a slot's rate.
+func (a *account) earn(told map[version.ID]uint64, in *wire.Row) {
+	if last, known := told[in.Org]; known && in.Norm > last {
+		a.gain += float64(in.Norm-last) / ledger.Scale
+	}
+	told[in.Org] = in.Norm
+}
+
 // addHeld moves the slots held, after booking the slot-seconds until now.
 func (a *account) addHeld(n int, now time.Time) {
 	a.book(now)
@@ -64,9 +73,18 @@
 	a.touched = now
 }
 
-// minSlotSeconds is how much an account must have run before its own rate is
-// believed over the pool's.
-const minSlotSeconds = 10
+const (
+	// minSlotSeconds is how much an account must have run before its own rate is
+	// believed over the pool's.
+	minSlotSeconds = 10
+	// learnFor is how long a new scheduler takes every slot to earn as much as at
+	// the users' bound on the time between tokens. It has seen no earnings yet; a
+	// rate of nothing would switch the look-ahead off just when many slots are
+	// free at once.
+	learnFor = 10 * time.Second
+	// firstRate is that earning, in tokens for each slot and second.
+	firstRate = 1000.0 / gapTargetMS
+)
 
 // rate is service over share for each slot and second.
 func (a *account) rate(fallback float64) float64 {
@@ -87,13 +105,20 @@
 	if o := p.ver.Organisations[a.org]; o != nil {
 		share = o.Share
 	}
-	ahead := a.rate(poolRate/share) * float64(a.held) * p.opt.Horizon.Seconds()
+	rate := poolRate / share
+	if !p.learning() {
+		rate = a.rate(rate)
+	}
+	ahead := rate * float64(a.held) * p.opt.Horizon.Seconds()
 	return p.served(a) + ahead
 }
 
 // poolRate is the service for each slot and second over all accounts, not
 // divided by share.
 func (p *Pool) poolRate() float64 {
+	if p.learning() {
+		return firstRate
+	}
 	var gain, slots float64
 	for _, a := range p.accounts {
 		if o := p.ver.Organisations[a.org]; o != nil {
@@ -102,11 +127,14 @@
 		}
 	}
 	if slots < minSlotSeconds {
-		return 1
+		return firstRate
 	}
 	return gain / slots
 }
 
+// learning reports whether this scheduler is too new to know what slots earn.
+func (p *Pool) learning() bool { return p.at.Sub(p.started) < learnFor }
+
 // upstreamsOf caches which upstreams an organisation's places allow.
 func (p *Pool) upstreamsOf(a *account) []version.ID {
 	if a.allowed != nil {
--- a/internal/core/sched/sched.go
+++ b/internal/core/sched/sched.go
@@ -82,7 +82,8 @@
 	owes   bool // an answer
 	fresh  bool // grants that were not sent yet
 	rows   map[version.ID]*row
-	out    []wire.Grant // not acknowledged
+	norms  map[version.ID]uint64 // service last told, to see what slots earn
+	out    []wire.Grant          // not acknowledged
 }
 
 // oldUnit is the unit of wire.Row.Old.
@@ -155,7 +156,7 @@
 	if rt == nil || inc > rt.inc {
 		p.Lost(from, now)
 		// Without a full report, what the router holds is not known yet.
-		rt = &router{inc: inc, rows: map[version.ID]*row{}, epoch: r.Epoch, nextNo: 1, reset: !r.Full}
+		rt = &router{inc: inc, rows: map[version.ID]*row{}, norms: map[version.ID]uint64{}, epoch: r.Epoch, nextNo: 1, reset: !r.Full}
 		p.routers[from] = rt
 	}
 	rt.owes = true
@@ -224,8 +225,8 @@
 	}
 	a := p.account(in.Org, now)
 	if in.Org != 0 {
-		gain := p.led.Merge(from, rt.inc, in.Org, in.Norm)
-		a.gain += float64(gain) / ledger.Scale
+		p.led.Merge(from, rt.inc, in.Org, in.Norm)
+		a.earn(rt.norms, in)
 	}
 	r.since = now.Add(-time.Duration(in.Old) * oldUnit)
 	p.wait(a, int(in.Waiting)-int(r.waiting), r.since, now)
--- a/internal/core/sched/sched_test.go
+++ b/internal/core/sched/sched_test.go
@@ -297,3 +297,40 @@
 	assert.True(t, sends[0].Grants.Reset)
 	assert.Zero(t, granted(sends))
 }
+
+// What was served under a former scheduler must not look like the earnings of a
+// slot here: the look-ahead would be wrong by as much for a minute.
+func TestTakeoverLearnsTheRateAnew(t *testing.T) {
+	f := newFixture(t, Options{})
+	row := wire.Row{Org: f.x, Norm: 50_000_000, Held: []wire.Held{{Upstream: f.u1, N: 2}}}
+	f.Report("r1", 1, &wire.Report{Seq: 1, Full: true, Rows: []wire.Row{row}}, t0)
+	a := f.accounts[f.x]
+	for i := range 20 {
+		now := t0.Add(time.Duration(i+1) * time.Second)
+		a.book(now)
+		row.Norm += 2 * 13 * ledger.Scale // two slots, a second, 13 units each
+		f.Report("r1", 1, &wire.Report{Seq: uint32(2 + i), Rows: []wire.Row{row}}, now)
+	}
+	assert.InDelta(t, 13, a.rate(0), 0.5)
+}
+
+// Just after a takeover many slots are free at once and nothing has been earned
+// here yet: they must not all go to whoever is a little behind.
+func TestTakeoverSharesTheFreeSlots(t *testing.T) {
+	f := newFixture(t, Options{Horizon: 10 * time.Second, Settle: 9 * time.Second})
+	row := wire.Row{Org: f.x, Norm: 100_000, Waiting: 9, Old: 90}
+	other := wire.Row{Org: f.y, Norm: 110_000, Waiting: 9, Old: 90}
+	for i := range 10 {
+		now := t0.Add(time.Duration(i) * time.Second)
+		r := &wire.Report{Seq: uint32(1 + i), Full: i == 0, Rows: []wire.Row{row, other}}
+		r.Rows[0].Held = []wire.Held{{Upstream: f.u2, N: 2}} // x has all of u2
+		f.Report("r1", 1, r, now)
+	}
+	byOrg := map[version.ID]int{}
+	for _, s := range f.Plan(t0.Add(9 * time.Second)) {
+		for _, g := range s.Grants.List {
+			byOrg[g.Org]++
+		}
+	}
+	assert.Equal(t, 2, byOrg[f.y], "100 units behind weigh less than two slots for 10 s")
+}
