--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -7,6 +7,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"strings"
 
 	"github.com/silverswitch/silverswitch/internal/lab"
 )
@@ -29,13 +30,13 @@
 	return lab.Size{Nodes: nodes, Engines: max(44, int(enginesPer*float64(nodes))), Orgs: orgs, Backlogged: orgs / 10, PerNode: ratePer, Seconds: 30}
 }
 
-func slopes(largest int) []slope {
+func slopes(smallest, largest int) []slope {
 	var idle, busy, backlog, rate, orgs slope
 	idle.Name, busy.Name = "nodes, no requests", "nodes, all else in proportion"
 	backlog.Name, rate.Name, orgs.Name = "backlogged organisations, 60 nodes", "requests/s a node, 60 nodes, no backlog", "organisations, 60 nodes"
 	for _, n := range []int{8, 24, 60, 120, 360} {
-		if n > largest {
-			break
+		if n < smallest || n > largest {
+			continue
 		}
 		s := planned(n)
 		busy.Sizes = append(busy.Sizes, s)
@@ -62,10 +63,15 @@
 
 func main() {
 	asJSON := flag.Bool("json", false, "print JSON instead of tables")
-	largest := flag.Int("nodes", 360, "largest `number` of nodes")
+	smallest := flag.Int("from", 8, "smallest `number` of nodes")
+	largest := flag.Int("to", 360, "largest `number` of nodes")
+	only := flag.String("slope", "", "only slopes whose name contains this")
 	flag.Parse()
 	enc := json.NewEncoder(os.Stdout)
-	for _, s := range slopes(*largest) {
+	for _, s := range slopes(*smallest, *largest) {
+		if !strings.Contains(s.Name, *only) {
+			continue
+		}
 		if !*asJSON {
 			fmt.Printf("\n%s\n\n| nodes | engines | organisations | backlogged | requests/s | running | waiting | sent B/s a node | busiest B/s | datagrams/s a node | CPU %% of a core | heap MB a node |\n|---|---|---|---|---|---|---|---|---|---|---|---|\n", s.Name)
 		}
