--- a/internal/core/entry/pool.go
+++ b/internal/core/entry/pool.go
@@ -20,7 +20,7 @@
 	seen      uint32 // last report the scheduler answered
 	lastSent  time.Time
 	lastFull  time.Time
-	openSince time.Time // a report has waited for an answer since; zero if none does
+	answered  time.Time // last answer, or the first report without one
 	tight     bool
 
 	changed   map[version.ID]uint32 // row changed after this report
@@ -195,16 +195,13 @@
 	if p == nil || from != p.scheduler || g.Seen > p.seq || g.Epoch != p.epoch {
 		return
 	}
-	p.openSince = time.Time{}
+	p.answered = now
 	if g.Reset {
 		p.restart()
 		return
 	}
 	p.seen = max(p.seen, g.Seen)
 	p.forgetAnswered()
-	if len(p.changed) > 0 {
-		p.openSince = now
-	}
 	if g.Tight && !p.tight {
 		p.tellBy(now) // whatever was not urgent before is now
 	}
--- a/internal/core/entry/report.go
+++ b/internal/core/entry/report.go
@@ -26,7 +26,7 @@
 		p.turnTo(scheduler(id), now)
 		if p.silent(now, e.waitsIn(p)) {
 			silent = append(silent, p.scheduler)
-			p.openSince = now
+			p.answered = now
 		}
 		if r, due := e.report(p, now); due {
 			out = append(out, Outgoing{To: p.scheduler, Report: r})
@@ -51,13 +51,13 @@
 		return
 	}
 	p.scheduler = id
-	p.openSince = time.Time{}
+	p.answered = now
 	p.restart()
 }
 
 // silent reports a scheduler that has left reports unanswered.
 func (p *poolView) silent(now time.Time, waits bool) bool {
-	return !p.openSince.IsZero() && now.Sub(p.openSince) > pick(waits, silentFor, quietSilent)
+	return p.seq > p.seen && now.Sub(p.answered) > pick(waits, silentFor, quietSilent)
 }
 
 func (p *poolView) busy() bool {
@@ -103,11 +103,10 @@
 	if !w.due {
 		return wire.Report{}, false
 	}
-	orgs := e.rowsFor(p, w)
-	reply := len(p.changed) > 0 || len(p.credits) > 0
-	if reply && p.openSince.IsZero() {
-		p.openSince = now
+	if p.seq == p.seen {
+		p.answered = now
 	}
+	orgs := e.rowsFor(p, w)
 	p.sent(w, now)
 	r := wire.Report{
 		Pool:  p.id,
@@ -116,7 +115,6 @@
 		Epoch: p.epoch,
 		Acked: p.acked,
 		Full:  w.full,
-		Reply: reply,
 		Want:  now.Sub(p.before) < creditIdle,
 		Seen:  p.takeSamples(),
 	}
--- a/internal/core/sched/sched.go
+++ b/internal/core/sched/sched.go
@@ -159,7 +159,7 @@
 		rt = &router{inc: inc, rows: map[version.ID]*row{}, norms: map[version.ID]uint64{}, epoch: r.Epoch, nextNo: 1, reset: !r.Full}
 		p.routers[from] = rt
 	}
-	rt.owes = rt.owes || r.Reply
+	rt.owes = true
 	if r.Seq <= rt.seq {
 		return
 	}
@@ -178,7 +178,6 @@
 		p.setRow(from, rt, &r.Rows[i], now)
 	}
 	p.observe(r.Seen, now)
-	rt.owes = rt.owes || rt.reset
 }
 
 func (p *Pool) observe(samples []wire.Sample, now time.Time) {
--- a/internal/core/sched/sched_test.go
+++ b/internal/core/sched/sched_test.go
@@ -87,13 +87,13 @@
 
 func TestFreeSlotsGoToWhoWaits(t *testing.T) {
 	f := newFixture(t, Options{})
-	f.Report("r1", 1, &wire.Report{Reply: true, Seq: 1, Full: true, Rows: []wire.Row{waiting(f.x, 9)}}, t0)
+	f.Report("r1", 1, &wire.Report{Seq: 1, Full: true, Rows: []wire.Row{waiting(f.x, 9)}}, t0)
 	assert.Equal(t, 4, granted(f.Plan(t0)))
 }
 
 func TestSlotsGoOnlyWherePlacesAllow(t *testing.T) {
 	f := newFixture(t, Options{})
-	f.Report("r1", 1, &wire.Report{Reply: true, Seq: 1, Full: true, Rows: []wire.Row{waiting(f.y, 9)}}, t0)
+	f.Report("r1", 1, &wire.Report{Seq: 1, Full: true, Rows: []wire.Row{waiting(f.y, 9)}}, t0)
 	sends := f.Plan(t0)
 	require.Equal(t, 2, granted(sends))
 	for _, g := range sends[0].Grants.List {
@@ -103,7 +103,7 @@
 
 func TestNewSchedulerListensBeforeItGrants(t *testing.T) {
 	f := newFixture(t, Options{Settle: time.Second})
-	f.Report("r1", 1, &wire.Report{Reply: true, Seq: 1, Full: true, Rows: []wire.Row{waiting(f.x, 9)}}, t0)
+	f.Report("r1", 1, &wire.Report{Seq: 1, Full: true, Rows: []wire.Row{waiting(f.x, 9)}}, t0)
 	assert.Zero(t, granted(f.Plan(t0)))
 	f.Report("r1", 1, &wire.Report{Seq: 2}, t0.Add(time.Second))
 	assert.Equal(t, 4, granted(f.Plan(t0.Add(time.Second))))
@@ -111,12 +111,12 @@
 
 func TestGrantsAreResentUntilAcknowledged(t *testing.T) {
 	f := newFixture(t, Options{})
-	f.Report("r1", 1, &wire.Report{Reply: true, Seq: 1, Full: true, Rows: []wire.Row{waiting(f.x, 1)}}, t0)
+	f.Report("r1", 1, &wire.Report{Seq: 1, Full: true, Rows: []wire.Row{waiting(f.x, 1)}}, t0)
 	require.Equal(t, 1, granted(f.Plan(t0)))
 	later := t0.Add(resendAfter)
-	f.Report("r1", 1, &wire.Report{Reply: true, Seq: 2, Rows: []wire.Row{waiting(f.x, 1)}}, later)
+	f.Report("r1", 1, &wire.Report{Seq: 2, Rows: []wire.Row{waiting(f.x, 1)}}, later)
 	assert.Equal(t, 1, granted(f.Plan(later)))
-	f.Report("r1", 1, &wire.Report{Reply: true, Seq: 3, Acked: 1, Rows: []wire.Row{{Org: f.x, Held: []wire.Held{{Upstream: f.u1, N: 1}}}}}, later)
+	f.Report("r1", 1, &wire.Report{Seq: 3, Acked: 1, Rows: []wire.Row{{Org: f.x, Held: []wire.Held{{Upstream: f.u1, N: 1}}}}}, later)
 	assert.Zero(t, granted(f.Plan(later.Add(2*resendAfter))))
 }
 
@@ -124,9 +124,9 @@
 // the slots of those it never took come back.
 func TestNewEpochVoidsGrantsOnTheirWay(t *testing.T) {
 	f := newFixture(t, Options{})
-	f.Report("r1", 1, &wire.Report{Reply: true, Seq: 1, Full: true, Epoch: 1, Rows: []wire.Row{waiting(f.x, 4)}}, t0)
+	f.Report("r1", 1, &wire.Report{Seq: 1, Full: true, Epoch: 1, Rows: []wire.Row{waiting(f.x, 4)}}, t0)
 	require.Equal(t, 4, granted(f.Plan(t0)))
-	f.Report("r1", 1, &wire.Report{Reply: true, Seq: 2, Epoch: 2, Full: true, Rows: []wire.Row{waiting(f.x, 4)}}, t0)
+	f.Report("r1", 1, &wire.Report{Seq: 2, Epoch: 2, Full: true, Rows: []wire.Row{waiting(f.x, 4)}}, t0)
 	sends := f.Plan(t0)
 	require.Equal(t, 4, granted(sends))
 	assert.Equal(t, uint32(1), sends[0].Grants.List[0].No)
@@ -135,7 +135,7 @@
 
 func TestRouterThatCountsUnknownGrantsIsReset(t *testing.T) {
 	f := newFixture(t, Options{})
-	f.Report("r1", 1, &wire.Report{Reply: true, Seq: 9, Epoch: 3, Acked: 5, Full: true, Rows: []wire.Row{waiting(f.x, 4)}}, t0)
+	f.Report("r1", 1, &wire.Report{Seq: 9, Epoch: 3, Acked: 5, Full: true, Rows: []wire.Row{waiting(f.x, 4)}}, t0)
 	sends := f.Plan(t0.Add(time.Second))
 	require.Len(t, sends, 1)
 	assert.True(t, sends[0].Grants.Reset)
@@ -145,8 +145,8 @@
 func TestDeadRoutersSlotsComeBack(t *testing.T) {
 	f := newFixture(t, Options{})
 	held := []wire.Held{{Upstream: f.u1, N: 2}, {Upstream: f.u2, N: 2}}
-	f.Report("r1", 1, &wire.Report{Reply: true, Seq: 1, Full: true, Rows: []wire.Row{{Org: f.x, Held: held}}}, t0)
-	f.Report("r2", 1, &wire.Report{Reply: true, Seq: 1, Full: true, Rows: []wire.Row{waiting(f.x, 4)}}, t0)
+	f.Report("r1", 1, &wire.Report{Seq: 1, Full: true, Rows: []wire.Row{{Org: f.x, Held: held}}}, t0)
+	f.Report("r2", 1, &wire.Report{Seq: 1, Full: true, Rows: []wire.Row{waiting(f.x, 4)}}, t0)
 	require.Zero(t, granted(f.Plan(t0)))
 	f.Lost("r1", t0)
 	assert.Equal(t, 4, granted(f.Plan(t0)))
@@ -154,24 +154,24 @@
 
 func TestGrantOfASilentRouterEndsAfterItsLease(t *testing.T) {
 	f := newFixture(t, Options{})
-	f.Report("r1", 1, &wire.Report{Reply: true, Seq: 1, Full: true, Rows: []wire.Row{waiting(f.x, 4)}}, t0)
+	f.Report("r1", 1, &wire.Report{Seq: 1, Full: true, Rows: []wire.Row{waiting(f.x, 4)}}, t0)
 	require.Equal(t, 4, granted(f.Plan(t0)))
 	late := t0.Add(Lease + leaseMargin + time.Millisecond)
-	f.Report("r2", 1, &wire.Report{Reply: true, Seq: 1, Full: true, Rows: []wire.Row{waiting(f.x, 4)}}, late)
+	f.Report("r2", 1, &wire.Report{Seq: 1, Full: true, Rows: []wire.Row{waiting(f.x, 4)}}, late)
 	assert.Equal(t, 4, granted(f.Plan(late)))
 }
 
 func TestOlderReportsAreDropped(t *testing.T) {
 	f := newFixture(t, Options{})
-	f.Report("r1", 1, &wire.Report{Reply: true, Seq: 5, Rows: []wire.Row{waiting(f.x, 0)}}, t0)
-	f.Report("r1", 1, &wire.Report{Reply: true, Seq: 4, Rows: []wire.Row{waiting(f.x, 4)}}, t0)
+	f.Report("r1", 1, &wire.Report{Seq: 5, Rows: []wire.Row{waiting(f.x, 0)}}, t0)
+	f.Report("r1", 1, &wire.Report{Seq: 4, Rows: []wire.Row{waiting(f.x, 4)}}, t0)
 	assert.Zero(t, granted(f.Plan(t0)))
 }
 
 func TestLeavingUpstreamIsNotGranted(t *testing.T) {
 	f := newFixture(t, Options{})
 	f.Drain(f.u2, true)
-	f.Report("r1", 1, &wire.Report{Reply: true, Seq: 1, Full: true, Rows: []wire.Row{waiting(f.x, 4)}}, t0)
+	f.Report("r1", 1, &wire.Report{Seq: 1, Full: true, Rows: []wire.Row{waiting(f.x, 4)}}, t0)
 	for _, s := range f.Plan(t0) {
 		for _, g := range s.Grants.List {
 			assert.Equal(t, f.u1, g.Upstream)
@@ -181,12 +181,12 @@
 
 func TestCreditsOnlyWhileNothingWaits(t *testing.T) {
 	f := newFixture(t, Options{Credits: true})
-	f.Report("idle", 1, &wire.Report{Reply: true, Seq: 1, Full: true}, t0)
-	f.Report("r1", 1, &wire.Report{Reply: true, Seq: 1, Full: true, Want: true}, t0)
+	f.Report("idle", 1, &wire.Report{Seq: 1, Full: true}, t0)
+	f.Report("r1", 1, &wire.Report{Seq: 1, Full: true, Want: true}, t0)
 	sends := f.Plan(t0)
 	require.Equal(t, 2, granted(sends), "half of the spare slots, to who asks for them")
 	assert.Zero(t, sends[len(sends)-1].Grants.List[0].Org)
-	f.Report("r2", 1, &wire.Report{Reply: true, Seq: 1, Full: true, Rows: []wire.Row{waiting(f.x, 9)}}, t0)
+	f.Report("r2", 1, &wire.Report{Seq: 1, Full: true, Rows: []wire.Row{waiting(f.x, 9)}}, t0)
 	for _, s := range f.Plan(t0) {
 		assert.True(t, s.Grants.Tight)
 	}
@@ -197,9 +197,9 @@
 	old := wire.Row{Org: f.x, Waiting: 1, Old: 600}
 	urgent := wire.Row{Org: f.x, Waiting: 1, Urgent: 1}
 	held := []wire.Held{{Upstream: f.u1, N: 2}, {Upstream: f.u2, N: 1}}
-	f.Report("r0", 1, &wire.Report{Reply: true, Seq: 1, Full: true, Rows: []wire.Row{{Org: f.y, Held: held}}}, t0)
-	f.Report("r1", 1, &wire.Report{Reply: true, Seq: 1, Full: true, Rows: []wire.Row{old}}, t0)
-	f.Report("r2", 1, &wire.Report{Reply: true, Seq: 1, Full: true, Rows: []wire.Row{urgent}}, t0)
+	f.Report("r0", 1, &wire.Report{Seq: 1, Full: true, Rows: []wire.Row{{Org: f.y, Held: held}}}, t0)
+	f.Report("r1", 1, &wire.Report{Seq: 1, Full: true, Rows: []wire.Row{old}}, t0)
+	f.Report("r2", 1, &wire.Report{Seq: 1, Full: true, Rows: []wire.Row{urgent}}, t0)
 	sends := f.Plan(t0)
 	require.Equal(t, 1, granted(sends))
 	for _, s := range sends {
@@ -211,12 +211,12 @@
 
 func TestReturnFromIdlenessNeitherHoardsNorPays(t *testing.T) {
 	f := newFixture(t, Options{})
-	f.Report("r1", 1, &wire.Report{Reply: true, Seq: 1, Full: true, Rows: []wire.Row{{Org: f.x, Waiting: 9, Norm: 5000}}}, t0)
+	f.Report("r1", 1, &wire.Report{Seq: 1, Full: true, Rows: []wire.Row{{Org: f.x, Waiting: 9, Norm: 5000}}}, t0)
 	f.Plan(t0)
 	now := t0.Add(time.Minute)
-	f.Report("r1", 1, &wire.Report{Reply: true, Seq: 2, Acked: 4, Rows: []wire.Row{{Org: f.x, Waiting: 9, Norm: 900000}}}, now)
+	f.Report("r1", 1, &wire.Report{Seq: 2, Acked: 4, Rows: []wire.Row{{Org: f.x, Waiting: 9, Norm: 900000}}}, now)
 	f.Plan(now)
-	f.Report("r1", 1, &wire.Report{Reply: true, Seq: 3, Acked: 4, Rows: []wire.Row{waiting(f.y, 3)}}, now.Add(time.Second))
+	f.Report("r1", 1, &wire.Report{Seq: 3, Acked: 4, Rows: []wire.Row{waiting(f.y, 3)}}, now.Add(time.Second))
 	load := f.Backlog()
 	assert.InDelta(t, load[f.x].Service, load[f.y].Service, 0.01)
 }
@@ -226,23 +226,23 @@
 func TestTakeoverKeepsTheStandingOfWhoWaited(t *testing.T) {
 	f := newFixture(t, Options{})
 	row := wire.Row{Org: f.x, Waiting: 9, Norm: 100000, Old: 50}
-	f.Report("r1", 1, &wire.Report{Reply: true, Seq: 1, Full: true, Rows: []wire.Row{row}}, t0)
+	f.Report("r1", 1, &wire.Report{Seq: 1, Full: true, Rows: []wire.Row{row}}, t0)
 	f.Plan(t0)
 	late := wire.Row{Org: f.y, Waiting: 9, Norm: 40000, Old: 60}
-	f.Report("r2", 1, &wire.Report{Reply: true, Seq: 1, Full: true, Rows: []wire.Row{late}}, t0.Add(10*time.Millisecond))
+	f.Report("r2", 1, &wire.Report{Seq: 1, Full: true, Rows: []wire.Row{late}}, t0.Add(10*time.Millisecond))
 	assert.InDelta(t, 400, f.Backlog()[f.y].Service, 0.01)
 }
 
 func TestFailingUpstreamRests(t *testing.T) {
 	f := newFixture(t, Options{})
-	f.Report("r1", 1, &wire.Report{Reply: true, Seq: 1, Full: true, Rows: []wire.Row{waiting(f.x, 9)}, Seen: []wire.Sample{{Upstream: f.u1, Failed: 1}}}, t0)
+	f.Report("r1", 1, &wire.Report{Seq: 1, Full: true, Rows: []wire.Row{waiting(f.x, 9)}, Seen: []wire.Sample{{Upstream: f.u1, Failed: 1}}}, t0)
 	for _, s := range f.Plan(t0) {
 		for _, g := range s.Grants.List {
 			assert.Equal(t, f.u2, g.Upstream)
 		}
 	}
 	after := t0.Add(minRest)
-	f.Report("r1", 1, &wire.Report{Reply: true, Seq: 2, Acked: 2, Rows: []wire.Row{waiting(f.x, 9)}}, after)
+	f.Report("r1", 1, &wire.Report{Seq: 2, Acked: 2, Rows: []wire.Row{waiting(f.x, 9)}}, after)
 	assert.Positive(t, granted(f.Plan(after)))
 }
 
@@ -265,8 +265,8 @@
 func TestFormerProcessHoldsNothing(t *testing.T) {
 	f := newFixture(t, Options{})
 	held := []wire.Held{{Upstream: f.u1, N: 2}, {Upstream: f.u2, N: 2}}
-	f.Report("r1", 1, &wire.Report{Reply: true, Seq: 1, Full: true, Rows: []wire.Row{{Org: f.x, Held: held}}}, t0)
-	f.Report("r2", 1, &wire.Report{Reply: true, Seq: 1, Full: true, Rows: []wire.Row{waiting(f.x, 4)}}, t0)
+	f.Report("r1", 1, &wire.Report{Seq: 1, Full: true, Rows: []wire.Row{{Org: f.x, Held: held}}}, t0)
+	f.Report("r2", 1, &wire.Report{Seq: 1, Full: true, Rows: []wire.Row{waiting(f.x, 4)}}, t0)
 	f.Ended("r1", 1, t0)
 	require.Zero(t, granted(f.Plan(t0)))
 	f.Ended("r1", 2, t0)
@@ -275,11 +275,11 @@
 
 func TestFirstContactMustBeFull(t *testing.T) {
 	f := newFixture(t, Options{})
-	f.Report("r1", 1, &wire.Report{Reply: true, Seq: 7, Epoch: 2, Rows: []wire.Row{waiting(f.x, 4)}}, t0)
+	f.Report("r1", 1, &wire.Report{Seq: 7, Epoch: 2, Rows: []wire.Row{waiting(f.x, 4)}}, t0)
 	sends := f.Plan(t0.Add(quietAnswer))
 	require.Len(t, sends, 1)
 	assert.True(t, sends[0].Grants.Reset)
-	f.Report("r1", 1, &wire.Report{Reply: true, Seq: 8, Epoch: 3, Full: true, Rows: []wire.Row{waiting(f.x, 4)}}, t0.Add(quietAnswer))
+	f.Report("r1", 1, &wire.Report{Seq: 8, Epoch: 3, Full: true, Rows: []wire.Row{waiting(f.x, 4)}}, t0.Add(quietAnswer))
 	assert.Equal(t, 4, granted(f.Plan(t0.Add(quietAnswer))))
 }
 
@@ -287,11 +287,11 @@
 // wait for them for ever.
 func TestReclaimedNumbersBeginAnew(t *testing.T) {
 	f := newFixture(t, Options{})
-	f.Report("r1", 1, &wire.Report{Reply: true, Seq: 1, Full: true, Epoch: 1, Rows: []wire.Row{waiting(f.x, 1)}}, t0)
+	f.Report("r1", 1, &wire.Report{Seq: 1, Full: true, Epoch: 1, Rows: []wire.Row{waiting(f.x, 1)}}, t0)
 	require.Equal(t, 1, granted(f.Plan(t0)))
 	late := t0.Add(Lease + leaseMargin + time.Millisecond)
 	f.Plan(late)
-	f.Report("r1", 1, &wire.Report{Reply: true, Seq: 2, Epoch: 1, Rows: []wire.Row{waiting(f.x, 1)}}, late)
+	f.Report("r1", 1, &wire.Report{Seq: 2, Epoch: 1, Rows: []wire.Row{waiting(f.x, 1)}}, late)
 	sends := f.Plan(late)
 	require.Len(t, sends, 1)
 	assert.True(t, sends[0].Grants.Reset)
@@ -303,7 +303,7 @@
 func TestTakeoverLearnsTheRateAnew(t *testing.T) {
 	f := newFixture(t, Options{})
 	row := wire.Row{Org: f.x, Norm: 50_000_000, Held: []wire.Held{{Upstream: f.u1, N: 2}}}
-	f.Report("r1", 1, &wire.Report{Reply: true, Seq: 1, Full: true, Rows: []wire.Row{row}}, t0)
+	f.Report("r1", 1, &wire.Report{Seq: 1, Full: true, Rows: []wire.Row{row}}, t0)
 	a := f.accounts[f.x]
 	for i := range 20 {
 		now := t0.Add(time.Duration(i+1) * time.Second)
--- a/internal/core/wire/wire.go
+++ b/internal/core/wire/wire.go
@@ -105,7 +105,6 @@
 	Epoch uint32 // of grant numbers; the sender raises it to begin anew
 	Acked uint32 // last grant number taken in that epoch
 	Full  bool   // rows not listed are empty
-	Reply bool   // changes are told, or credits kept: an answer is waited for
 	Want  bool   // requests come often enough to use standing credits
 	Rows  []Row
 	Seen  []Sample
