--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -59,7 +59,7 @@
 	creditAlive   = 4 * time.Second  // while standing credits are in use
 	creditIdle    = 10 * time.Second // unused credits are given back
 	quietDelay    = 3 * time.Second  // of news from a pool in which nothing waits
-	fullEvery     = 20 * time.Second
+	fullEvery     = 45 * time.Second
 	arrivalDelay  = 100 * time.Millisecond // of a request that comes to a full pool
 	ackDelay      = time.Second            // of a report that only acknowledges grants
 	resendAfter   = 1300 * time.Millisecond
--- a/internal/core/sched/sched.go
+++ b/internal/core/sched/sched.go
@@ -31,7 +31,7 @@
 	freshFor     = 3 * time.Second         // no new grant to a router silent for longer
 	idleAfter    = 3 * time.Second
 	rateHalfLife = 20 * time.Second
-	silentFor    = time.Minute // three times as long as a router with work may be
+	silentFor    = 150 * time.Second // three times as long as a router with work may be
 	maxCredits   = 8
 )
 
