--- a/internal/process/path_test.go
+++ b/internal/process/path_test.go
@@ -20,6 +20,9 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"go.opentelemetry.io/otel"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
 	"github.com/silverswitch/silverswitch/internal/request/outcome"
 	"github.com/silverswitch/silverswitch/internal/standin"
@@ -490,3 +493,44 @@
 	assert.Contains(t, a.body, `"id":"once"`)
 	assert.NotContains(t, a.body, `"id":"order"`)
 }
+
+func TestHTTP2WithoutTLS(t *testing.T) {
+	f := newTestFleet(t)
+	p := &http.Protocols{}
+	p.SetUnencryptedHTTP2(true)
+	c := &http.Client{Transport: &http.Transport{Protocols: p}}
+	req, err := http.NewRequest("GET", f.url(0)+"/v1/models", nil)
+	require.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer wide-key")
+	res, err := c.Do(req)
+	require.NoError(t, err)
+	defer res.Body.Close()
+	assert.Equal(t, 2, res.ProtoMajor)
+	assert.Equal(t, 200, res.StatusCode)
+}
+
+// Every hop has a span in the caller's trace, and no span holds content or keys.
+func TestSpansOfARequest(t *testing.T) {
+	rec := tracetest.NewSpanRecorder()
+	old := otel.GetTracerProvider()
+	otel.SetTracerProvider(sdktrace.NewTracerProvider(sdktrace.WithSpanProcessor(rec)))
+	t.Cleanup(func() { otel.SetTracerProvider(old) })
+	f := newTestFleet(t)
+	const id = "0af7651916cd43dd8448eb211c80319c"
+	a := send("POST", f.url(0)+"/v1/chat/completions", "wide-key", chatBody("chat", "the-content", false, 2),
+		map[string]string{"Traceparent": "00-" + id + "-b7ad6b7169203331-01"})
+	require.Equal(t, outcome.Answered, a.kind)
+	names := map[string]bool{}
+	for _, s := range rec.Ended() {
+		if s.SpanContext().TraceID().String() != id {
+			continue
+		}
+		names[s.Name()] = true
+		text := fmt.Sprint(s.Attributes(), s.Events())
+		assert.NotContains(t, text, "the-content")
+		assert.NotContains(t, text, "wide-key")
+	}
+	for _, want := range []string{"entry", "queue", "grant", "upstream"} {
+		assert.True(t, names[want], want)
+	}
+}
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -70,7 +70,8 @@
 		r.s.failVisit(r.v, outcome.Refused(d.Refusal.Reason, d.Refusal.After, d.Refusal.Doubt))
 		return d, false
 	}
-	span.AddEvent("grant", trace.WithAttributes(attribute.String("upstream", d.Upstream.Name)))
+	_, grant := r.s.tracer.Start(r.ctx, "grant", trace.WithTimestamp(d.At), trace.WithAttributes(attribute.String("upstream", d.Upstream.Name)))
+	grant.End()
 	return d, true
 }
 
--- a/internal/tool/live.go
+++ b/internal/tool/live.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -114,6 +115,7 @@
 	once := c.flags.String("idempotency-key", "", "a UUID version 7, or new for one made here")
 	tokens := c.flags.Int("max-tokens", 0, "models: bound on the answer")
 	timeout := c.flags.Duration("timeout", time.Minute, "longest wait")
+	traced := c.flags.Bool("trace", false, "have the call traced, and print the trace's number")
 	args, err := c.parse(args, 1)
 	if err != nil {
 		return err
@@ -133,6 +135,11 @@
 	if *once != "" {
 		req.Header.Set("Idempotency-Key", *once)
 	}
+	if *traced {
+		id := newTraceID()
+		req.Header.Set("Traceparent", "00-"+id+"-"+id[:16]+"-01")
+		fmt.Fprintln(c.out, "trace", id)
+	}
 	res, err := (&http.Client{Timeout: *timeout + time.Second}).Do(req)
 	if err != nil {
 		return err
@@ -141,6 +148,12 @@
 	return show(c.out, res)
 }
 
+// newTraceID returns a W3C trace id, 32 hexadecimal digits.
+func newTraceID() string {
+	id := uuid.New()
+	return hex.EncodeToString(id[:])
+}
+
 func newCall(base, app, path, body string, plain, streams bool, tokens int) (*http.Request, error) {
 	if plain {
 		return http.NewRequest(http.MethodPost, base+"/v1/apps/"+app+path, strings.NewReader(body))
