--- a/internal/conn/fetch.go
+++ b/internal/conn/fetch.go
@@ -1,8 +1,11 @@
 package conn
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"crypto/rand"
+	"io"
 	"net"
 	"time"
 
@@ -28,7 +31,7 @@
 	Proof []byte `json:"proof"`
 }
 
-// FetchResult is a packed version, sealed and bound to the question's nonce.
+// FetchResult is a packed version, compressed, then sealed and bound to the question's nonce.
 type FetchResult struct {
 	Sealed []byte `json:"sealed"`
 }
@@ -87,7 +90,7 @@
 	if raw == nil {
 		return nil, &jsonrpc2.Error{Code: codeNone, Message: "no version in force"}
 	}
-	return FetchResult{Sealed: s.sealer.Seal(raw, p.Nonce)}, nil
+	return FetchResult{Sealed: s.sealer.Seal(compress(raw), p.Nonce)}, nil
 }
 
 // Close stops listening.
@@ -111,12 +114,34 @@
 	if err := rpc.Call(ctx, MethodVersion, p, &res); err != nil {
 		return nil, ErrPeer.Wrap(err, "fetch from %s", addr)
 	}
-	raw, err := sealer.Open(res.Sealed, nonce)
+	small, err := sealer.Open(res.Sealed, nonce)
 	if err != nil {
 		return nil, err
 	}
+	return expand(small)
+}
+
+// compress makes a packed version small; it is text that repeats itself.
+func compress(raw []byte) []byte {
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	_, _ = w.Write(raw) // a bytes.Buffer takes everything
+	_ = w.Close()
+	return b.Bytes()
+}
+
+// expand undoes compress, within the bound of a packed version.
+func expand(small []byte) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(small))
+	if err != nil {
+		return nil, ErrPeer.Wrap(err, "expand a version")
+	}
+	raw, err := io.ReadAll(io.LimitReader(r, version.MaxPacked+1))
+	if err != nil {
+		return nil, ErrPeer.Wrap(err, "expand a version")
+	}
 	if len(raw) > version.MaxPacked {
-		return nil, ErrPeer.New("fetch from %s: %d bytes: allowed: at most %d", addr, len(raw), version.MaxPacked)
+		return nil, ErrPeer.New("version of more than %d bytes", version.MaxPacked)
 	}
 	return raw, nil
 }
--- a/internal/conn/seal_test.go
+++ b/internal/conn/seal_test.go
@@ -80,3 +80,13 @@
 	f.Add([]byte{})
 	f.Fuzz(func(_ *testing.T, raw []byte) { _, _ = s.Open(raw, nil) })
 }
+
+func TestExpandIsBounded(t *testing.T) {
+	raw, err := expand(compress([]byte("packed")))
+	require.NoError(t, err)
+	assert.Equal(t, "packed", string(raw))
+	_, err = expand(compress(make([]byte, 2<<20)))
+	assert.ErrorContains(t, err, "more than")
+	_, err = expand([]byte("no gzip"))
+	assert.Error(t, err)
+}
