--- a/internal/core/sched/sched.go
+++ b/internal/core/sched/sched.go
@@ -357,5 +357,8 @@
 	return out
 }
 
+// Granted returns how many slots this scheduler gave to waiting requests.
+func (p *Pool) Granted() uint64 { return p.granted }
+
 // Routers returns how many routers report to this scheduler.
 func (p *Pool) Routers() int { return len(p.routers) }
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -43,6 +43,7 @@
 	Service   string                `json:"service"`
 	Region    string                `json:"region"`
 	Routers   int                   `json:"routers"`
+	Granted   uint64                `json:"granted"` // slots, since this router took the role
 	Upstreams []sched.UpstreamLoad  `json:"upstreams"`
 	Orgs      map[string]sched.Load `json:"organisations"`
 }
@@ -78,7 +79,7 @@
 func (n *Node) poolView(id version.ID) PoolView {
 	p := n.pools[id]
 	def := n.ver.Pools[id]
-	pv := PoolView{Service: def.Service, Region: def.Region, Routers: p.Routers(), Upstreams: p.Upstreams(), Orgs: map[string]sched.Load{}}
+	pv := PoolView{Service: def.Service, Region: def.Region, Routers: p.Routers(), Granted: p.Granted(), Upstreams: p.Upstreams(), Orgs: map[string]sched.Load{}}
 	for org, l := range p.Backlog() {
 		name := "(standing credit)"
 		if o := n.ver.Organisations[org]; o != nil {
--- a/internal/lab/tenants.go
+++ b/internal/lab/tenants.go
@@ -34,7 +34,7 @@
 	p := version.Packed{Revision: revision, Files: map[string]string{version.FleetFile: f.fleetText()}}
 	p.Files["templates/all.ini"] = `[template]
 name = all
-parameters = places, share, unit, worth
+parameters = places, share, unit, worth, hint
 [organisation]
 places = ${places}
 share = ${share}
@@ -65,7 +65,7 @@
 func (f Fleet) chatText() string {
 	var b strings.Builder
 	for i := range max(1, f.Models) {
-		fmt.Fprintf(&b, "[application %s]\nservice = model%d\nidempotent = true\nunit = ${unit}\nworth = ${worth}\ntimeout = 2h\n", Chat(i), i)
+		fmt.Fprintf(&b, "[application %s]\nservice = model%d\nidempotent = true\nhint_tokens = ${hint}\nunit = ${unit}\nworth = ${worth}\ntimeout = 2h\n", Chat(i), i)
 	}
 	return b.String()
 }
@@ -106,8 +106,8 @@
 	if o.Worth == 0 {
 		o.Worth = 400
 	}
-	return fmt.Sprintf("[organisation]\nname = %s\ntemplate = all\nkey_sha256 = %064x\n[parameters]\nplaces = %s\nshare = %g\nunit = %s\nworth = %g\n",
-		o.Name, i+1, strings.Join(o.Places, ","), o.Share, o.Unit, o.Worth)
+	return fmt.Sprintf("[organisation]\nname = %s\ntemplate = all\nkey_sha256 = %064x\n[parameters]\nplaces = %s\nshare = %g\nunit = %s\nworth = %g\nhint = %d\n",
+		o.Name, i+1, strings.Join(o.Places, ","), o.Share, o.Unit, o.Worth, o.Hint)
 }
 
 // Sizes of answers, in tokens: lognormal with a mean near 465.
