--- /dev/null
+++ b/internal/core/member/member_test.go
@@ -0,0 +1,131 @@
+package member
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/silverswitch/silverswitch/internal/core/wire"
+)
+
+var t0 = time.Unix(1_800_000_000, 0)
+
+const (
+	self wire.NodeID = "10.0.0.1:1"
+	peer wire.NodeID = "10.0.0.2:1"
+)
+
+func newTable(seeds ...wire.NodeID) *Table {
+	return New(wire.Update{ID: self, Inc: 5, Place: "a"}, seeds, t0, rand.New(rand.NewPCG(1, 1)))
+}
+
+func heard(t *Table, now time.Time) {
+	t.Hear(&wire.Datagram{From: peer, Inc: 7}, now)
+}
+
+// run ticks for a while and returns the pings sent.
+func run(t *Table, from time.Time, d time.Duration) (pings []Send) {
+	for now := from; now.Before(from.Add(d)); now = now.Add(50 * time.Millisecond) {
+		for _, s := range t.Tick(now) {
+			if s.Ping != nil {
+				pings = append(pings, s)
+			}
+		}
+	}
+	return pings
+}
+
+func TestSilenceIsSuspectedThenDeath(t *testing.T) {
+	m := newTable(peer)
+	heard(m, t0)
+	require.Equal(t, wire.Alive, m.Get(peer).State)
+	run(m, t0, 1500*time.Millisecond)
+	assert.Equal(t, wire.Suspect, m.Get(peer).State)
+	assert.Contains(t, m.Live(true), peer, "suspicion is not death")
+	run(m, t0.Add(1500*time.Millisecond), 3*time.Second)
+	assert.Equal(t, wire.Dead, m.Get(peer).State)
+	assert.NotContains(t, m.Live(true), peer)
+	assert.Contains(t, m.Roster(), peer, "quorums are taken over the dead too")
+}
+
+func TestDirectEvidenceClearsSuspicion(t *testing.T) {
+	m := newTable(peer)
+	heard(m, t0)
+	m.Suspect(peer, t0)
+	heard(m, t0.Add(time.Second))
+	assert.Equal(t, wire.Alive, m.Get(peer).State)
+}
+
+func TestDeadAreLookedForAndComeBack(t *testing.T) {
+	m := newTable(peer)
+	heard(m, t0)
+	run(m, t0, 6*time.Second)
+	require.Equal(t, wire.Dead, m.Get(peer).State)
+	assert.NotEmpty(t, run(m, t0.Add(6*time.Second), 5*time.Second))
+	assert.Equal(t, wire.Dead, m.Piggyback(peer)[0].State, "it is told of its death")
+	m.Hear(&wire.Datagram{From: peer, Inc: 7, Refute: m.Get(peer).Refute + 1}, t0.Add(12*time.Second))
+	assert.Equal(t, wire.Alive, m.Get(peer).State)
+}
+
+func TestOwnDeathIsRefuted(t *testing.T) {
+	m := newTable(peer)
+	m.Hear(&wire.Datagram{From: peer, Inc: 7, Updates: []wire.Update{{ID: self, Inc: 5, Refute: 3, State: wire.Dead}}}, t0)
+	assert.Equal(t, uint32(4), m.Self().Refute)
+	m.Hear(&wire.Datagram{From: peer, Inc: 7, Updates: []wire.Update{{ID: self, Inc: 4, Refute: 9, State: wire.Dead}}}, t0)
+	assert.Equal(t, uint32(4), m.Self().Refute, "of a former process")
+}
+
+func TestUpdatesAreOrdered(t *testing.T) {
+	alive := wire.Update{Inc: 2, Refute: 1}
+	for _, c := range []struct {
+		u    wire.Update
+		wins bool
+	}{
+		{wire.Update{Inc: 3}, true},
+		{wire.Update{Inc: 1, Refute: 9, State: wire.Dead}, false},
+		{wire.Update{Inc: 2, Refute: 2}, true},
+		{wire.Update{Inc: 2, Refute: 0, State: wire.Dead}, false},
+		{wire.Update{Inc: 2, Refute: 1, State: wire.Suspect}, true},
+		{wire.Update{Inc: 2, Refute: 1}, false},
+	} {
+		assert.Equal(t, c.wins, supersedes(c.u, alive), "%+v", c.u)
+	}
+}
+
+func TestLeavingRouterTakesNoRole(t *testing.T) {
+	m := newTable()
+	m.Hear(&wire.Datagram{From: peer, Inc: 7, State: wire.Leaving}, t0)
+	assert.Contains(t, m.Live(true), peer)
+	assert.NotContains(t, m.Live(false), peer)
+	m.Leave()
+	assert.NotContains(t, m.Live(false), self)
+}
+
+func TestOthersAreAskedBeforeSuspicion(t *testing.T) {
+	m := newTable()
+	for i := 2; i < 6; i++ {
+		m.Hear(&wire.Datagram{From: wire.NodeID(fmt.Sprintf("10.0.0.%d:1", i)), Inc: 1}, t0)
+	}
+	asked := 0
+	for _, s := range run(m, t0, 900*time.Millisecond) {
+		if s.Ping.Target != "" {
+			asked++
+		}
+	}
+	assert.Equal(t, helpers, asked)
+}
+
+// The number of probes does not grow with the fleet.
+func TestProbesAreBounded(t *testing.T) {
+	m := newTable()
+	for i := range 360 {
+		m.Hear(&wire.Datagram{From: wire.NodeID(fmt.Sprintf("10.0.%d.%d:1", i/250, i%250+2)), Inc: 1}, t0)
+	}
+	pings := run(m, t0.Add(time.Second), 20*time.Second)
+	assert.LessOrEqual(t, len(pings), 20*(1+helpers)+10+greetings)
+	assert.LessOrEqual(t, len(m.Piggyback(peer)), maxPiggyback)
+}
