--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 	go test ./internal/core/wire -run XXX -fuzz FuzzDecode -fuzztime 5000x
 	go test ./internal/conn -run XXX -fuzz FuzzOpen -fuzztime 5000x
 	go test ./internal/request/stream -run XXX -fuzz FuzzRead -fuzztime 5000x
+	go test ./internal/request -run XXX -fuzz FuzzCompletion -fuzztime 5000x
 	go test ./internal/version -run XXX -fuzz FuzzLoad -fuzztime 2000x
 	go test ./internal/process -run XXX -fuzz FuzzSettings -fuzztime 2000x
 
