Sorted keys by the standard library; unused reasons and a method removed

Cause: eleven places collected a map's keys and sorted them by hand, each in its own words; three refusal reasons and Entry.Services were used by nothing; the scheduler sorted its routers again for every grant. Ruled out: a change of behaviour.

--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -3,6 +3,8 @@
 package entry
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -30,13 +32,10 @@
 	ReasonNoUpstream   Reason = "no-upstream-in-allowed-places"
 	ReasonNoVersion    Reason = "no-configuration"
 	ReasonWithdrawn    Reason = "withdrawn-by-configuration"
-	ReasonStopping     Reason = "router-stopping"
 	ReasonNoWitnesses  Reason = "no-quorum-of-witnesses"
 	ReasonKeyTaken     Reason = "key-in-use"
 	ReasonKeyExpired   Reason = "key-outside-window"
 	ReasonKeyForgotten Reason = "key-may-be-forgotten"
-	ReasonRetryBudget  Reason = "retry-budget-spent"
-	ReasonPaused       Reason = "router-paused"
 )
 
 // Start is leave to run a request at an upstream.
@@ -137,7 +136,7 @@
 	for _, q := range e.queues {
 		q.pools = e.poolsOf(q.key)
 	}
-	for _, id := range e.sortedFlights() {
+	for _, id := range slices.Sorted(maps.Keys(e.flights)) {
 		f := e.flights[id]
 		if f.running {
 			continue
@@ -153,15 +152,6 @@
 	}
 }
 
-func (e *Entry) sortedFlights() []uint64 {
-	ids := make([]uint64, 0, len(e.flights))
-	for id := range e.flights {
-		ids = append(ids, id)
-	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
-	return ids
-}
-
 // app returns the application if the organisation may call it here and now.
 func (e *Entry) app(r Request) *version.Application {
 	o := e.ver.Organisations[r.Org]
@@ -364,14 +354,3 @@
 	}
 	return out
 }
-
-// Services returns how many requests run at each upstream, for the drain check.
-func (e *Entry) Services() map[version.ID]int {
-	out := map[version.ID]int{}
-	for _, f := range e.flights {
-		if f.running {
-			out[f.upstream]++
-		}
-	}
-	return out
-}
--- a/internal/core/entry/pool.go
+++ b/internal/core/entry/pool.go
@@ -1,7 +1,8 @@
 package entry
 
 import (
-	"sort"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/silverswitch/silverswitch/internal/core/sched"
@@ -136,7 +137,7 @@
 		if p == nil || !now.Before(p.creditsTo) {
 			continue
 		}
-		for _, up := range sortedKeys(p.credits) {
+		for _, up := range slices.Sorted(maps.Keys(p.credits)) {
 			if e.mayRun(f, p.id, up) {
 				p.spend(up)
 				f.queue = q
@@ -158,15 +159,6 @@
 	p.move(0, up)
 }
 
-func sortedKeys(m map[version.ID]uint32) []version.ID {
-	out := make([]version.ID, 0, len(m))
-	for id := range m {
-		out = append(out, id)
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
-	return out
-}
-
 // mayRun is the place rule at dispatch, under the newest accepted version: the
 // upstream is known, stays, and stands in an allowed place, as this router does.
 func (e *Entry) mayRun(f *flight, pool, up version.ID) bool {
--- a/internal/core/entry/queue.go
+++ b/internal/core/entry/queue.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/silverswitch/silverswitch/internal/version"
@@ -152,7 +154,7 @@
 // expire refuses the late, and notes the next deadline of those that wait.
 func (e *Entry) expire(now time.Time) {
 	next := now.Add(maxComeBack)
-	for _, id := range e.sortedFlights() {
+	for _, id := range slices.Sorted(maps.Keys(e.flights)) {
 		f := e.flights[id]
 		if f.running {
 			continue
--- a/internal/core/entry/report.go
+++ b/internal/core/entry/report.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -35,14 +36,7 @@
 	return out, silent
 }
 
-func (e *Entry) poolIDs() []version.ID {
-	ids := make([]version.ID, 0, len(e.pools))
-	for id := range e.pools {
-		ids = append(ids, id)
-	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
-	return ids
-}
+func (e *Entry) poolIDs() []version.ID { return slices.Sorted(maps.Keys(e.pools)) }
 
 // turnTo follows a new scheduler: everything is told anew, and what the former
 // one granted but was not used is void.
@@ -182,12 +176,7 @@
 			set[org] = true
 		}
 	}
-	out := make([]version.ID, 0, len(set))
-	for org := range set {
-		out = append(out, org)
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
-	return out
+	return slices.Sorted(maps.Keys(set))
 }
 
 func (e *Entry) row(p *poolView, org version.ID, now time.Time) wire.Row {
--- a/internal/core/pools.go
+++ b/internal/core/pools.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -144,14 +146,7 @@
 	}
 }
 
-func (n *Node) poolIDs() []version.ID {
-	ids := make([]version.ID, 0, len(n.pools))
-	for id := range n.pools {
-		ids = append(ids, id)
-	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
-	return ids
-}
+func (n *Node) poolIDs() []version.ID { return slices.Sorted(maps.Keys(n.pools)) }
 
 // tickPools drops dead routers from the pools, and pools nobody reports to.
 func (n *Node) tickPools(now time.Time) {
@@ -193,7 +188,7 @@
 		}
 	}
 	delete(to, n.set.ID)
-	for _, id := range sortedNodes(to) {
+	for _, id := range slices.Sorted(maps.Keys(to)) {
 		n.to(id).Ledger = &wire.Ledger{Rows: sortedRows(to[id])}
 	}
 }
@@ -211,15 +206,6 @@
 	}
 }
 
-func sortedNodes[V any](m map[wire.NodeID]V) []wire.NodeID {
-	ids := make([]wire.NodeID, 0, len(m))
-	for id := range m {
-		ids = append(ids, id)
-	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
-	return ids
-}
-
 func sortedRows(m map[version.ID]wire.LedgerRow) []wire.LedgerRow {
 	out := make([]wire.LedgerRow, 0, len(m))
 	for _, r := range m {
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -129,12 +131,7 @@
 }
 
 func (n *Node) tickAsks(now time.Time) {
-	ids := make([]uint64, 0, len(n.asks))
-	for id := range n.asks {
-		ids = append(ids, id)
-	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
-	for _, id := range ids {
+	for _, id := range slices.Sorted(maps.Keys(n.asks)) {
 		if a := n.asks[id]; a != nil {
 			n.pursue(a, now)
 		}
--- a/internal/core/sched/plan.go
+++ b/internal/core/sched/plan.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -309,11 +311,11 @@
 	return out
 }
 
+// routerIDs returns the routers in order. It is asked for every grant, and routers
+// come and go rarely.
 func (p *Pool) routerIDs() []wire.NodeID {
-	ids := make([]wire.NodeID, 0, len(p.routers))
-	for id := range p.routers {
-		ids = append(ids, id)
+	if p.ids == nil {
+		p.ids = slices.Sorted(maps.Keys(p.routers))
 	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
-	return ids
+	return p.ids
 }
--- a/internal/core/sched/sched.go
+++ b/internal/core/sched/sched.go
@@ -51,6 +51,7 @@
 	ups      map[version.ID]*upstream
 	upOrder  []version.ID
 	routers  map[wire.NodeID]*router
+	ids      []wire.NodeID // of routers, sorted; nil when they have changed
 	accounts map[version.ID]*account
 	order    []*account // as they came, so that sums of floats do not depend on a map
 	led      *ledger.Ledger
@@ -159,6 +160,7 @@
 		// Without a full report, what the router holds is not known yet.
 		rt = &router{inc: inc, rows: map[version.ID]*row{}, norms: map[version.ID]uint64{}, epoch: r.Epoch, nextNo: 1, reset: !r.Full}
 		p.routers[from] = rt
+		p.ids = nil
 	}
 	rt.owes = true
 	if r.Seq <= rt.seq {
@@ -288,6 +290,7 @@
 		p.end(o, now)
 	}
 	delete(p.routers, id)
+	p.ids = nil
 }
 
 // Ended drops what a former process of a router held: the new one may have no
--- a/internal/lab/tenants.go
+++ b/internal/lab/tenants.go
@@ -161,9 +161,6 @@
 
 // watchHost sends a caller elsewhere when its router dies.
 func (w *World) watchHost(h *Host, next func()) {
-	if h.onDeath == nil {
-		h.onDeath = []func(){}
-	}
 	h.onDeath = append(h.onDeath, next)
 }
 
--- a/internal/request/outcome/outcome.go
+++ b/internal/request/outcome/outcome.go
@@ -91,13 +91,10 @@
 	entry.ReasonNoUpstream:   "no upstream in the organisation's places takes new work",
 	entry.ReasonNoVersion:    "this router has no configuration yet",
 	entry.ReasonWithdrawn:    "the organisation may not call this application here",
-	entry.ReasonStopping:     "this router is stopping",
 	entry.ReasonNoWitnesses:  "too few routers could vouch for the idempotency key",
 	entry.ReasonKeyTaken:     "another attempt with this idempotency key runs, has run, or may have run",
 	entry.ReasonKeyExpired:   "the idempotency key was minted too long ago or in the future",
 	entry.ReasonKeyForgotten: "routers that remember keys of that time are gone",
-	entry.ReasonRetryBudget:  "the upstream failed and the retry budget is spent",
-	entry.ReasonPaused:       "this router was paused",
 }
 
 // body is the one shape of every error. It follows the OpenAI error object, so
--- a/internal/version/describe.go
+++ b/internal/version/describe.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 )
@@ -41,23 +43,10 @@
 
 // PlaceNames returns the organisation's places, sorted.
 func (o *Organisation) PlaceNames() []string {
-	var out []string
-	for p := range o.Places {
-		out = append(out, p)
-	}
-	sort.Strings(out)
-	return out
+	return sortedNames(o.Places)
 }
 
-// Organisations in name order.
-func sortedNames[V any](m map[string]V) []string {
-	out := make([]string, 0, len(m))
-	for n := range m {
-		out = append(out, n)
-	}
-	sort.Strings(out)
-	return out
-}
+func sortedNames[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
 
 // Names returns the organisations' names, sorted.
 func (v *Version) Names() []string { return sortedNames(v.byName) }
--- a/internal/version/load.go
+++ b/internal/version/load.go
@@ -3,7 +3,8 @@
 import (
 	"encoding/hex"
 	"fmt"
-	"sort"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -232,23 +233,9 @@
 	return out
 }
 
-func keys[V any](m map[string]V) string {
-	out := make([]string, 0, len(m))
-	for k := range m {
-		out = append(out, k)
-	}
-	sort.Strings(out)
-	return strings.Join(out, ", ")
-}
+func keys[V any](m map[string]V) string { return strings.Join(sortedNames(m), ", ") }
 
-func sortedIDs[V any](m map[ID]V) []ID {
-	out := make([]ID, 0, len(m))
-	for k := range m {
-		out = append(out, k)
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
-	return out
-}
+func sortedIDs[V any](m map[ID]V) []ID { return slices.Sorted(maps.Keys(m)) }
 
 func sortedPools(m map[ID]*Pool) []*Pool {
 	out := make([]*Pool, 0, len(m))
--- a/internal/version/template.go
+++ b/internal/version/template.go
@@ -53,12 +53,7 @@
 
 // resolveTemplates merges each template with what it extends and refuses cycles.
 func (l *loader) resolveTemplates() {
-	names := make([]string, 0, len(l.templates))
-	for name := range l.templates {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	for _, name := range names {
+	for _, name := range sortedNames(l.templates) {
 		l.resolve(l.templates[name], nil)
 	}
 }
@@ -137,13 +132,8 @@
 	fill := func(raw string) string {
 		return placeholder.ReplaceAllStringFunc(raw, func(m string) string { return values[m[2:len(m)-1]] })
 	}
-	names := make([]string, 0, len(t.sections))
-	for name := range t.sections {
-		names = append(names, name)
-	}
-	sort.Strings(names)
 	o.Applications = map[string]*Application{}
-	for _, name := range names {
+	for _, name := range sortedNames(t.sections) {
 		s := l.filled(t, file, name, fill)
 		kind, app := s.Split()
 		if kind == "application" {
