--- a/cmd/silverswitchd/main.go
+++ b/cmd/silverswitchd/main.go
@@ -5,14 +5,17 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
 
 	"github.com/silverswitch/silverswitch/internal/process"
+	"github.com/silverswitch/silverswitch/platform"
 )
 
 // Exit codes.
@@ -57,10 +60,12 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
-	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Str("router", set.Peer).Logger()
+	out, closeOut := logWriter()
+	defer closeOut()
+	log := zerolog.New(out).Level(level).With().Timestamp().Str("router", set.Peer).Logger()
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	d, err := process.Start(set, log)
+	d, err := start(set, log)
 	if err != nil {
 		log.Error().Err(err).Msg("not-started")
 		return exitFailed
@@ -69,8 +74,33 @@
 	return stop(d, signals, log)
 }
 
+// daemon is a router process of either interface.
+type daemon interface {
+	Shutdown(context.Context) int
+	Open(time.Duration) int
+}
+
+func start(set process.Settings, log zerolog.Logger) (daemon, error) {
+	if set.Kind == process.KindStore {
+		return process.StartRouted(set, platform.NewStore(set.Platform), platform.Dialect(), log)
+	}
+	return process.Start(set, log)
+}
+
+// logLines is how many lines wait for a slow standard output; more are dropped
+// and counted, so that logging never blocks a request.
+const logLines = 4096
+
+// logWriter writes lines to standard output without ever blocking.
+func logWriter() (io.Writer, func()) {
+	w := diode.NewWriter(os.Stdout, logLines, 0, func(missed int) {
+		fmt.Fprintf(os.Stderr, "{\"message\":\"log-lines-dropped\",\"lines\":%d}\n", missed)
+	})
+	return w, func() { _ = w.Close() } // standard output has nothing to tell
+}
+
 // stop ends gracefully; a second signal ends at once.
-func stop(d *process.Daemon, signals <-chan os.Signal, log zerolog.Logger) int {
+func stop(d daemon, signals <-chan os.Signal, log zerolog.Logger) int {
 	ended := make(chan int, 1)
 	go func() { ended <- d.Shutdown(context.Background()) }()
 	select {
--- a/internal/core/wire/wire.go
+++ b/internal/core/wire/wire.go
@@ -80,6 +80,7 @@
 	Claims  []Claim         `cbor:"13,keyasint,omitempty"`
 	Votes   []Vote          `cbor:"14,keyasint,omitempty"`
 	States  []PoolState     `cbor:"15,keyasint,omitempty"`
+	Work    *Work           `cbor:"17,keyasint,omitempty"`
 }
 
 // Ping asks for an Ack. When Target is set, the receiver asks it in its place.
--- /dev/null
+++ b/internal/core/wire/work.go
@@ -0,0 +1,95 @@
+package wire
+
+import "github.com/silverswitch/silverswitch/internal/version"
+
+// Work is what routers tell each other about requests that are placed one by
+// one. Names travel as 32-bit IDs, prompt parts as 64-bit hashes; no content.
+type Work struct {
+	Beat     uint32          `cbor:"1,keyasint,omitempty"` // number of this regular message
+	Revision uint64          `cbor:"2,keyasint,omitempty"` // of the last change the sender knows of the store's content
+	Asks     []WorkAsk       `cbor:"3,keyasint,omitempty"`
+	Answers  []WorkAnswer    `cbor:"4,keyasint,omitempty"`
+	Notes    []WorkNote      `cbor:"5,keyasint,omitempty"`
+	Loads    []WorkLoad      `cbor:"6,keyasint,omitempty"` // absolute, of the sender's own requests
+	Full     bool            `cbor:"7,keyasint,omitempty"` // Loads lists every upstream the sender uses
+	Held     []HeldPart      `cbor:"8,keyasint,omitempty"` // prompt parts that upstreams have read
+	Faults   []UpstreamFault `cbor:"9,keyasint,omitempty"`
+}
+
+// WorkAsk asks the receiver, as the scheduler of a service, to place a request.
+type WorkAsk struct {
+	_        struct{} `cbor:",toarray"`
+	No       uint64   // the sender's number of the request
+	Try      uint32   // counts the sender's asks for this request
+	Service  version.ID
+	Org      version.ID
+	Place    version.ID // of the sender
+	Input    uint32     // tokens of the prompt
+	Output   uint32     // tokens expected
+	AimMS    uint32     // until the answer is late, 0 when it is
+	LeftMS   uint32     // until the caller's deadline
+	Priority uint8
+	Bytes    uint32
+	Parts    []PromptPart
+	Avoid    []version.ID // upstreams that failed this request
+}
+
+// PromptPart is one part of a prompt: the hash of all parts up to it, and its
+// tokens.
+type PromptPart struct {
+	_      struct{} `cbor:",toarray"`
+	Chain  uint64
+	Tokens uint32
+}
+
+// WorkAnswer places a request, or refuses it when Upstream is 0.
+type WorkAnswer struct {
+	_        struct{} `cbor:",toarray"`
+	No       uint64
+	Try      uint32
+	Upstream version.ID
+	Source   version.ID // an upstream to fetch kept prompt parts from, or 0
+	Work     uint32     // tokens the upstream is expected to read
+	AfterMS  uint32     // of a refusal: when to come back
+	Why      uint8
+}
+
+// WorkNote tells the scheduler how a placed request goes on.
+type WorkNote struct {
+	_       struct{} `cbor:",toarray"`
+	No      uint64
+	Event   uint8  // one of the Note constants
+	FirstMS uint32 // from sending to the first event
+}
+
+// Events of a WorkNote.
+const (
+	NoteFirst  uint8 = iota + 1 // the first event came
+	NoteDone                    // ended, answered
+	NoteFailed                  // ended by the upstream's fault
+	NoteUnused                  // the upstream did not run it, or it was never sent
+)
+
+// WorkLoad is the sender's own use of one upstream.
+type WorkLoad struct {
+	_        struct{} `cbor:",toarray"`
+	Upstream version.ID
+	Running  uint32
+	Tokens   uint32 // of memory
+	Unread   uint32 // tokens of prompts without a first event
+}
+
+// HeldPart says that an upstream has read a prompt part.
+type HeldPart struct {
+	_        struct{} `cbor:",toarray"`
+	Upstream version.ID
+	Chain    uint64
+	Tokens   uint32
+}
+
+// UpstreamFault says that an upstream failed the sender's requests of late.
+type UpstreamFault struct {
+	_        struct{} `cbor:",toarray"`
+	Upstream version.ID
+	N        uint32
+}
--- /dev/null
+++ b/internal/dispatch/flight.go
@@ -0,0 +1,231 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/silverswitch/silverswitch/internal/core/wire"
+	"github.com/silverswitch/silverswitch/internal/version"
+)
+
+// flight is a request that came in at this router, from Arrive to End.
+type flight struct {
+	req    Request
+	avoid  []version.ID
+	pool   version.ID
+	try    uint32
+	placed version.ID  // the upstream it has, 0 while it has none
+	by     wire.NodeID // who placed it, or is asked
+	work   int         // tokens the upstream is expected to read
+	first  bool
+	asked  time.Time
+	sent   time.Time // of the last ask
+}
+
+// arrive decides, or asks the service's scheduler to.
+func (n *Node) arrive(r Request, now time.Time) {
+	f := &flight{req: r, pool: serviceID(r.Service)}
+	n.flights[r.ID] = f
+	n.budget(f.pool).request(now)
+	n.route(f, now)
+}
+
+func (n *Node) route(f *flight, now time.Time) {
+	p := n.pools[f.pool]
+	f.try++
+	f.placed = 0
+	if p == nil {
+		n.refuse(f, verdict{why: ReasonNoUpstream, after: maxComeBack}, n.set.ID)
+		return
+	}
+	to := n.set.ID
+	if p.engine != nil {
+		to = n.schedulerOf(p.id, now)
+	}
+	if to == n.set.ID {
+		n.decideHere(f, p, now)
+		return
+	}
+	f.by, f.asked = to, now
+	n.Counts.Asked++
+	n.ask(f, now)
+}
+
+func (n *Node) ask(f *flight, now time.Time) {
+	f.sent = now
+	w := n.work(f.by)
+	w.Asks = append(w.Asks, n.askOf(f, now))
+	n.takeNotes(f.by, w)
+}
+
+func (n *Node) askOf(f *flight, now time.Time) wire.WorkAsk {
+	r := &f.req
+	return wire.WorkAsk{
+		No:       r.ID,
+		Try:      f.try,
+		Service:  f.pool,
+		Org:      version.IDOf(r.Org),
+		Place:    n.place,
+		Input:    uint32(r.Input),
+		Output:   uint32(r.Output),
+		AimMS:    leftMS(r.Aim, now),
+		LeftMS:   leftMS(r.Deadline, now),
+		Priority: uint8(min(max(r.Priority, 0), 255)),
+		Bytes:    uint32(r.Bytes),
+		Parts:    r.Parts,
+		Avoid:    f.avoid,
+	}
+}
+
+func leftMS(t, now time.Time) uint32 { return uint32(max(0, t.Sub(now).Milliseconds())) }
+
+// decideHere decides on the own model: this router is the scheduler, the service
+// is plain, or the scheduler does not answer.
+func (n *Node) decideHere(f *flight, p *pool, now time.Time) {
+	a := n.askOf(f, now)
+	v := p.decide(n.set.ID, &a, now)
+	if v.choice == nil {
+		n.refuse(f, v, n.set.ID)
+		return
+	}
+	n.assign(f, v.choice.up, v.choice.source, n.set.ID, int(v.choice.waitMS), v.choice.work)
+}
+
+func (n *Node) assign(f *flight, u, source *upstream, by wire.NodeID, wait, work int) {
+	f.placed, f.by, f.work, f.first = u.id, by, work, false
+	n.Counts.Placed++
+	o := Place{ID: f.req.ID, Instance: u.inst, By: by, WaitMS: wait, Work: work}
+	if source != nil {
+		o.Source = source.inst.Address
+	}
+	n.out = append(n.out, o)
+}
+
+func (n *Node) refuse(f *flight, v verdict, by wire.NodeID) {
+	delete(n.flights, f.req.ID)
+	n.Counts.Refused++
+	n.out = append(n.out, Refuse{ID: f.req.ID, Reason: v.why, After: v.after, By: by})
+}
+
+// tickFlights repeats asks that were not answered, and gives up on schedulers
+// that stay silent.
+func (n *Node) tickFlights(now time.Time) {
+	for _, f := range n.flights {
+		if f.placed != 0 {
+			continue
+		}
+		if now.Sub(f.asked) >= askGiveUp {
+			n.silentScheduler(f, now)
+		} else if now.Sub(f.sent) >= askAgain {
+			n.Counts.AskedAgain++
+			n.ask(f, now)
+		}
+	}
+}
+
+// silentScheduler decides here instead of a scheduler that has not answered. A
+// router that was heard since the ask is slow, not gone, and stays scheduler.
+func (n *Node) silentScheduler(f *flight, now time.Time) {
+	n.Counts.OwnDecision++
+	if m := n.members.Get(f.by); m == nil || m.Heard.Before(f.asked) {
+		if until := n.silent[f.by]; now.After(until) {
+			n.event(Event{Name: "scheduler-silent", Router: f.by, Detail: "decided here"})
+		}
+		n.silent[f.by] = now.Add(silentFor)
+		n.members.Suspect(f.by, now)
+	}
+	p := n.pools[f.pool]
+	if p == nil {
+		n.refuse(f, verdict{why: ReasonNoUpstream, after: maxComeBack}, n.set.ID)
+		return
+	}
+	f.try++ // an answer that still comes is to an ask that is over
+	n.decideHere(f, p, now)
+}
+
+// again looks for another upstream for a request.
+func (n *Node) again(in Again, now time.Time) {
+	f := n.flights[in.ID]
+	if f == nil || f.placed == 0 {
+		return
+	}
+	f.avoid = append(f.avoid, f.placed)
+	n.tell(f, wire.WorkNote{No: f.req.ID, Event: in.Event}, now)
+	if !n.budget(f.pool).take(n.fleetSize(), now) {
+		n.refuse(f, verdict{why: ReasonBudget, after: budgetComeBack}, n.set.ID)
+		return
+	}
+	n.route(f, now)
+}
+
+// budget returns the retry budget of a service.
+func (n *Node) budget(service version.ID) *retryBudget {
+	b := n.budgets[service]
+	if b == nil {
+		b = newRetryBudget(n.set.Retry)
+		n.budgets[service] = b
+	}
+	return b
+}
+
+// fleetSize counts every router known, alive or not, so that routers which lose
+// sight of each other do not spend more together.
+func (n *Node) fleetSize() int { return len(n.members.All()) + 1 }
+
+func (n *Node) first(in First, now time.Time) {
+	f := n.flights[in.ID]
+	if f == nil || f.placed == 0 {
+		return
+	}
+	f.first = true
+	n.tell(f, wire.WorkNote{No: f.req.ID, Event: wire.NoteFirst, FirstMS: uint32(in.After.Milliseconds())}, now)
+	if f.by == n.set.ID {
+		n.toldRead(f.placed, f.req.Parts)
+	}
+}
+
+func (n *Node) end(in End, now time.Time) {
+	f := n.flights[in.ID]
+	if f == nil {
+		return
+	}
+	delete(n.flights, in.ID)
+	if f.placed != 0 {
+		n.tell(f, wire.WorkNote{No: f.req.ID, Event: in.Event}, now)
+	}
+}
+
+// tell brings news of a run to the router that placed it.
+func (n *Node) tell(f *flight, note wire.WorkNote, now time.Time) {
+	if f.by == n.set.ID {
+		if p := n.pools[f.pool]; p != nil {
+			p.note(n.set.ID, note, now)
+		}
+		return
+	}
+	if len(n.notes) == 0 {
+		n.noteDue = now.Add(noteDelay)
+	}
+	n.notes[f.by] = append(n.notes[f.by], note)
+}
+
+// takeNotes moves waiting news into a datagram that goes to their receiver.
+func (n *Node) takeNotes(id wire.NodeID, w *wire.Work) {
+	w.Notes = append(w.Notes, n.notes[id]...)
+	delete(n.notes, id)
+}
+
+func (n *Node) flushNotes() {
+	for id := range n.notes {
+		n.takeNotes(id, n.work(id))
+	}
+}
+
+// toldRead keeps what an upstream has read for the next regular message.
+func (n *Node) toldRead(up version.ID, parts []wire.PromptPart) {
+	for _, part := range parts {
+		if len(n.read) >= maxTold {
+			return
+		}
+		n.read = append(n.read, wire.HeldPart{Upstream: up, Chain: part.Chain, Tokens: part.Tokens})
+	}
+}
--- /dev/null
+++ b/internal/dispatch/io.go
@@ -0,0 +1,144 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/silverswitch/silverswitch/internal/core/wire"
+	"github.com/silverswitch/silverswitch/internal/routing"
+	"github.com/silverswitch/silverswitch/internal/version"
+)
+
+// Reason says why a request was refused before it was sent.
+type Reason uint8
+
+// The reasons of a refusal.
+const (
+	ReasonNone       Reason = iota
+	ReasonNoUpstream        // the service has no upstream
+	ReasonCapacity          // its upstreams are busy beyond what the aim allows
+	ReasonBudget            // the retry budget is spent
+)
+
+// String returns the reason as logs and answers show it.
+func (r Reason) String() string {
+	return [...]string{"none", "no-upstream", "no-capacity-in-time", "retry-budget-spent"}[r&3]
+}
+
+// Request is what the decision needs to know of a caller's request. No content.
+type Request struct {
+	ID       uint64
+	Service  string
+	Org      string
+	Input    int // tokens of the prompt
+	Output   int // tokens expected
+	Bytes    int // of the body
+	Parts    []wire.PromptPart
+	Priority int
+	Aim      time.Time // an answer after this is late
+	Deadline time.Time
+}
+
+// Input is one thing that happened. The types below are all there are.
+type Input interface{ input() }
+
+// Receive is a datagram of another router, authenticated.
+type Receive struct{ Datagram *wire.Datagram }
+
+// Arrive asks where to run a request.
+type Arrive struct{ Request Request }
+
+// Again asks for another upstream for a request that was placed, after the one
+// it had failed it (Event is a Note constant).
+type Again struct {
+	ID    uint64
+	Event uint8
+}
+
+// First says that a request's first event came, so long after it was sent.
+type First struct {
+	ID    uint64
+	After time.Duration
+}
+
+// End ends a request. Event is a Note constant; one that was never placed is
+// given up with NoteUnused.
+type End struct {
+	ID    uint64
+	Event uint8
+}
+
+// Catalogue is the content of the platform's store as of a revision.
+type Catalogue struct {
+	Table     *routing.Table
+	Instances []routing.Instance
+	Revision  uint64 // of the last change known
+	AsOf      uint64 // every change up to this is known
+}
+
+// Seen says that every change of the store up to a revision is known.
+type Seen struct{ AsOf uint64 }
+
+// Leave begins a planned stop.
+type Leave struct{}
+
+func (Receive) input()   {}
+func (Arrive) input()    {}
+func (Again) input()     {}
+func (First) input()     {}
+func (End) input()       {}
+func (Catalogue) input() {}
+func (Seen) input()      {}
+func (Leave) input()     {}
+
+// Output is one thing to do. The types below are all there are.
+type Output interface{ output() }
+
+// Send is a datagram for another router.
+type Send struct {
+	To       wire.NodeID
+	Datagram *wire.Datagram
+}
+
+// Place says where a request runs.
+type Place struct {
+	ID       uint64
+	Instance routing.Instance
+	Source   string // address of an engine to fetch kept prompt parts from, or ""
+	By       wire.NodeID
+	WaitMS   int // expected behind others
+	Work     int // tokens expected to be read
+}
+
+// Refuse gives a request up; nothing of it was sent by this decision.
+type Refuse struct {
+	ID     uint64
+	Reason Reason
+	After  time.Duration // when to come back
+	By     wire.NodeID
+}
+
+// Fetch asks the driver to read the store's content from a peer that knows more.
+type Fetch struct {
+	From     wire.NodeID
+	Revision uint64
+}
+
+// Gone says that an instance has left: connections to it can go.
+type Gone struct{ Instance routing.Instance }
+
+// Event is a change of belief, for one log line.
+type Event struct {
+	Name   string
+	Router wire.NodeID
+	Detail string
+	Value  uint64
+}
+
+func (Send) output()   {}
+func (Place) output()  {}
+func (Refuse) output() {}
+func (Fetch) output()  {}
+func (Gone) output()   {}
+func (Event) output()  {}
+
+func serviceID(name string) version.ID { return version.IDOf(name) }
--- /dev/null
+++ b/internal/dispatch/node.go
@@ -0,0 +1,357 @@
+// Package dispatch decides where and whether each request runs, one by one, by
+// the work it brings: tokens to read, memory, parts of prompts that upstreams
+// keep. It is a pure state machine like internal/core: inputs by Step and Tick,
+// outputs as values from Ready, time as an argument.
+//
+// One router at a time is the scheduler of a service's engines, found by
+// rendezvous hashing over the live routers. All others ask it, and keep the same
+// model warm from what it tells them; when it does not answer in time, a router
+// decides for itself. Plain services are decided at once where a request came in.
+package dispatch
+
+import (
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/silverswitch/silverswitch/internal/core/member"
+	"github.com/silverswitch/silverswitch/internal/core/wire"
+	"github.com/silverswitch/silverswitch/internal/routing"
+	"github.com/silverswitch/silverswitch/internal/version"
+)
+
+// Timing of a node.
+const (
+	// TickEvery is how often the driver calls Tick.
+	TickEvery = 10 * time.Millisecond
+	// PauseLimit is the gap between two ticks after which the node takes itself
+	// to have been frozen.
+	PauseLimit = time.Second
+
+	// askAgain is after how long an unanswered ask is sent again: a datagram or
+	// its answer was lost. Ten round trips between places of a region.
+	askAgain = 20 * time.Millisecond
+	// askGiveUp is after how long a router decides for itself.
+	askGiveUp = 45 * time.Millisecond
+	// silentFor is how long a router that did not answer an ask is passed over,
+	// unless it is heard again.
+	silentFor = 2 * time.Second
+	// beatEvery and beatPerRouter are the period of regular messages: every router
+	// hears every other one; in a large fleet less often, so that what a router
+	// sends stays bounded.
+	beatEvery     = 200 * time.Millisecond
+	beatPerRouter = 25 * time.Millisecond
+	// noteDelay is how long news wait for company on the way to the scheduler.
+	noteDelay = 8 * time.Millisecond
+	// fetchAgain is the pause between two reads of the store's content from peers.
+	fetchAgain = 300 * time.Millisecond
+	// fetchAfter is how long the own watch has to tell what a peer knows already.
+	fetchAfter = 200 * time.Millisecond
+	// maxTold is how many lately read prompt parts a regular message tells at most.
+	maxTold = 400
+)
+
+// Settings of a node, fixed for the process.
+type Settings struct {
+	ID    wire.NodeID
+	Inc   wire.Incarnation
+	Place string
+	Seeds []wire.NodeID
+	Retry RetryRules
+	Seed  uint64 // of the node's own random numbers
+}
+
+// Node is one router's dispatch state. One goroutine owns it.
+type Node struct {
+	set     Settings
+	place   version.ID
+	members *member.Table
+	cat     Catalogue
+	pools   map[version.ID]*pool
+	flights map[uint64]*flight
+	budgets map[version.ID]*retryBudget
+	silent  map[wire.NodeID]time.Time // until when a router is passed over
+	ahead   map[wire.NodeID]ahead
+	read    []wire.HeldPart // since the last regular message
+	notes   map[wire.NodeID][]wire.WorkNote
+	noteDue time.Time
+	beat    uint32
+	beatDue time.Time
+
+	fetchDue time.Time
+	lastTick time.Time
+	leaving  bool
+	rnd      *rand.Rand
+	box      map[wire.NodeID]*wire.Datagram
+	order    []wire.NodeID
+	out      []Output
+	Counts   Counts
+}
+
+// ahead is a peer's later knowledge of the store's content.
+type ahead struct {
+	revision uint64
+	since    time.Time
+}
+
+// Counts are totals since the start.
+type Counts struct {
+	Placed, Refused, Asked, AskedAgain, OwnDecision, AnswersLate, Woke uint64
+}
+
+// New returns a node that has heard nobody.
+func New(set Settings, now time.Time) *Node {
+	rnd := rand.New(rand.NewPCG(set.Seed, uint64(set.Inc)))
+	self := wire.Update{ID: set.ID, Inc: set.Inc, Place: set.Place}
+	return &Node{
+		set:      set,
+		place:    version.IDOf(set.Place),
+		members:  member.New(self, set.Seeds, now, rnd),
+		pools:    map[version.ID]*pool{},
+		flights:  map[uint64]*flight{},
+		budgets:  map[version.ID]*retryBudget{},
+		silent:   map[wire.NodeID]time.Time{},
+		ahead:    map[wire.NodeID]ahead{},
+		notes:    map[wire.NodeID][]wire.WorkNote{},
+		lastTick: now,
+		rnd:      rnd,
+		box:      map[wire.NodeID]*wire.Datagram{},
+	}
+}
+
+// Step takes one input.
+func (n *Node) Step(in Input, now time.Time) {
+	n.notePause(now)
+	switch in := in.(type) {
+	case Receive:
+		n.receive(in.Datagram, now)
+	case Arrive:
+		n.arrive(in.Request, now)
+	case Again:
+		n.again(in, now)
+	case First:
+		n.first(in, now)
+	case End:
+		n.end(in, now)
+	case Catalogue:
+		n.catalogue(in)
+	case Seen:
+		n.cat.AsOf = max(n.cat.AsOf, in.AsOf)
+	case Leave:
+		n.leave()
+	}
+}
+
+// Tick moves time on. The driver calls it every TickEvery.
+func (n *Node) Tick(now time.Time) {
+	n.notePause(now)
+	n.lastTick = now
+	for _, s := range n.members.Tick(now) {
+		n.post(s)
+	}
+	n.tickFlights(now)
+	n.tickFetch(now)
+	if !now.Before(n.beatDue) {
+		n.sendBeat(now)
+		for _, p := range n.pools {
+			p.expire(now)
+		}
+		n.dropDead(now)
+	}
+}
+
+// Ready returns what to do after the inputs since the last call.
+func (n *Node) Ready(now time.Time) []Output {
+	if len(n.notes) > 0 && !now.Before(n.noteDue) {
+		n.flushNotes()
+	}
+	n.seal()
+	out := n.out
+	n.out = nil
+	return out
+}
+
+// notePause notices that the process was frozen: what it believes of others'
+// load is old, so it lets others decide until it has heard them.
+func (n *Node) notePause(now time.Time) {
+	gap := now.Sub(n.lastTick)
+	n.lastTick = now
+	if gap <= PauseLimit {
+		return
+	}
+	n.Counts.Woke++
+	n.event(Event{Name: "woke", Value: uint64(gap.Milliseconds()), Detail: "milliseconds without a tick"})
+	n.members.Refresh()
+	for _, p := range n.pools {
+		p.expire(now)
+	}
+}
+
+// catalogue takes newer content of the platform's store.
+func (n *Node) catalogue(c Catalogue) {
+	n.cat = c
+	if c.Table == nil {
+		return
+	}
+	by := map[string][]routing.Instance{}
+	for _, i := range c.Instances {
+		by[i.Service] = append(by[i.Service], i)
+	}
+	for _, s := range c.Table.Services {
+		id := serviceID(s.Name)
+		p := n.pools[id]
+		if p == nil {
+			p = newPool(s, c.Table.Limits.TokensPerSecond)
+			n.pools[id] = p
+		}
+		for _, u := range p.setInstances(by[s.Name]) {
+			n.out = append(n.out, Gone{Instance: u.inst})
+		}
+	}
+	for id, p := range n.pools {
+		if c.Table.Services[p.service] == nil {
+			delete(n.pools, id)
+		}
+	}
+}
+
+// schedulerOf returns the router that decides for a service: the first of the
+// live ones by rendezvous hashing that is not known to be silent.
+func (n *Node) schedulerOf(service version.ID, now time.Time) wire.NodeID {
+	best := n.set.ID
+	score := uint64(0)
+	for _, id := range n.members.Live(false) {
+		if until, silent := n.silent[id]; silent && now.Before(until) {
+			continue
+		}
+		if s := rank(service, id); s >= score {
+			best, score = id, s
+		}
+	}
+	return best
+}
+
+func rank(service version.ID, id wire.NodeID) uint64 {
+	var b [4]byte
+	b[0], b[1], b[2], b[3] = byte(service), byte(service>>8), byte(service>>16), byte(service>>24)
+	d := xxhash.New()
+	_, _ = d.Write(b[:]) // a digest takes everything
+	_, _ = d.WriteString(string(id))
+	return d.Sum64()
+}
+
+func (n *Node) leave() {
+	if n.leaving {
+		return
+	}
+	n.leaving = true
+	n.members.Leave()
+	for _, id := range n.members.Live(true) {
+		if id != n.set.ID {
+			n.to(id)
+		}
+	}
+	n.event(Event{Name: "leaving"})
+}
+
+// dropDead forgets what routers had placed that are dead.
+func (n *Node) dropDead(now time.Time) {
+	for _, m := range n.members.All() {
+		if m.State == wire.Dead {
+			n.forgetRouter(m.ID, now)
+		}
+	}
+}
+
+func (n *Node) forgetRouter(id wire.NodeID, now time.Time) {
+	for _, p := range n.pools {
+		p.lost(id, now)
+	}
+	delete(n.ahead, id)
+}
+
+func (n *Node) event(e Event) { n.out = append(n.out, e) }
+
+// to returns the datagram being filled for a router.
+func (n *Node) to(id wire.NodeID) *wire.Datagram {
+	d := n.box[id]
+	if d == nil {
+		d = &wire.Datagram{}
+		n.box[id] = d
+		n.order = append(n.order, id)
+	}
+	return d
+}
+
+// work returns the work part of the datagram being filled for a router.
+func (n *Node) work(id wire.NodeID) *wire.Work {
+	d := n.to(id)
+	if d.Work == nil {
+		d.Work = &wire.Work{}
+	}
+	return d.Work
+}
+
+func (n *Node) post(s member.Send) {
+	d := n.to(s.To)
+	if s.Ping != nil {
+		d.Ping = s.Ping
+	}
+	if s.Ack != nil {
+		d.Ack = s.Ack
+	}
+}
+
+// seal puts the head on every datagram.
+func (n *Node) seal() {
+	self := n.members.Self()
+	for _, id := range n.order {
+		d := n.box[id]
+		d.From, d.Inc, d.Refute, d.State = self.ID, self.Inc, self.Refute, self.State
+		d.Updates = n.members.Piggyback(id)
+		d.Tell = n.members.Lacks(id)
+		n.out = append(n.out, Send{To: id, Datagram: d})
+	}
+	clear(n.box)
+	n.order = nil
+}
+
+// Routers returns the live routers, this one among them.
+func (n *Node) Routers() []wire.NodeID { return n.members.Live(true) }
+
+// Heard reports whether any other router was ever heard.
+func (n *Node) Heard() bool { return len(n.members.Live(true)) > 1 }
+
+// Upstreams returns the state of every upstream, for status pages.
+func (n *Node) Upstreams(now time.Time) []UpstreamState {
+	var out []UpstreamState
+	for _, p := range n.pools {
+		for _, u := range p.order {
+			s := UpstreamState{Service: p.service, ID: u.inst.ID, Address: u.inst.Address, Place: u.inst.Place, Draining: u.inst.Draining,
+				Running: u.running(), Slow: u.slow, Resting: u.rest.resting(now)}
+			if u.cache != nil {
+				s.BacklogMS = int(u.backlog(p.rate, now))
+				s.KeptTokens = u.cache.used
+			}
+			out = append(out, s)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// UpstreamState is one upstream as this router models it.
+type UpstreamState struct {
+	Service    string  `json:"service"`
+	ID         string  `json:"id"`
+	Address    string  `json:"address"`
+	Place      string  `json:"place"`
+	Draining   bool    `json:"draining"`
+	Resting    bool    `json:"resting"`
+	Running    int     `json:"running"`
+	BacklogMS  int     `json:"backlog_ms"`
+	KeptTokens int     `json:"kept_tokens"`
+	Slow       float64 `json:"slow"`
+}
--- /dev/null
+++ b/internal/dispatch/peer.go
@@ -0,0 +1,228 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/silverswitch/silverswitch/internal/core/wire"
+	"github.com/silverswitch/silverswitch/internal/version"
+)
+
+// receive takes everything in a datagram.
+func (n *Node) receive(d *wire.Datagram, now time.Time) {
+	if m := n.members.Get(d.From); m != nil {
+		if d.Inc < m.Inc {
+			return // a datagram of a process that has ended
+		}
+		if d.Inc > m.Inc && m.Inc != 0 {
+			n.forgetRouter(d.From, now)
+		}
+	}
+	for _, s := range n.members.Hear(d, now) {
+		n.post(s)
+	}
+	if _, was := n.silent[d.From]; was {
+		delete(n.silent, d.From)
+		n.event(Event{Name: "router-heard-again", Router: d.From})
+	}
+	if d.Tell {
+		n.to(d.From)
+	}
+	if d.Work != nil {
+		n.receiveWork(d.From, d.Work, now)
+	}
+}
+
+func (n *Node) receiveWork(from wire.NodeID, w *wire.Work, now time.Time) {
+	for _, note := range w.Notes {
+		n.heardNote(from, note, now)
+	}
+	for i := range w.Asks {
+		n.answer(from, &w.Asks[i], now)
+	}
+	for _, a := range w.Answers {
+		n.answered(from, a, now)
+	}
+	if w.Beat != 0 {
+		n.heardBeat(from, w, now)
+	}
+}
+
+func (n *Node) heardNote(from wire.NodeID, note wire.WorkNote, now time.Time) {
+	for _, p := range n.pools {
+		r := p.runs[runKey{from, note.No}]
+		if r == nil {
+			continue
+		}
+		if note.Event == wire.NoteFirst {
+			n.toldRead(r.up.id, r.parts)
+		}
+		p.note(from, note, now)
+		return
+	}
+}
+
+// answer decides for another router. One ask asked twice gets the same answer.
+func (n *Node) answer(from wire.NodeID, a *wire.WorkAsk, now time.Time) {
+	w := n.work(from)
+	p := n.pools[a.Service]
+	if p == nil {
+		w.Answers = append(w.Answers, wire.WorkAnswer{No: a.No, Try: a.Try, AfterMS: uint32(maxComeBack.Milliseconds()), Why: uint8(ReasonNoUpstream)})
+		return
+	}
+	if r := p.runs[runKey{from, a.No}]; r != nil && r.try == a.Try {
+		w.Answers = append(w.Answers, r.answer)
+		return
+	}
+	v := p.decide(from, a, now)
+	if v.choice == nil {
+		w.Answers = append(w.Answers, wire.WorkAnswer{No: a.No, Try: a.Try, AfterMS: uint32(v.after.Milliseconds()), Why: uint8(v.why)})
+		return
+	}
+	ans := wire.WorkAnswer{No: a.No, Try: a.Try, Upstream: v.choice.up.id, Work: uint32(v.choice.work), AfterMS: uint32(v.choice.waitMS)}
+	if v.choice.source != nil {
+		ans.Source = v.choice.source.id
+	}
+	r := p.runs[runKey{from, a.No}]
+	r.try, r.answer = a.Try, ans
+	w.Answers = append(w.Answers, ans)
+}
+
+// answered takes a scheduler's word on an own request.
+func (n *Node) answered(from wire.NodeID, a wire.WorkAnswer, now time.Time) {
+	f := n.flights[a.No]
+	if f == nil || f.placed != 0 || f.by != from || f.try != a.Try {
+		n.Counts.AnswersLate++
+		if a.Upstream != 0 && (f == nil || f.by != from || f.try != a.Try) {
+			w := n.work(from)
+			w.Notes = append(w.Notes, wire.WorkNote{No: a.No, Event: wire.NoteUnused})
+		}
+		return
+	}
+	if a.Upstream == 0 {
+		n.refuse(f, verdict{why: Reason(a.Why), after: time.Duration(a.AfterMS) * time.Millisecond}, from)
+		return
+	}
+	p := n.pools[f.pool]
+	if p == nil || p.ups[a.Upstream] == nil || p.ups[a.Upstream].inst.Draining {
+		// The scheduler knows an upstream that this router does not, or does not yet
+		// know that it is leaving.
+		w := n.work(from)
+		w.Notes = append(w.Notes, wire.WorkNote{No: a.No, Event: wire.NoteUnused})
+		if p == nil {
+			n.refuse(f, verdict{why: ReasonNoUpstream, after: maxComeBack}, n.set.ID)
+			return
+		}
+		f.try++
+		n.decideHere(f, p, now)
+		return
+	}
+	n.assign(f, p.ups[a.Upstream], p.ups[a.Source], from, int(a.AfterMS), int(a.Work))
+}
+
+// sendBeat tells every router what this one uses and what was read lately.
+func (n *Node) sendBeat(now time.Time) {
+	live := n.members.Live(true)
+	n.beatDue = now.Add(max(beatEvery, time.Duration(len(live))*beatPerRouter))
+	n.beat++
+	loads := n.ownLoads()
+	n.applyLoads(n.set.ID, loads)
+	for _, id := range live {
+		if id == n.set.ID {
+			continue
+		}
+		w := n.work(id)
+		w.Beat, w.Revision, w.Loads, w.Full, w.Held = n.beat, n.cat.Revision, loads, true, n.read
+		n.takeNotes(id, w)
+	}
+	n.read = nil
+}
+
+func (n *Node) ownLoads() []wire.WorkLoad {
+	sums := map[version.ID]*wire.WorkLoad{}
+	var out []wire.WorkLoad
+	for _, f := range n.flights {
+		if f.placed == 0 {
+			continue
+		}
+		l := sums[f.placed]
+		if l == nil {
+			l = &wire.WorkLoad{Upstream: f.placed}
+			sums[f.placed] = l
+		}
+		l.Running++
+		l.Tokens += uint32(f.req.Input + f.req.Output)
+		if !f.first {
+			l.Unread += uint32(f.work)
+		}
+	}
+	for _, l := range sums {
+		out = append(out, *l)
+	}
+	return out
+}
+
+// heardBeat takes a router's regular message.
+func (n *Node) heardBeat(from wire.NodeID, w *wire.Work, now time.Time) {
+	n.applyLoads(from, w.Loads)
+	for _, p := range n.pools {
+		if p.engine == nil {
+			continue
+		}
+		for _, h := range w.Held {
+			if u := p.ups[h.Upstream]; u != nil {
+				u.cache.add(h.Chain, int(h.Tokens), true, now)
+				u.cache.fit(u.memory())
+			}
+		}
+	}
+	n.compare(from, w.Revision, now)
+}
+
+// applyLoads replaces what a router states of its use of upstreams.
+func (n *Node) applyLoads(from wire.NodeID, loads []wire.WorkLoad) {
+	for _, p := range n.pools {
+		for _, u := range p.ups {
+			delete(u.loads, from)
+		}
+		for _, l := range loads {
+			if u := p.ups[l.Upstream]; u != nil {
+				u.loads[from] = l
+			}
+		}
+	}
+}
+
+// compare notes whether a peer knows a later change of the store's content than
+// this router has had the chance to see itself.
+func (n *Node) compare(from wire.NodeID, revision uint64, now time.Time) {
+	if revision <= n.cat.AsOf && n.cat.Table != nil || revision == 0 {
+		delete(n.ahead, from)
+		return
+	}
+	if _, known := n.ahead[from]; !known {
+		n.ahead[from] = ahead{revision: revision, since: now}
+	}
+}
+
+// tickFetch reads the content from a peer that has been ahead for a while.
+func (n *Node) tickFetch(now time.Time) {
+	if now.Before(n.fetchDue) {
+		return
+	}
+	var best wire.NodeID
+	for id, a := range n.ahead {
+		if a.revision <= n.cat.AsOf && n.cat.Table != nil {
+			delete(n.ahead, id)
+			continue
+		}
+		due := n.cat.Table == nil || now.Sub(a.since) >= fetchAfter
+		if due && (best == "" || a.revision > n.ahead[best].revision || a.revision == n.ahead[best].revision && id < best) {
+			best = id
+		}
+	}
+	if best == "" {
+		return
+	}
+	n.fetchDue = now.Add(fetchAgain)
+	n.out = append(n.out, Fetch{From: best, Revision: n.ahead[best].revision})
+}
--- /dev/null
+++ b/internal/dispatch/pool.go
@@ -0,0 +1,374 @@
+package dispatch
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"github.com/silverswitch/silverswitch/internal/core/wire"
+	"github.com/silverswitch/silverswitch/internal/routing"
+	"github.com/silverswitch/silverswitch/internal/version"
+)
+
+// Weights of a choice, in milliseconds of a first event's time. Sources: the
+// prices in the users' site files, and docs/BENCH.md.
+const (
+	otherPlaceMS = 8.0  // an engine in another place: bytes between places are priced
+	moveMS       = 10.0 // a fetch is priced, and keeps the same parts twice
+	plainPlaceMS = 6.0  // a plain upstream in another place
+	plainRunMS   = 10.0 // each request the own router has at a plain upstream
+	// plainOtherMS is the same for requests that other routers state.
+	plainOtherMS = 6.0
+)
+
+// Limits of admission, in parts of the time within which an answer counts as
+// fully useful. Source: docs/BENCH.md.
+const (
+	waitUnder   = 0.80 // for an organisation under its share
+	waitAtShare = 0.45 // at its share, falling from there
+	waitLeast   = 0.12 // however far over its share
+	overFull    = 2.5  // times its share at which waitLeast is reached
+	// largeOwn is the part of the aim beyond which a prompt's own reading makes it
+	// late in any case; such prompts take their turn behind half the wait.
+	largeOwn = 1.0
+)
+
+// pool is one service's upstreams as this router models them. Every router has
+// the same model; the service's scheduler is the one whose word counts.
+type pool struct {
+	service string
+	id      version.ID
+	engine  *routing.Engine // nil for a plain service
+	ups     map[version.ID]*upstream
+	order   []*upstream // by ID
+	runs    map[runKey]*run
+	rate    float64
+	meter   *meter
+}
+
+func newPool(s *routing.Service, tokensPerSecond float64) *pool {
+	return &pool{
+		service: s.Name,
+		id:      version.IDOf(s.Name),
+		engine:  s.Engine,
+		ups:     map[version.ID]*upstream{},
+		runs:    map[runKey]*run{},
+		rate:    firstRate,
+		meter:   newMeter(tokensPerSecond),
+	}
+}
+
+// setInstances takes the list of the service's instances. It returns those that
+// have left it.
+func (p *pool) setInstances(list []routing.Instance) (gone []*upstream) {
+	listed := map[version.ID]bool{}
+	for _, inst := range list {
+		id := version.IDOf(inst.ID)
+		listed[id] = true
+		if u := p.ups[id]; u != nil {
+			u.inst = inst
+			continue
+		}
+		p.ups[id] = newUpstream(inst, p.engine)
+	}
+	for id, u := range p.ups {
+		if !listed[id] {
+			gone = append(gone, u)
+			for _, r := range u.runs {
+				delete(p.runs, r.key)
+			}
+			delete(p.ups, id)
+		}
+	}
+	p.order = p.order[:0]
+	for _, u := range p.ups {
+		p.order = append(p.order, u)
+	}
+	sort.Slice(p.order, func(i, j int) bool { return p.order[i].id < p.order[j].id })
+	return gone
+}
+
+// takes reports whether an upstream may be given this work at all.
+func (u *upstream) takes(a *wire.WorkAsk, now time.Time) bool {
+	if u.inst.Draining || u.rest.resting(now) {
+		return false
+	}
+	for _, id := range a.Avoid {
+		if id == u.id {
+			return false
+		}
+	}
+	return true
+}
+
+// choice is the best upstream for a request, with what is expected there.
+type choice struct {
+	up     *upstream
+	source *upstream
+	work   int     // tokens to read
+	waitMS float64 // behind others
+	ownMS  float64 // reading this prompt
+	cost   float64
+}
+
+// choose returns the best upstream, or nil when none takes work.
+func (p *pool) choose(a *wire.WorkAsk, now time.Time) *choice {
+	if p.engine == nil {
+		return p.choosePlain(a, now)
+	}
+	holder, held := p.holder(a, now)
+	var best *choice
+	for _, u := range p.order {
+		if !u.takes(a, now) || u.running() >= p.engine.Slots || u.memory()+int(a.Input+a.Output) > int(memoryUsable*float64(p.engine.MemoryTokens)) {
+			continue
+		}
+		c := p.at(u, a, holder, held, now)
+		if best == nil || c.cost < best.cost {
+			best = c
+		}
+	}
+	return best
+}
+
+// holder returns the engine that keeps most of the prompt, read and ready.
+func (p *pool) holder(a *wire.WorkAsk, now time.Time) (*upstream, int) {
+	var best *upstream
+	most := 0
+	for _, u := range p.order {
+		if u.rest.resting(now) {
+			continue
+		}
+		if n := u.cache.prefix(a.Parts, true); n > most {
+			best, most = u, n
+		}
+	}
+	return best, most
+}
+
+// at works out what a request would meet at an engine.
+func (p *pool) at(u *upstream, a *wire.WorkAsk, holder *upstream, held int, now time.Time) *choice {
+	u.settle(now)
+	kept := u.cache.prefix(a.Parts, false)
+	c := &choice{up: u, waitMS: u.backlog(p.rate, now)}
+	extra := 0.0
+	if holder != nil && holder != u && held > kept {
+		kept = held
+		c.source = holder
+		extra = fetchMS
+		c.cost += moveMS
+	}
+	c.work = max(0, int(a.Input)-kept)
+	c.ownMS = float64(c.work)/p.rate*u.slow + extra
+	c.cost += c.waitMS + c.ownMS
+	if u.place != a.Place {
+		c.cost += otherPlaceMS
+	}
+	c.cost += p.crowd(u)
+	return c
+}
+
+// crowd is what a full batch adds to every token of its requests.
+func (p *pool) crowd(u *upstream) float64 {
+	return 0.3 * float64(u.running())
+}
+
+func (p *pool) choosePlain(a *wire.WorkAsk, now time.Time) *choice {
+	var best *choice
+	for _, u := range p.order {
+		if !u.takes(a, now) {
+			continue
+		}
+		u.settle(now)
+		others := 0
+		for _, l := range u.loads {
+			others += int(l.Running)
+		}
+		c := &choice{up: u, cost: (float64(len(u.runs))*plainRunMS + float64(others)*plainOtherMS) * u.slow}
+		if u.place != a.Place {
+			c.cost += plainPlaceMS
+		}
+		if best == nil || c.cost < best.cost {
+			best = c
+		}
+	}
+	return best
+}
+
+// verdict is the decision on one ask.
+type verdict struct {
+	choice *choice
+	after  time.Duration
+	why    Reason
+}
+
+// decide places a request or refuses it.
+func (p *pool) decide(from wire.NodeID, a *wire.WorkAsk, now time.Time) verdict {
+	tokens := float64(a.Input) + 2*float64(a.Output)
+	if a.Try <= 1 {
+		p.meter.ask(a.Org, tokens, now)
+	}
+	c := p.choose(a, now)
+	if c == nil {
+		return verdict{after: p.comeBack(a, p.shortest(now), 0), why: p.whyNone()}
+	}
+	if p.engine != nil {
+		limit := p.waitLimit(a, c, now)
+		if c.waitMS > limit {
+			return verdict{after: p.comeBack(a, c.waitMS, limit), why: ReasonCapacity}
+		}
+		p.meter.grant(a.Org, tokens, now)
+	}
+	r := &run{
+		key:    runKey{from, a.No},
+		org:    a.Org,
+		work:   c.work,
+		tokens: int(a.Input + a.Output),
+		parts:  a.Parts,
+		placed: now,
+		until:  now.Add(time.Duration(a.LeftMS)*time.Millisecond + runGrace),
+		want:   baseMS + c.waitMS + c.ownMS,
+	}
+	p.forget(r.key, false, now)
+	c.up.placeRun(r, now)
+	p.runs[r.key] = r
+	return verdict{choice: c}
+}
+
+// runGrace is how much longer than its caller's deadline a run is kept when
+// nothing is heard of its end.
+const runGrace = 500 * time.Millisecond
+
+// waitLimit is how long a request may wait behind others at an engine, in
+// milliseconds.
+func (p *pool) waitLimit(a *wire.WorkAsk, c *choice, now time.Time) float64 {
+	aim := float64(a.AimMS)
+	if a.AimMS == 0 {
+		aim = float64(a.LeftMS) / 4
+	}
+	part := waitUnder
+	if over := p.meter.over(a.Org, now); over >= 1 {
+		part = max(waitLeast, waitAtShare-(waitAtShare-waitLeast)*(over-1)/(overFull-1))
+	}
+	room := aim - baseMS - c.ownMS
+	if c.ownMS > largeOwn*aim {
+		return part * aim / 2
+	}
+	return min(part*aim, max(room, part*aim/4))
+}
+
+func (p *pool) whyNone() Reason {
+	if len(p.order) == 0 {
+		return ReasonNoUpstream
+	}
+	return ReasonCapacity
+}
+
+// shortest is the least backlog over all engines, in milliseconds.
+func (p *pool) shortest(now time.Time) float64 {
+	least := math.Inf(1)
+	for _, u := range p.order {
+		if u.cache != nil && !u.inst.Draining {
+			least = min(least, u.backlog(p.rate, now))
+		}
+	}
+	if math.IsInf(least, 1) {
+		return 0
+	}
+	return least
+}
+
+// Bounds on when a refused caller is told to come back.
+const (
+	minComeBack = 100 * time.Millisecond
+	maxComeBack = 1500 * time.Millisecond
+)
+
+// comeBack is when the backlog will have fallen below the request's limit.
+func (p *pool) comeBack(a *wire.WorkAsk, waitMS, limitMS float64) time.Duration {
+	d := time.Duration((waitMS - limitMS) * 1.5 * float64(time.Millisecond))
+	return min(max(d, minComeBack), maxComeBack)
+}
+
+// note takes the news of a run.
+func (p *pool) note(from wire.NodeID, n wire.WorkNote, now time.Time) {
+	r := p.runs[runKey{from, n.No}]
+	if r == nil {
+		return
+	}
+	switch n.Event {
+	case wire.NoteFirst:
+		p.first(r, float64(n.FirstMS), now)
+	case wire.NoteDone:
+		r.up.rest.worked(now)
+		p.forget(r.key, true, now)
+	case wire.NoteFailed:
+		r.up.rest.failed(now)
+		p.forget(r.key, false, now)
+	case wire.NoteUnused:
+		p.meter.grant(r.org, -float64(r.tokens), now)
+		p.forget(r.key, false, now)
+	}
+}
+
+func (p *pool) first(r *run, gotMS float64, now time.Time) {
+	if r.first {
+		return
+	}
+	r.first = true
+	r.up.rest.worked(now)
+	r.up.read(r, now)
+	if p.engine == nil {
+		r.up.observe(gotMS, plainExpectMS, now)
+		return
+	}
+	for _, part := range r.parts {
+		r.up.cache.add(part.Chain, int(part.Tokens), true, now)
+	}
+	r.up.cache.fit(r.up.memory())
+	r.up.observe(gotMS, r.want, now)
+	p.learnRate(r, gotMS)
+}
+
+// plainExpectMS is the time of an answer of a plain service against which an
+// upstream's slowness is counted; only ratios between upstreams matter.
+const plainExpectMS = 60.0
+
+// learnRate corrects the pool's rate by a run that read alone on a sound engine.
+func (p *pool) learnRate(r *run, gotMS float64) {
+	const enough = 1500 // tokens for which reading outweighs all else
+	if !r.alone || r.work < enough || gotMS <= baseMS || r.up.slow > 2 {
+		return
+	}
+	sample := min(max(float64(r.work)/(gotMS-baseMS), minRate), maxRate)
+	p.rate += rateWeight * (sample - p.rate)
+}
+
+func (p *pool) forget(k runKey, whole bool, now time.Time) {
+	r := p.runs[k]
+	if r == nil {
+		return
+	}
+	delete(p.runs, k)
+	r.up.end(r, whole, now)
+}
+
+// lost forgets everything a router had placed: it is gone.
+func (p *pool) lost(id wire.NodeID, now time.Time) {
+	for k := range p.runs {
+		if k.node == id {
+			p.forget(k, false, now)
+		}
+	}
+	for _, u := range p.ups {
+		delete(u.loads, id)
+	}
+}
+
+// expire forgets runs whose end was not heard.
+func (p *pool) expire(now time.Time) {
+	for k, r := range p.runs {
+		if now.After(r.until) {
+			p.forget(k, false, now)
+		}
+	}
+}
--- /dev/null
+++ b/internal/dispatch/share.go
@@ -0,0 +1,125 @@
+package dispatch
+
+import (
+	"sort"
+	"time"
+
+	"github.com/silverswitch/silverswitch/internal/version"
+)
+
+// Window in which an organisation's use is measured against its share: the
+// period in which the users count fairness (4 s), in steps.
+const (
+	shareStep  = 250 * time.Millisecond
+	shareSteps = 16
+)
+
+// meter measures what each organisation asked for and got in the window, in
+// tokens, and cuts capacity between them by max-min fairness: whoever asks for
+// less than an even share gets it, the rest share evenly what is left.
+type meter struct {
+	capacity float64 // tokens in a window, 0 when unknown
+	orgs     map[version.ID]*use
+	step     int64
+	shares   map[version.ID]float64
+	dirty    bool
+}
+
+type use struct{ asked, got [shareSteps]float64 }
+
+func newMeter(tokensPerSecond float64) *meter {
+	return &meter{
+		capacity: tokensPerSecond * shareStep.Seconds() * shareSteps,
+		orgs:     map[version.ID]*use{},
+		shares:   map[version.ID]float64{},
+	}
+}
+
+// advance empties the steps that have left the window.
+func (m *meter) advance(now time.Time) int {
+	step := now.UnixNano() / int64(shareStep)
+	if step != m.step {
+		m.dirty = true
+	}
+	for gone := min(step-m.step, shareSteps); gone > 0; gone-- {
+		i := int((step - gone + 1) % shareSteps)
+		for id, u := range m.orgs {
+			u.asked[i], u.got[i] = 0, 0
+			if total(&u.asked) == 0 {
+				delete(m.orgs, id)
+			}
+		}
+	}
+	m.step = step
+	return int(step % shareSteps)
+}
+
+func (m *meter) of(org version.ID) *use {
+	u := m.orgs[org]
+	if u == nil {
+		u = &use{}
+		m.orgs[org] = u
+	}
+	return u
+}
+
+// asked books a demand.
+func (m *meter) ask(org version.ID, tokens float64, now time.Time) {
+	i := m.advance(now)
+	m.of(org).asked[i] += tokens
+}
+
+// grant books what was placed; a negative number takes it back.
+func (m *meter) grant(org version.ID, tokens float64, now time.Time) {
+	i := m.advance(now)
+	m.of(org).got[i] += tokens
+}
+
+func total(steps *[shareSteps]float64) float64 {
+	sum := 0.0
+	for _, x := range steps {
+		sum += x
+	}
+	return sum
+}
+
+// over returns how far an organisation is over its share: what it got, over its
+// max-min share of the capacity. Below 1 it is under its share.
+func (m *meter) over(org version.ID, now time.Time) float64 {
+	m.advance(now)
+	if m.dirty {
+		m.cut()
+		m.dirty = false
+	}
+	share := m.shares[org]
+	if share <= 0 {
+		return 0
+	}
+	return total(&m.of(org).got) / share
+}
+
+// cut divides the capacity (progressive filling).
+func (m *meter) cut() {
+	type demand struct {
+		org version.ID
+		n   float64
+	}
+	demands := make([]demand, 0, len(m.orgs))
+	for id, u := range m.orgs {
+		demands = append(demands, demand{id, total(&u.asked)})
+	}
+	sort.Slice(demands, func(i, j int) bool {
+		if demands[i].n != demands[j].n {
+			return demands[i].n < demands[j].n
+		}
+		return demands[i].org < demands[j].org
+	})
+	clear(m.shares)
+	left := m.capacity
+	for i, d := range demands {
+		even := left / float64(len(demands)-i)
+		got := min(d.n, even)
+		left -= got
+		m.shares[d.org] = max(even, got) // what it may use without being over
+	}
+}
--- /dev/null
+++ b/internal/process/follow.go
@@ -0,0 +1,115 @@
+package process
+
+import (
+	"context"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+)
+
+// Timing of reading the source.
+const (
+	// followWait is how long one watch waits. It bounds how long a watch that was
+	// cut without a word goes unnoticed; longer ones save calls.
+	followWait = 2500 * time.Millisecond
+	// followPause and followLongest are the pauses after failures. The longest is
+	// well within the time in which a router must follow a store that is back.
+	followPause   = 100 * time.Millisecond
+	followLongest = 400 * time.Millisecond
+	// outage is how long the source must have failed for its return to be one.
+	outage = 600 * time.Millisecond
+)
+
+// follower keeps the steerer's view up to date with a source. It is one
+// goroutine.
+type follower struct {
+	src   Source
+	st    *Steerer
+	log   zerolog.Logger
+	calls metrics.Counter
+	fails metrics.Counter
+	lost  time.Time // since when the source fails, or zero
+}
+
+func newFollower(src Source, st *Steerer, log zerolog.Logger, reg metrics.Registry) *follower {
+	return &follower{
+		src: src, st: st, log: log,
+		calls: metrics.GetOrRegisterCounter("source.calls", reg),
+		fails: metrics.GetOrRegisterCounter("source.failures", reg),
+	}
+}
+
+// run lists and watches until the context ends.
+func (f *follower) run(ctx context.Context) {
+	after := uint64(0)
+	pause := followPause
+	for ctx.Err() == nil {
+		var err error
+		if after == 0 {
+			after, err = f.list(ctx)
+		} else {
+			after, err = f.watch(ctx, after)
+		}
+		if err == nil {
+			pause = followPause
+			continue
+		}
+		f.failed(ctx, err)
+		sleep(ctx, pause)
+		pause = min(2*pause, followLongest)
+	}
+}
+
+func (f *follower) list(ctx context.Context) (uint64, error) {
+	f.calls.Inc(1)
+	l, err := f.src.List(ctx)
+	if err != nil {
+		return 0, err
+	}
+	f.worked(l.AsOf)
+	f.st.TakeListing(l, true)
+	return l.AsOf, nil
+}
+
+// watch returns the revision to go on from: 0 when the history is gone.
+func (f *follower) watch(ctx context.Context, after uint64) (uint64, error) {
+	f.calls.Inc(1)
+	l, err := f.src.Watch(ctx, after, followWait)
+	if errorx.IsOfType(err, ErrHistory) {
+		f.log.Info().Uint64("revision", after).Msg("source-history-gone")
+		return 0, nil
+	}
+	if err != nil {
+		return after, err
+	}
+	f.worked(l.AsOf)
+	f.st.TakeListing(l, false)
+	return max(after, l.AsOf), nil
+}
+
+// failed counts a failure, and logs the first of a row.
+func (f *follower) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	f.fails.Inc(1)
+	if f.lost.IsZero() {
+		f.lost = time.Now()
+		f.log.Warn().Err(err).Msg("source-lost")
+	}
+}
+
+// worked notes the end of an outage: entries that lapsed in it may come back.
+func (f *follower) worked(asOf uint64) {
+	if f.lost.IsZero() {
+		return
+	}
+	away := time.Since(f.lost)
+	f.lost = time.Time{}
+	f.log.Info().Int64("away_ms", away.Milliseconds()).Uint64("revision", asOf).Msg("source-regained")
+	if away >= outage {
+		f.st.SourceReturned()
+	}
+}
--- a/internal/process/operator.go
+++ b/internal/process/operator.go
@@ -3,9 +3,12 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
+	"maps"
 	"net/http"
 	"sort"
 	"strings"
+	"time"
 
 	"github.com/gorilla/mux"
 	"github.com/rcrowley/go-metrics"
@@ -37,14 +40,6 @@
 // writeMetrics renders the registry in the Prometheus text format.
 func writeMetrics(w http.ResponseWriter, d *Driver, reg metrics.Registry) {
 	lines := map[string]string{}
-	reg.Each(func(name string, m any) {
-		switch m := m.(type) {
-		case metrics.Counter:
-			lines[promName(name)] = fmt.Sprintf("%d", m.Count())
-		case metrics.Gauge:
-			lines[promName(name)] = fmt.Sprintf("%d", m.Value())
-		}
-	})
 	if v := d.View(); v != nil {
 		lines["silverswitch_configuration_revision"] = fmt.Sprintf("%d", v.Revision)
 		lines["silverswitch_requests_waiting"] = fmt.Sprintf("%d", v.Waiting)
@@ -56,6 +51,31 @@
 		lines["silverswitch_pauses"] = fmt.Sprintf("%d", v.Counts.Woke)
 		lines["silverswitch_same_revision_values"] = fmt.Sprintf("%d", v.Counts.SameRevision)
 	}
+	writeRegistry(w, reg, lines)
+}
+
+// quantiles of a timer that are shown.
+var quantiles = []float64{0.5, 0.95, 0.99}
+
+// writeRegistry renders a registry, and lines that are no part of one.
+func writeRegistry(w io.Writer, reg metrics.Registry, more map[string]string) {
+	lines := map[string]string{}
+	maps.Copy(lines, more)
+	reg.Each(func(name string, m any) {
+		name = promName(name)
+		switch m := m.(type) {
+		case metrics.Counter:
+			lines[name] = fmt.Sprintf("%d", m.Count())
+		case metrics.Gauge:
+			lines[name] = fmt.Sprintf("%d", m.Value())
+		case metrics.Timer:
+			t := m.Snapshot()
+			lines[name+"_seconds_count"] = fmt.Sprintf("%d", t.Count())
+			for i, v := range t.Percentiles(quantiles) {
+				lines[fmt.Sprintf("%s_seconds{quantile=\"%g\"}", name, quantiles[i])] = fmt.Sprintf("%.6f", v/float64(time.Second))
+			}
+		}
+	})
 	names := make([]string, 0, len(lines))
 	for n := range lines {
 		names = append(names, n)
--- /dev/null
+++ b/internal/process/routed.go
@@ -0,0 +1,222 @@
+package process
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	stdlog "log"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/silverswitch/silverswitch/internal/conn"
+	"github.com/silverswitch/silverswitch/internal/core/wire"
+	"github.com/silverswitch/silverswitch/internal/dispatch"
+	"github.com/silverswitch/silverswitch/internal/request/forward"
+)
+
+// Routed is one router process of the routed interface.
+type Routed struct {
+	set      Settings
+	log      zerolog.Logger
+	st       *Steerer
+	route    *conn.Route
+	fetch    *conn.FetchServer
+	ups      *conn.Exchanges
+	edge     *edge
+	operator *http.Server
+	ready    *http.Server
+	flush    func(context.Context) error
+	stop     context.CancelFunc
+}
+
+const (
+	// memoryShare is the part of the VM's memory that the collector aims to stay
+	// under; the rest is for stacks of the C library and bytes in sockets.
+	memoryShare = 0.7
+	// collectAt is the growth of the heap at which it is collected, in percent:
+	// memory is cheap here below memoryShare, processor time is not.
+	collectAt = 200
+	// stopMargin is kept from the bound of a planned stop for closing.
+	stopMargin = 600 * time.Millisecond
+)
+
+// StartRouted opens every listener and begins to serve. On error nothing is left
+// open.
+func StartRouted(set Settings, src Source, names forward.Dialect, log zerolog.Logger) (*Routed, error) {
+	limitMemory(set.MemoryMB)
+	reg := metrics.NewRegistry()
+	sealer, err := conn.NewSealer(set.Secret, "route")
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	d := &Routed{set: set, log: log, stop: stop, ups: conn.NewExchanges()}
+	if d.flush, err = startTracing(ctx, set); err != nil {
+		stop()
+		return nil, err
+	}
+	if d.route, err = conn.Listen(set.Peer, sealer, reg); err != nil {
+		d.close()
+		return nil, err
+	}
+	d.st = NewSteerer(d.dispatchSettings(), src, d.route, sealer, d.ups, log)
+	if d.fetch, err = conn.ServeFetch(set.Peer, sealer, d.st.Packed); err != nil {
+		d.close()
+		return nil, err
+	}
+	if d.edge, err = newEdge(set.Callers, forward.NewServer(d.st, d.ups, names, reg, log), log); err != nil {
+		d.close()
+		return nil, err
+	}
+	if err := d.listen(reg); err != nil {
+		d.close()
+		return nil, err
+	}
+	d.st.OnTable = d.edge.use
+	go d.st.Run(ctx)
+	go newFollower(src, d.st, log, reg).run(ctx)
+	go d.receive()
+	log.Info().Str("place", set.Place).Str("callers", set.Callers).Int("seeds", len(set.Seeds)).Int("memory_mb", set.MemoryMB).Msg("started")
+	return d, nil
+}
+
+func limitMemory(mb int) {
+	if mb > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(mb) * (1 << 20)))
+		debug.SetGCPercent(collectAt)
+	}
+}
+
+func (d *Routed) dispatchSettings() dispatch.Settings {
+	inc := wire.IncarnationAt(time.Now())
+	return dispatch.Settings{
+		ID:    wire.NodeID(d.set.Peer),
+		Inc:   inc,
+		Place: d.set.Place,
+		Seeds: d.set.Seeds,
+		Retry: d.set.Retry,
+		Seed:  uint64(inc),
+	}
+}
+
+// listen opens the operators' and the readiness listeners.
+func (d *Routed) listen(reg metrics.Registry) error {
+	var err error
+	if d.operator, err = serveOn(d.set.Operator, "[router] operator_address", d.operatorRoutes(reg)); err != nil {
+		return err
+	}
+	if d.set.Ready == "" {
+		return nil
+	}
+	r := http.NewServeMux()
+	r.HandleFunc(d.set.ReadyAt, d.readiness)
+	d.ready, err = serveOn(d.set.Ready, "[ready] address", r)
+	return err
+}
+
+func serveOn(addr, key string, h http.Handler) (*http.Server, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, ErrSettings.Wrap(err, "%s = %q", key, addr)
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second, ErrorLog: quietLog()}
+	go func() { _ = s.Serve(l) }() // ends with the process
+	return s, nil
+}
+
+// quietLog drops net/http's own lines on single connections; they are counted
+// where they matter.
+func quietLog() *stdlog.Logger { return stdlog.New(io.Discard, "", 0) }
+
+func (d *Routed) readiness(w http.ResponseWriter, _ *http.Request) {
+	if !d.st.Ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	fmt.Fprintln(w, "ready")
+}
+
+// operatorRoutes serves health, readiness, status and metrics.
+func (d *Routed) operatorRoutes(reg metrics.Registry) http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
+	r.HandleFunc("/readyz", d.readiness)
+	r.HandleFunc("/status", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(d.st.Status()) // the operator may be gone
+	})
+	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		writeRegistry(w, reg, nil)
+	})
+	return r
+}
+
+func (d *Routed) receive() {
+	buf := make([]byte, 64<<10)
+	for {
+		m, err := d.route.Receive(buf)
+		if err != nil {
+			return // the socket is closed
+		}
+		d.st.Deliver(m)
+	}
+}
+
+// Shutdown is the planned stop: not ready for the balancer, requests that still
+// arrive served, every one in progress ended or cut by the bound, then gone. It
+// returns the number of requests cut.
+func (d *Routed) Shutdown(ctx context.Context) int {
+	began := time.Now()
+	d.log.Info().Int64("wait_ms", d.set.Wait.Milliseconds()).Int64("bound_ms", d.set.Bound.Milliseconds()).Msg("stopping")
+	d.st.Leave()
+	sleep(ctx, d.set.Wait)
+	if d.set.Bound > 0 {
+		var stop context.CancelFunc
+		ctx, stop = context.WithDeadline(ctx, began.Add(d.set.Bound-stopMargin))
+		defer stop()
+	}
+	err := d.edge.shutdown(ctx)
+	cut := d.st.Open()
+	if err != nil {
+		d.log.Warn().Int("requests", cut).Msg("requests-cut")
+	}
+	d.close()
+	d.log.Info().Int("cut", cut).Int64("took_ms", time.Since(began).Milliseconds()).Msg("stopped")
+	return cut
+}
+
+// Open returns the requests that have no outcome yet.
+func (d *Routed) Open(time.Duration) int { return d.st.Open() }
+
+// close ends everything at once.
+func (d *Routed) close() {
+	if d.edge != nil {
+		d.edge.close()
+	}
+	d.stop()
+	for _, s := range []*http.Server{d.operator, d.ready} {
+		if s != nil {
+			s.Close()
+		}
+	}
+	if d.fetch != nil {
+		d.fetch.Close()
+	}
+	if d.route != nil {
+		d.route.Close()
+	}
+	d.ups.Close()
+	flushCtx, stop := context.WithTimeout(context.Background(), time.Second)
+	defer stop()
+	if err := d.flush(flushCtx); err != nil {
+		d.log.Debug().Err(err).Msg("trace-flush-failed")
+	}
+}
--- a/internal/process/settings.go
+++ b/internal/process/settings.go
@@ -15,6 +15,7 @@
 
 	"github.com/silverswitch/silverswitch/internal/conn"
 	"github.com/silverswitch/silverswitch/internal/core/wire"
+	"github.com/silverswitch/silverswitch/internal/dispatch"
 	"github.com/silverswitch/silverswitch/internal/inifile"
 	"github.com/silverswitch/silverswitch/internal/request"
 )
@@ -32,6 +33,11 @@
 	Seeds    []wire.NodeID // [fleet] seeds
 	Secret   string        // [fleet] secret
 	Platform string        // [platform] url
+	Kind     string        // [platform] kind: values or store
+	Ready    string        // [ready] address, "" for none
+	ReadyAt  string        // [ready] path
+	Retry    dispatch.RetryRules
+	MemoryMB int           // [machine] memory_mb, 0 when unknown
 	CertFile string        // [tls] certificate
 	KeyFile  string        // [tls] key
 	PlainOK  bool          // [tls] plain_text_allowed
@@ -71,11 +77,32 @@
 [fleet]
 ; Peer addresses to begin with; the VM list adds others.
 seeds = 127.0.0.1:7101
+; When not 0, every seed's port is this one.
+seed_port = 0
 ; At least 16 bytes, the same on every router.
 secret = change-this-secret-now
 
 [platform]
 url = http://127.0.0.1:7000
+; values: versions of templates and parameters, for the application interface.
+; store: routes, services and upstreams, for the routed interface.
+kind = values
+
+[ready]
+; A listener for readiness alone; empty for none.
+address =
+path = /readyz
+
+[retry]
+; Repeated sends to a service in any window, by the whole fleet: at most
+; ratio x the requests for it + slack. For the routed interface.
+ratio = 0.1
+window = 10s
+slack = 10
+
+[machine]
+; Memory of this VM for the process; 0 when unknown.
+memory_mb = 0
 
 [tls]
 certificate =
@@ -200,6 +227,13 @@
 	} else {
 		sec.TextOr("seeds", "")
 	}
+	if port := sec.Integer("seed_port", 0, 0, 65535); port != 0 {
+		for i, a := range s.Seeds {
+			if ap, err := netip.ParseAddrPort(string(a)); err == nil {
+				s.Seeds[i] = wire.NodeID(netip.AddrPortFrom(ap.Addr(), uint16(port)).String())
+			}
+		}
+	}
 	s.Secret = sec.Text("secret")
 	if s.Secret != "" && len(s.Secret) < conn.MinSecret {
 		sec.Fault("secret", "(hidden)", fmt.Sprintf("at least %d bytes", conn.MinSecret))
@@ -207,7 +241,39 @@
 	sec.Done()
 	plat := r.section("platform")
 	s.Platform = httpURL(plat, "url")
+	s.Kind = plat.OneOf("kind", KindValues, KindValues, KindStore)
 	plat.Done()
+	r.readRouted(s)
+}
+
+// The kinds of platform.
+const (
+	KindValues = "values" // publishes versions of templates and parameters
+	KindStore  = "store"  // publishes routes, services and upstreams
+)
+
+// readRouted reads what only the routed interface uses.
+func (r *reader) readRouted(s *Settings) {
+	ready := r.section("ready")
+	if ready.TextOr("address", "") != "" {
+		s.Ready = ready.Address("address")
+	}
+	s.ReadyAt = ready.TextOr("path", "/readyz")
+	if !strings.HasPrefix(s.ReadyAt, "/") {
+		ready.Fault("path", s.ReadyAt, "a path that begins with a slash")
+	}
+	ready.Done()
+	retry := r.section("retry")
+	def := dispatch.DefaultRetryRules
+	s.Retry = dispatch.RetryRules{
+		Ratio:  retry.Number("ratio", def.Ratio, 0, 10),
+		Window: retry.Duration("window", def.Window, 100*time.Millisecond, maxPeriod),
+		Slack:  retry.Integer("slack", def.Slack, 0, 1_000_000),
+	}
+	retry.Done()
+	machine := r.section("machine")
+	s.MemoryMB = machine.Integer("memory_mb", 0, 0, 16<<20)
+	machine.Done()
 }
 
 func (r *reader) readTLS(s *Settings) {
--- /dev/null
+++ b/internal/process/source.go
@@ -0,0 +1,42 @@
+package process
+
+import (
+	"context"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/silverswitch/silverswitch/internal/routing"
+)
+
+// ErrHistory is a revision too old to watch from: the content is to be listed
+// again.
+var ErrHistory = errorx.NewNamespace("source").NewType("history")
+
+// Source reads the routing table and the list of instances where the platform
+// publishes them.
+type Source interface {
+	// List returns the whole content.
+	List(ctx context.Context) (Listing, error)
+	// Watch returns the changes after a revision, or none after the wait.
+	Watch(ctx context.Context, after uint64, wait time.Duration) (Listing, error)
+	// Table decodes a table that another router passed on.
+	Table(raw []byte) (*routing.Table, error)
+}
+
+// Listing is content, or changes, as of a revision.
+type Listing struct {
+	AsOf    uint64
+	Changes []Change
+}
+
+// Change is one change of the content: a table, an instance, its end, or one
+// that cannot be read.
+type Change struct {
+	Revision uint64
+	Table    *routing.Table
+	TableRaw []byte
+	Put      *routing.Instance
+	Removed  string // an instance's ID
+	Err      error
+}
--- /dev/null
+++ b/internal/process/steer.go
@@ -0,0 +1,376 @@
+package process
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/silverswitch/silverswitch/internal/conn"
+	"github.com/silverswitch/silverswitch/internal/core/wire"
+	"github.com/silverswitch/silverswitch/internal/dispatch"
+	"github.com/silverswitch/silverswitch/internal/request/forward"
+	"github.com/silverswitch/silverswitch/internal/routing"
+)
+
+// Steerer runs a dispatch.Node and the view of the platform's store: it is the
+// one goroutine that touches control state of the routed interface, and the
+// adapter through which all others ask it. It implements forward.Control.
+type Steerer struct {
+	id     wire.NodeID
+	node   *dispatch.Node // control goroutine only
+	view   *routing.View  // control goroutine only
+	src    Source
+	route  *conn.Route
+	sealer *conn.Sealer
+	ups    *conn.Exchanges
+	log    zerolog.Logger
+	ops    chan op
+	mail   chan *wire.Datagram
+	nextID atomic.Uint64
+	base   time.Time
+	done   chan struct{}
+
+	table   atomic.Pointer[routing.Table]
+	content atomic.Pointer[content]
+	status  atomic.Pointer[Status]
+	ready   atomic.Bool
+	leaving atomic.Bool
+	OnTable func(routing.Limits) // called for each accepted table, set before Run
+
+	tickets map[uint64]*forward.Ticket // control goroutine only
+	begun   time.Time
+	ticks   int
+}
+
+// content is the view as other routers fetch it.
+type content struct {
+	_         struct{} `cbor:",toarray"`
+	Revision  uint64
+	AsOf      uint64
+	TableRev  uint64
+	TableRaw  []byte
+	Instances []routing.Instance
+}
+
+// Status is what operators see of the control state.
+type Status struct {
+	Router    wire.NodeID              `json:"router"`
+	Ready     bool                     `json:"ready"`
+	Leaving   bool                     `json:"leaving"`
+	Version   uint64                   `json:"version"`
+	Revision  uint64                   `json:"revision"`
+	Running   int                      `json:"requests"`
+	Routers   []wire.NodeID            `json:"routers"`
+	Upstreams []dispatch.UpstreamState `json:"upstreams"`
+	Counts    dispatch.Counts          `json:"counts"`
+}
+
+// NewSteerer returns a steerer that is not running yet.
+func NewSteerer(set dispatch.Settings, src Source, route *conn.Route, sealer *conn.Sealer, ups *conn.Exchanges, log zerolog.Logger) *Steerer {
+	now := time.Now()
+	return &Steerer{
+		id:      set.ID,
+		node:    dispatch.New(set, now),
+		view:    routing.NewView(),
+		src:     src,
+		route:   route,
+		sealer:  sealer,
+		ups:     ups,
+		log:     log,
+		ops:     make(chan op, opsQueue),
+		mail:    make(chan *wire.Datagram, opsQueue),
+		base:    now,
+		begun:   now,
+		done:    make(chan struct{}),
+		tickets: map[uint64]*forward.Ticket{},
+	}
+}
+
+// now is wall time at the start plus monotonic time since: it never jumps when
+// the wall clock is set.
+func (s *Steerer) now() time.Time { return s.base.Add(time.Since(s.base)) }
+
+// Run is the control goroutine. It ends with the context.
+func (s *Steerer) Run(ctx context.Context) {
+	defer close(s.done)
+	tick := time.NewTicker(dispatch.TickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-s.ops:
+			f(s.now())
+		case m := <-s.mail:
+			s.node.Step(dispatch.Receive{Datagram: m}, s.now())
+		case <-tick.C:
+			s.tick(s.now())
+		}
+		s.drain()
+		s.act(s.node.Ready(s.now()))
+	}
+}
+
+// drain takes what else is already there, so that one datagram carries it all.
+func (s *Steerer) drain() {
+	for range opsBatch {
+		select {
+		case f := <-s.ops:
+			f(s.now())
+		case m := <-s.mail:
+			s.node.Step(dispatch.Receive{Datagram: m}, s.now())
+		default:
+			return
+		}
+	}
+}
+
+// statusTicks is how many ticks lie between two copies for status pages.
+const statusTicks = 25
+
+func (s *Steerer) tick(now time.Time) {
+	if s.view.Tick(now) {
+		s.publish(now)
+	}
+	s.node.Tick(now)
+	s.ticks++
+	if s.ticks%statusTicks == 0 {
+		s.judgeReady(now)
+		s.status.Store(&Status{
+			Router: s.id, Ready: s.ready.Load(), Leaving: s.leaving.Load(), Version: s.number(), Revision: s.view.Revision,
+			Running: len(s.tickets), Routers: s.node.Routers(), Upstreams: s.node.Upstreams(now), Counts: s.node.Counts,
+		})
+	}
+}
+
+func (s *Steerer) number() uint64 {
+	if s.view.Table == nil {
+		return 0
+	}
+	return s.view.Table.Number
+}
+
+// act carries out the node's outputs.
+func (s *Steerer) act(outs []dispatch.Output) {
+	for _, o := range outs {
+		switch o := o.(type) {
+		case dispatch.Send:
+			s.route.Send(o.To, o.Datagram)
+		case dispatch.Place:
+			if t := s.tickets[o.ID]; t != nil {
+				t.Decide(forward.Decision{Place: &o})
+			}
+		case dispatch.Refuse:
+			if t := s.tickets[o.ID]; t != nil {
+				delete(s.tickets, o.ID)
+				t.Decide(forward.Decision{Refusal: o})
+			}
+		case dispatch.Fetch:
+			go s.fetch(o)
+		case dispatch.Gone:
+			s.ups.Forget(o.Instance.Address)
+			s.log.Info().Str("upstream", o.Instance.ID).Str("address", o.Instance.Address).Uint64("revision", s.view.Revision).Msg("upstream-gone")
+		case dispatch.Event:
+			s.log.Info().Str("peer", string(o.Router)).Uint64("value", o.Value).Str("detail", o.Detail).Msg(o.Name)
+		}
+	}
+}
+
+// TakeListing takes content, or changes, from the source. whole says that what
+// is not listed is gone.
+func (s *Steerer) TakeListing(l Listing, whole bool) {
+	s.do(func(now time.Time) {
+		s.take(l, whole, now)
+	})
+}
+
+func (s *Steerer) take(l Listing, whole bool, now time.Time) {
+	before, revision := s.number(), s.view.Revision
+	var list []routing.Instance
+	for _, c := range l.Changes {
+		switch {
+		case c.Err != nil:
+			s.log.Error().Err(c.Err).Uint64("revision", c.Revision).Msg("published-value-unreadable")
+		case c.Table != nil:
+			s.view.SetTable(c.Table, c.TableRaw, c.Revision)
+		case c.Removed != "":
+			s.view.Remove(c.Removed, c.Revision, now)
+		case c.Put != nil:
+			if whole {
+				list = append(list, *c.Put)
+			}
+			s.view.Put(*c.Put, c.Revision)
+		}
+	}
+	if whole {
+		s.view.Replace(list, l.AsOf, now)
+	}
+	s.view.Complete(l.AsOf)
+	if s.view.Revision != revision || whole {
+		s.publish(now)
+	} else {
+		s.node.Step(dispatch.Seen{AsOf: s.view.AsOf}, now)
+	}
+	if after := s.number(); after != before {
+		s.log.Info().Uint64("version", after).Uint64("before", before).Uint64("revision", s.view.TableRev).Msg("table-accepted")
+	}
+}
+
+// publish hands the view to the node, to requests and to peers.
+func (s *Steerer) publish(now time.Time) {
+	list := s.view.Instances()
+	s.node.Step(dispatch.Catalogue{Table: s.view.Table, Instances: list, Revision: s.view.Revision, AsOf: s.view.AsOf}, now)
+	if s.view.Table != nil && s.OnTable != nil {
+		s.OnTable(s.view.Table.Limits)
+	}
+	s.table.Store(s.view.Table)
+	s.content.Store(&content{Revision: s.view.Revision, AsOf: s.view.AsOf, TableRev: s.view.TableRev, TableRaw: s.view.TableRaw, Instances: list})
+	s.judgeReady(now)
+}
+
+// SourceReturned says that the source answers again after an outage.
+func (s *Steerer) SourceReturned() {
+	s.do(func(now time.Time) { s.view.StoreReturned(now) })
+}
+
+// peerWait is how long a router that has its table waits to hear another router
+// before it counts as ready: a fleet of one hears nobody.
+const peerWait = time.Second
+
+func (s *Steerer) judgeReady(now time.Time) {
+	heard := s.node.Heard() || now.Sub(s.begun) >= peerWait
+	ready := s.view.Table != nil && heard && !s.leaving.Load()
+	if s.ready.Swap(ready) != ready {
+		s.log.Info().Bool("ready", ready).Uint64("version", s.number()).Int("routers", len(s.node.Routers())).Msg("readiness")
+	}
+}
+
+// Packed returns the content for peers, or nil while there is none.
+func (s *Steerer) Packed() []byte {
+	c := s.content.Load()
+	if c == nil || len(c.TableRaw) == 0 {
+		return nil
+	}
+	raw, err := cbor.Marshal(c)
+	if err != nil {
+		s.log.Error().Err(err).Msg("content-not-encoded")
+		return nil
+	}
+	return raw
+}
+
+// fetch reads the content from a peer that knows more.
+func (s *Steerer) fetch(o dispatch.Fetch) {
+	raw, err := conn.Fetch(context.Background(), string(o.From), s.sealer)
+	if err != nil {
+		s.log.Info().Err(err).Str("peer", string(o.From)).Msg("content-fetch-failed")
+		return
+	}
+	var c content
+	if err := cbor.Unmarshal(raw, &c); err != nil {
+		s.log.Warn().Err(err).Str("peer", string(o.From)).Msg("content-unreadable")
+		return
+	}
+	t, err := s.src.Table(c.TableRaw)
+	if err != nil {
+		s.log.Warn().Err(err).Str("peer", string(o.From)).Msg("table-unreadable")
+		return
+	}
+	s.do(func(now time.Time) { s.adopt(o.From, c, t, now) })
+}
+
+// adopt takes a peer's content where it is ahead of the own.
+func (s *Steerer) adopt(from wire.NodeID, c content, t *routing.Table, now time.Time) {
+	before := s.number()
+	s.view.SetTable(t, c.TableRaw, c.TableRev)
+	s.view.Replace(c.Instances, c.AsOf, now)
+	s.view.Revision = max(s.view.Revision, c.Revision)
+	s.publish(now)
+	s.log.Info().Str("peer", string(from)).Uint64("version", s.number()).Uint64("before", before).Uint64("revision", c.Revision).Msg("content-from-peer")
+}
+
+// do hands work to the control goroutine; it is dropped after its end.
+func (s *Steerer) do(f op) {
+	select {
+	case s.ops <- f:
+	case <-s.done:
+	}
+}
+
+// Deliver hands over a datagram. When the control goroutine lags, datagrams are
+// dropped, as a network would.
+func (s *Steerer) Deliver(m *wire.Datagram) {
+	select {
+	case s.mail <- m:
+	default:
+	}
+}
+
+// Leave begins the planned stop.
+func (s *Steerer) Leave() {
+	s.leaving.Store(true)
+	s.do(func(now time.Time) {
+		s.node.Step(dispatch.Leave{}, now)
+		s.judgeReady(now)
+	})
+}
+
+// Open returns the requests that have no outcome yet, 0 after the end.
+func (s *Steerer) Open() int {
+	n := make(chan int, 1)
+	go s.do(func(time.Time) { n <- len(s.tickets) })
+	select {
+	case c := <-n:
+		return c
+	case <-time.After(openWait):
+		return 0
+	case <-s.done:
+		return 0
+	}
+}
+
+// Ready reports whether the balancer may send callers here.
+func (s *Steerer) Ready() bool { return s.ready.Load() }
+
+// Status returns the control state as of a moment ago, or nil at the start.
+func (s *Steerer) Status() *Status { return s.status.Load() }
+
+// Table implements forward.Control.
+func (s *Steerer) Table() *routing.Table { return s.table.Load() }
+
+// Leaving implements forward.Control.
+func (s *Steerer) Leaving() bool { return s.leaving.Load() }
+
+// Submit implements forward.Control.
+func (s *Steerer) Submit(r dispatch.Request) *forward.Ticket {
+	t := forward.NewTicket(s.nextID.Add(1))
+	r.ID = t.ID
+	r.Aim = s.base.Add(r.Aim.Sub(s.base))
+	r.Deadline = s.base.Add(r.Deadline.Sub(s.base))
+	s.do(func(now time.Time) {
+		s.tickets[t.ID] = t
+		s.node.Step(dispatch.Arrive{Request: r}, now)
+	})
+	return t
+}
+
+// Again implements forward.Control.
+func (s *Steerer) Again(t *forward.Ticket, note uint8) {
+	s.do(func(now time.Time) { s.node.Step(dispatch.Again{ID: t.ID, Event: note}, now) })
+}
+
+// First implements forward.Control.
+func (s *Steerer) First(t *forward.Ticket, after time.Duration) {
+	s.do(func(now time.Time) { s.node.Step(dispatch.First{ID: t.ID, After: after}, now) })
+}
+
+// End implements forward.Control.
+func (s *Steerer) End(t *forward.Ticket, note uint8) {
+	s.do(func(now time.Time) {
+		delete(s.tickets, t.ID)
+		s.node.Step(dispatch.End{ID: t.ID, Event: note}, now)
+	})
+}
--- /dev/null
+++ b/internal/request/forward/control.go
@@ -0,0 +1,55 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/silverswitch/silverswitch/internal/dispatch"
+	"github.com/silverswitch/silverswitch/internal/routing"
+)
+
+// Control is the router's control state as requests see it. Every method may be
+// called by any goroutine.
+type Control interface {
+	// Table returns the routing table in force, or nil.
+	Table() *routing.Table
+	// Submit asks where to run a request. The decision comes on the ticket.
+	Submit(r dispatch.Request) *Ticket
+	// Again asks for another upstream, after the last one's end as a note of
+	// package wire. The decision comes on the ticket.
+	Again(t *Ticket, note uint8)
+	// First says that the first event came, so long after sending.
+	First(t *Ticket, after time.Duration)
+	// End ends the ticket. After a refusal it does nothing.
+	End(t *Ticket, note uint8)
+	// Leaving reports whether a planned stop has begun.
+	Leaving() bool
+}
+
+// Decision is where a request runs, or why it does not.
+type Decision struct {
+	Place   *dispatch.Place // nil for a refusal
+	Refusal dispatch.Refuse
+}
+
+// Ticket is one request's place in the control state.
+type Ticket struct {
+	ID      uint64
+	decided chan Decision
+}
+
+// NewTicket returns a ticket without a decision.
+func NewTicket(id uint64) *Ticket { return &Ticket{ID: id, decided: make(chan Decision, 1)} }
+
+// Decide sets the decision; it is called once for each Submit or Again, so it
+// never blocks.
+func (t *Ticket) Decide(d Decision) { t.decided <- d }
+
+func (t *Ticket) wait(ctx context.Context) (Decision, bool) {
+	select {
+	case d := <-t.decided:
+		return d, true
+	case <-ctx.Done():
+		return Decision{}, false
+	}
+}
--- /dev/null
+++ b/internal/request/forward/failure.go
@@ -0,0 +1,52 @@
+package forward
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// failure is an outcome without an answer. Status 503, 429, 408 and 421 promise
+// that the request has not run and will not; 502 and 504 promise nothing.
+type failure struct {
+	status int
+	reason string
+	after  time.Duration // when to come back, 0 to leave it open
+	err    error
+	up     string // the last upstream
+}
+
+// fail tells the caller. It must be called before any of an answer was sent.
+func (v *visit) fail(f failure) {
+	h := v.w.Header()
+	if v.id != "" {
+		h.Set(v.s.names.RequestID, v.id)
+	}
+	if f.after > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(f.after.Seconds(), 'f', 3, 64))
+	}
+	body := f.reason + "\n"
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	if v.s.ctl.Leaving() {
+		h.Set("Connection", "close")
+	}
+	v.w.WriteHeader(f.status)
+	_, _ = v.w.Write([]byte(body)) // the caller may be gone
+	v.s.count.failed(f.status)
+	v.logEnd(f.status, f.reason, f.up, f.err)
+}
+
+// notRun is a refusal that is true: nothing of the request ran.
+func notRun(reason string, after time.Duration) failure {
+	return failure{status: http.StatusServiceUnavailable, reason: reason, after: after}
+}
+
+// inDoubt is the end of a request that may have run.
+func inDoubt(reason string, timedOut bool, up string, err error) failure {
+	status := http.StatusBadGateway
+	if timedOut {
+		status = http.StatusGatewayTimeout
+	}
+	return failure{status: status, reason: reason, up: up, err: err}
+}
--- /dev/null
+++ b/internal/request/forward/run.go
@@ -0,0 +1,225 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/silverswitch/silverswitch/internal/conn"
+	"github.com/silverswitch/silverswitch/internal/core/wire"
+	"github.com/silverswitch/silverswitch/internal/dispatch"
+	"github.com/silverswitch/silverswitch/internal/routing"
+)
+
+// run carries one request through its attempts to its outcome.
+type run struct {
+	*visit
+	ctx      context.Context // ends at the deadline or with the caller
+	ticket   *Ticket
+	attempts int
+	ran      bool  // an attempt may have run
+	last     int64 // position of the last event passed on, or the caller's own
+	begun    bool  // the answer's headers are sent
+}
+
+// step is what follows an attempt.
+type step uint8
+
+const (
+	stepDone  step = iota // the outcome has been told
+	stepAgain             // another upstream is to be tried
+)
+
+// loop waits for a decision and tries, until there is an outcome.
+func (r *run) loop() {
+	for {
+		d, ok := r.ticket.wait(r.ctx)
+		if !ok {
+			r.s.ctl.End(r.ticket, wire.NoteUnused)
+			r.giveUp("no-decision-in-time", "", nil)
+			return
+		}
+		if d.Place == nil {
+			r.refused(d.Refusal)
+			return
+		}
+		r.attempts++
+		if r.attempt(d.Place) == stepDone {
+			return
+		}
+	}
+}
+
+// refused tells a refusal. After an attempt that may have run, it is no promise.
+func (r *run) refused(f dispatch.Refuse) {
+	switch {
+	case r.begun:
+		r.abort("not-resumed: " + f.Reason.String())
+	case r.ran:
+		r.fail(inDoubt("upstream-failed", false, "", nil))
+	default:
+		r.fail(notRun(f.Reason.String(), f.After))
+	}
+}
+
+// giveUp ends a request whose time is over or whose caller is gone.
+func (r *run) giveUp(reason, up string, err error) {
+	switch {
+	case r.r.Context().Err() != nil:
+		r.s.count.broken.Inc(1)
+		r.logEnd(0, "caller-gone", up, nil)
+		panic(http.ErrAbortHandler)
+	case r.begun:
+		r.abort(reason)
+	case r.ran:
+		r.fail(inDoubt(reason, true, up, err))
+	default:
+		r.fail(notRun(reason, minComeBack))
+	}
+}
+
+// minComeBack is when a caller returns whose request was never sent in its time.
+const minComeBack = 200 * time.Millisecond
+
+// abort cuts an answer that has begun, so that it cannot look whole.
+func (r *run) abort(reason string) {
+	r.s.count.broken.Inc(1)
+	r.logEnd(0, "answer-cut: "+reason, "", nil)
+	panic(http.ErrAbortHandler)
+}
+
+// attempt sends the request to one upstream.
+func (r *run) attempt(p *dispatch.Place) step {
+	ctx, span := r.s.tracer.Start(r.ctx, "upstream", trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(attribute.String("upstream", p.Instance.ID), attribute.String("place", p.Instance.Place)))
+	defer span.End()
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	silence := newWatchdog(stop, r.firstLimit(p))
+	defer silence.stop()
+	began := time.Now()
+	x, err := r.s.ups.Send(ctx, p.Instance.Address, r.message(p), r.isOwn)
+	if err != nil {
+		return r.sendFailed(p, err)
+	}
+	a := &answer{run: r, place: p, x: x, began: began, silence: silence}
+	return a.deliver()
+}
+
+// firstLimit is how long an upstream may be silent before its answer begins when
+// the request may be sent elsewhere; 0 is no limit.
+func (r *run) firstLimit(p *dispatch.Place) time.Duration {
+	if !r.mayRepeat() {
+		return 0
+	}
+	expect := time.Duration(p.WaitMS) * time.Millisecond
+	if r.route.Kind == routing.Stream {
+		return max(r.route.Target, 3*expect+firstSlack)
+	}
+	return max(r.route.Target, plainFirst)
+}
+
+const (
+	// firstSlack is added to three times the expected wait at an engine before its
+	// silence counts as a fault.
+	firstSlack = 400 * time.Millisecond
+	// plainFirst is the least silence of a plain service that counts as one.
+	plainFirst = 150 * time.Millisecond
+)
+
+func (r *run) mayRepeat() bool {
+	return r.route.MayRepeat() && r.attempts < r.route.MaxAttempts
+}
+
+// message builds what is sent to an upstream.
+func (r *run) message(p *dispatch.Place) *conn.Message {
+	n := &r.s.names
+	h := n.upstreamHeader(r.r.Header)
+	h.Set(n.ExpectInstance, p.Instance.ID)
+	h.Set(n.Deadline, strconv.FormatInt(max(1, time.Until(r.deadline).Milliseconds()), 10))
+	if r.org != "" {
+		h.Set(n.Organisation, r.org)
+	}
+	if p.Source != "" {
+		h.Set(n.CacheSource, p.Source)
+	}
+	if r.begun && r.last > 0 {
+		h.Set(headerLastEvent, strconv.FormatInt(r.last, 10))
+	}
+	return &conn.Message{Method: r.r.Method, Target: r.r.RequestURI, Host: r.r.Host, Header: h, Body: r.body}
+}
+
+// isOwn tells the own answer from late ones to former requests.
+func (r *run) isOwn(res *http.Response) bool {
+	id := res.Header.Get(r.s.names.RequestID)
+	return r.id == "" || id == r.id || id == "" && res.Header.Get(r.s.names.Proof) == ""
+}
+
+// sendFailed follows an attempt without an answer.
+func (r *run) sendFailed(p *dispatch.Place, err error) step {
+	sent := !isNotSent(err)
+	r.ran = r.ran || sent
+	if r.ctx.Err() != nil {
+		r.s.ctl.End(r.ticket, endNote(sent && r.r.Context().Err() == nil))
+		r.giveUp("no-answer-in-time", p.Instance.ID, err)
+		return stepDone
+	}
+	note := wire.NoteFailed
+	r.logAttempt(p, "attempt-failed", err)
+	if sent && !r.route.MayRepeat() || r.attempts >= r.route.MaxAttempts {
+		r.s.ctl.End(r.ticket, note)
+		r.afterFailure(p, sent, err)
+		return stepDone
+	}
+	return r.again(note)
+}
+
+// afterFailure tells the end of a request that is not tried again.
+func (r *run) afterFailure(p *dispatch.Place, sent bool, err error) {
+	switch {
+	case r.begun:
+		r.abort("upstream-failed")
+	case r.ran:
+		r.fail(inDoubt("upstream-failed", false, p.Instance.ID, err))
+	default:
+		r.fail(notRun("upstream-unreachable", minComeBack))
+	}
+}
+
+func (r *run) again(note uint8) step {
+	r.s.count.repeated.Inc(1)
+	r.s.ctl.Again(r.ticket, note)
+	return stepAgain
+}
+
+func endNote(failed bool) uint8 {
+	if failed {
+		return wire.NoteFailed
+	}
+	return wire.NoteUnused
+}
+
+func isNotSent(err error) bool { return conn.IsNotSent(err) }
+
+// logAttempt writes the line of an attempt that did not end well.
+func (r *run) logAttempt(p *dispatch.Place, what string, err error) {
+	e := r.s.log.Info()
+	r.fields(e, p.Instance.ID)
+	if err != nil {
+		e = e.AnErr("cause", err)
+	}
+	e.Int("attempt", r.attempts).Int("wait_ms", p.WaitMS).Str("by", string(p.By)).Msg(what)
+}
+
+func lastEvent(h http.Header) int64 {
+	n, err := strconv.ParseInt(strings.TrimSpace(h.Get(headerLastEvent)), 10, 64)
+	if err != nil || n < 0 {
+		return 0
+	}
+	return n
+}
--- /dev/null
+++ b/internal/request/forward/server.go
@@ -0,0 +1,161 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/silverswitch/silverswitch/internal/conn"
+	"github.com/silverswitch/silverswitch/internal/dispatch"
+	"github.com/silverswitch/silverswitch/internal/routing"
+)
+
+// Server answers callers of the routed interface. It may be used by any
+// goroutine.
+type Server struct {
+	ctl    Control
+	ups    *conn.Exchanges
+	names  Dialect
+	count  counters
+	log    zerolog.Logger
+	tracer trace.Tracer
+}
+
+// NewServer returns the handler's state.
+func NewServer(ctl Control, ups *conn.Exchanges, names Dialect, reg metrics.Registry, log zerolog.Logger) *Server {
+	s := &Server{ctl: ctl, ups: ups, names: names, count: newCounters(reg), log: log, tracer: otel.Tracer("silverswitch")}
+	ups.Opened = func() { s.count.opened.Inc(1) }
+	return s
+}
+
+// visit is one request between its headers and its outcome.
+type visit struct {
+	s        *Server
+	w        http.ResponseWriter
+	r        *http.Request
+	id       string
+	arrived  time.Time
+	table    *routing.Table
+	route    *routing.Route
+	org      string
+	priority int
+	body     []byte
+	deadline time.Time
+	prompt   prompt
+}
+
+// comeBackStarting is when a caller should return to a router that has no table.
+const comeBackStarting = 500 * time.Millisecond
+
+// ServeHTTP decides from the headers, reads the body within its bounds, and runs
+// the request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.count.arrived.Inc(1)
+	ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, span := s.tracer.Start(ctx, "entry", trace.WithSpanKind(trace.SpanKindServer))
+	defer span.End()
+	v := &visit{s: s, w: w, r: r.WithContext(ctx), id: r.Header.Get(s.names.RequestID), arrived: time.Now()}
+	if f := v.admit(); f != nil {
+		v.fail(*f)
+		return
+	}
+	if f := v.readBody(); f != nil {
+		v.fail(*f)
+		return
+	}
+	v.run()
+}
+
+// admit decides from the headers alone.
+func (v *visit) admit() *failure {
+	v.table = v.s.ctl.Table()
+	if v.table == nil {
+		return &failure{status: http.StatusServiceUnavailable, reason: "no-configuration", after: comeBackStarting}
+	}
+	v.route = v.table.Match(v.r.Host, v.r.URL.Path)
+	if v.route == nil {
+		return &failure{status: http.StatusNotFound, reason: "no-route"}
+	}
+	v.priority = v.route.Priority
+	if v.table.HasKeys() && !v.route.Public {
+		key, bearer := strings.CutPrefix(v.r.Header.Get("Authorization"), "Bearer ")
+		org := v.table.ByKey(strings.TrimSpace(key))
+		if !bearer || org == nil {
+			return &failure{status: http.StatusUnauthorized, reason: "unknown-api-key"}
+		}
+		v.org = org.Name
+		if org.Priority != nil {
+			v.priority = *org.Priority
+		}
+	}
+	v.deadline = v.arrived.Add(v.s.names.deadline(v.r.Header, v.route.Timeout))
+	v.prompt = v.s.names.readPrompt(v.r.Header)
+	return nil
+}
+
+// readBody reads the content whole: it may be needed for a second upstream.
+func (v *visit) readBody() *failure {
+	if v.r.Body == nil || v.r.Body == http.NoBody {
+		return nil
+	}
+	limit := v.table.Limits.BodyBytes
+	if v.r.ContentLength > limit {
+		v.w.Header().Set("Connection", "close")
+		return &failure{status: http.StatusRequestEntityTooLarge, reason: "body-too-large"}
+	}
+	rc := http.NewResponseController(v.w)
+	_ = rc.SetReadDeadline(v.deadline) // not supported by test recorders
+	raw, err := readSized(http.MaxBytesReader(v.w, v.r.Body, limit), v.r.ContentLength)
+	if err == nil {
+		_ = rc.SetReadDeadline(time.Time{})
+		v.body = raw
+		return nil
+	}
+	v.w.Header().Set("Connection", "close")
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return &failure{status: http.StatusRequestEntityTooLarge, reason: "body-too-large"}
+	}
+	if errors.Is(err, context.DeadlineExceeded) || strings.Contains(err.Error(), "timeout") {
+		return &failure{status: http.StatusRequestTimeout, reason: "body-too-slow"}
+	}
+	return &failure{status: http.StatusBadRequest, reason: "body-broken", err: err}
+}
+
+func readSized(r io.Reader, size int64) ([]byte, error) {
+	if size <= 0 {
+		return io.ReadAll(r)
+	}
+	raw := make([]byte, size)
+	_, err := io.ReadFull(r, raw)
+	return raw, err
+}
+
+// run asks where the request runs and carries it through its attempts.
+func (v *visit) run() {
+	ctx, stop := context.WithDeadline(v.r.Context(), v.deadline)
+	defer stop()
+	t := v.s.ctl.Submit(dispatch.Request{
+		Service:  v.route.Pick(rand.Float64()),
+		Org:      v.org,
+		Input:    v.prompt.input,
+		Output:   v.prompt.output,
+		Bytes:    len(v.body),
+		Parts:    v.prompt.parts,
+		Priority: v.priority,
+		Aim:      v.arrived.Add(v.route.Target),
+		Deadline: v.deadline,
+	})
+	r := &run{visit: v, ctx: ctx, ticket: t, last: lastEvent(v.r.Header)}
+	r.loop()
+}
--- /dev/null
+++ b/internal/routing/table.go
@@ -0,0 +1,203 @@
+// Package routing is one accepted routing table: routes, services, organisations
+// and limits, as the operator published them. It lives as long as a version. A
+// Table is checked whole before it is used and never changed after.
+package routing
+
+import (
+	"crypto/sha256"
+	"net"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+// ErrTable is a routing table that cannot be used.
+var ErrTable = errorx.NewNamespace("routing").NewType("table")
+
+// Kind says what may be repeated of a route's requests.
+type Kind uint8
+
+// The kinds of route.
+const (
+	Once       Kind = iota // runs at most once
+	Idempotent             // may run again
+	Stream                 // answers with events; runs at most once unless it can be resumed
+)
+
+// Part is one service's part of a route's traffic.
+type Part struct {
+	Service string
+	Weight  int
+}
+
+// Route leads requests of a host and path prefix to services.
+type Route struct {
+	Name        string
+	Host        string
+	Prefix      string // begins and ends with a slash
+	Kind        Kind
+	Resumable   bool // a broken stream may go on from its last event
+	Public      bool // needs no API key
+	Affinity    bool // requests name the parts of their prompt
+	Timeout     time.Duration
+	Target      time.Duration // answers up to this are on time; streams: first event
+	TargetGap   time.Duration // longest pause between events that is on time
+	Priority    int           // 0 is the most urgent
+	MaxAttempts int           // upstreams that one request may be sent to
+	Split       []Part
+}
+
+// MayRepeat reports whether a request may be sent again after it may have run.
+func (r *Route) MayRepeat() bool {
+	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
+}
+
+// Pick returns the service for a request, by weight; at is in [0, 1).
+func (r *Route) Pick(at float64) string {
+	total := 0
+	for _, p := range r.Split {
+		total += p.Weight
+	}
+	left := at * float64(total)
+	for _, p := range r.Split {
+		left -= float64(p.Weight)
+		if left < 0 {
+			return p.Service
+		}
+	}
+	return r.Split[len(r.Split)-1].Service
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	Slots        int // requests in one batch
+	MemoryTokens int // tokens of all running requests and kept prompt parts
+	TokenBytes   int // memory of one token
+	EventTokens  int // tokens in one event of a stream
+}
+
+// Service is a group of interchangeable upstreams.
+type Service struct {
+	Name     string
+	MaxConns int     // connections one upstream accepts from all routers
+	Engine   *Engine // nil for a plain service
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	HeaderBytes     int
+	BodyBytes       int64
+	HeaderTime      time.Duration
+	IdleTime        time.Duration
+	TokensPerSecond float64 // what all engines together can serve, 0 when unknown
+}
+
+// Organisation holds API keys. Priority, when not nil, goes before a route's.
+type Organisation struct {
+	Name     string
+	Priority *int
+}
+
+// Table is one version of the routing configuration.
+type Table struct {
+	Number   uint64
+	Limits   Limits
+	Services map[string]*Service
+	Routes   []*Route
+	hosts    map[string][]*Route // longest prefix first
+	keys     map[[32]byte]*Organisation
+}
+
+// Builder collects a table's content. Keys are hashed at once.
+type Builder struct {
+	Number   uint64
+	Limits   Limits
+	Services []*Service
+	Routes   []*Route
+	keys     map[[32]byte]*Organisation
+}
+
+// AddOrganisation adds an organisation with its API keys.
+func (b *Builder) AddOrganisation(o *Organisation, apiKeys []string) {
+	if b.keys == nil {
+		b.keys = map[[32]byte]*Organisation{}
+	}
+	for _, k := range apiKeys {
+		b.keys[sha256.Sum256([]byte(k))] = o
+	}
+}
+
+// Build checks everything and returns the table, or ErrTable naming the fault.
+func (b *Builder) Build() (*Table, error) {
+	t := &Table{
+		Number:   b.Number,
+		Limits:   b.Limits,
+		Services: map[string]*Service{},
+		Routes:   b.Routes,
+		hosts:    map[string][]*Route{},
+		keys:     b.keys,
+	}
+	for _, s := range b.Services {
+		if s.Name == "" {
+			return nil, ErrTable.New("a service has no name")
+		}
+		t.Services[s.Name] = s
+	}
+	for _, r := range b.Routes {
+		if err := t.check(r); err != nil {
+			return nil, err
+		}
+		host := strings.ToLower(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+	for _, routes := range t.hosts {
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
+	}
+	return t, nil
+}
+
+func (t *Table) check(r *Route) error {
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		return ErrTable.New("route %q: prefix = %q: allowed: a path that begins and ends with a slash", r.Name, r.Prefix)
+	}
+	if r.Timeout <= 0 {
+		return ErrTable.New("route %q: timeout = %s: allowed: more than 0", r.Name, r.Timeout)
+	}
+	weight := 0
+	for _, p := range r.Split {
+		if t.Services[p.Service] == nil {
+			return ErrTable.New("route %q: service = %q: allowed: one of the table's services", r.Name, p.Service)
+		}
+		if p.Weight < 0 {
+			return ErrTable.New("route %q: weight = %d: allowed: 0 or more", r.Name, p.Weight)
+		}
+		weight += p.Weight
+	}
+	if weight == 0 {
+		return ErrTable.New("route %q: no service with a weight", r.Name)
+	}
+	r.MaxAttempts = max(1, r.MaxAttempts)
+	return nil
+}
+
+// Match returns the route of a host and path, or nil.
+func (t *Table) Match(host, path string) *Route {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	for _, r := range t.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// ByKey returns the organisation that holds an API key, or nil. Only the key's
+// hash is compared, so timing tells nothing of its characters.
+func (t *Table) ByKey(key string) *Organisation { return t.keys[sha256.Sum256([]byte(key))] }
+
+// HasKeys reports whether requests need an API key at all.
+func (t *Table) HasKeys() bool { return len(t.keys) > 0 }
--- /dev/null
+++ b/internal/routing/view.go
@@ -0,0 +1,133 @@
+package routing
+
+import (
+	"sort"
+	"time"
+)
+
+// Instance is one start of an upstream, as the platform lists it.
+type Instance struct {
+	ID       string
+	Service  string
+	Address  string // ip:port
+	Place    string
+	Slots    int
+	Draining bool
+}
+
+// LapseGrace is how long an instance whose entry is missing after the store was
+// away stays in use: entries of live upstreams are back 2 s after its return
+// (platform's page on discovery), and 300 ms for the answer to reach here.
+const LapseGrace = 2300 * time.Millisecond
+
+// View is what the platform's store holds, as far as this router knows it: the
+// table and the instances at one revision of the store. Whoever has the higher
+// revision is right, whether it came from the store or from another router, and
+// a revision never goes back. The control goroutine owns it.
+type View struct {
+	Revision  uint64 // of the last change known here
+	AsOf      uint64 // every change up to this revision is known
+	Table     *Table
+	TableRaw  []byte // as published, for other routers
+	TableRev  uint64
+	instances map[string]*entry
+	awayUntil time.Time // removals before this may be lapses, not ends
+}
+
+type entry struct {
+	inst    Instance
+	rev     uint64
+	lapsing time.Time // zero, or when a missing entry counts as gone
+}
+
+// NewView returns a view that knows nothing.
+func NewView() *View { return &View{instances: map[string]*entry{}} }
+
+// StoreReturned says that the store answers again after it did not.
+func (v *View) StoreReturned(now time.Time) { v.awayUntil = now.Add(LapseGrace) }
+
+// SetTable takes a table published at a revision. It returns false when a newer
+// one is known.
+func (v *View) SetTable(t *Table, raw []byte, rev uint64) bool {
+	v.advance(rev)
+	if v.Table != nil && (rev <= v.TableRev || t.Number < v.Table.Number) {
+		return false
+	}
+	v.Table, v.TableRaw, v.TableRev = t, raw, rev
+	return true
+}
+
+// Put takes an instance's entry written at a revision.
+func (v *View) Put(i Instance, rev uint64) {
+	v.advance(rev)
+	if e := v.instances[i.ID]; e != nil && rev < e.rev {
+		return
+	}
+	v.instances[i.ID] = &entry{inst: i, rev: rev}
+}
+
+// Remove takes the removal of an instance's entry.
+func (v *View) Remove(id string, rev uint64, now time.Time) {
+	v.advance(rev)
+	e := v.instances[id]
+	if e == nil || rev < e.rev {
+		return
+	}
+	v.lose(id, e, now)
+}
+
+// lose drops an entry now, or after the grace when the store was just away.
+func (v *View) lose(id string, e *entry, now time.Time) {
+	if now.Before(v.awayUntil) {
+		if e.lapsing.IsZero() {
+			e.lapsing = v.awayUntil
+		}
+		return
+	}
+	delete(v.instances, id)
+}
+
+// Replace takes the whole list as of a revision; what is not in it has ended.
+func (v *View) Replace(list []Instance, asOf uint64, now time.Time) {
+	if asOf < v.AsOf {
+		return
+	}
+	listed := map[string]bool{}
+	for _, i := range list {
+		listed[i.ID] = true
+		v.instances[i.ID] = &entry{inst: i, rev: asOf}
+	}
+	for id, e := range v.instances {
+		if !listed[id] {
+			v.lose(id, e, now)
+		}
+	}
+	v.Complete(asOf)
+}
+
+// Complete says that every change up to a revision is known.
+func (v *View) Complete(asOf uint64) { v.AsOf = max(v.AsOf, asOf) }
+
+func (v *View) advance(rev uint64) { v.Revision = max(v.Revision, rev) }
+
+// Tick drops entries whose grace is over. It reports whether any was.
+func (v *View) Tick(now time.Time) bool {
+	dropped := false
+	for id, e := range v.instances {
+		if !e.lapsing.IsZero() && !now.Before(e.lapsing) {
+			delete(v.instances, id)
+			dropped = true
+		}
+	}
+	return dropped
+}
+
+// Instances returns every instance, sorted by ID.
+func (v *View) Instances() []Instance {
+	out := make([]Instance, 0, len(v.instances))
+	for _, e := range v.instances {
+		out = append(out, e.inst)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
