A stream that cannot be resumed is cut

Cause: the upstream that was to resume a stream answered 500; its whole answer was passed on after the first part, and its end passed for the stream's. Ruled out: torn events (they are dropped) and missing events (they cut). Conclusion: once an answer has begun, only a stream may follow.

--- a/internal/request/forward/answer.go
+++ b/internal/request/forward/answer.go
@@ -30,7 +30,10 @@
 	noted   bool
 }
 
-var errForeign = errors.New("the answer is not the upstream's own")
+var (
+	errForeign    = errors.New("the answer is not the upstream's own")
+	errNotResumed = errors.New("the upstream did not resume the stream")
+)
 
 // deliver judges the answer's headers and passes it on.
 func (a *answer) deliver() step {
@@ -43,6 +46,8 @@
 		return a.broken(errForeign)
 	case res.StatusCode == http.StatusOK && isEvents(res):
 		return a.stream(res)
+	case a.begun:
+		return a.broken(errNotResumed) // its end must not pass for the stream's
 	}
 	return a.plain(res)
 }
