--- a/cmd/silverswitchd/main.go
+++ b/cmd/silverswitchd/main.go
@@ -60,6 +60,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
+	zerolog.TimeFieldFormat = logTime
 	out, closeOut := logWriter()
 	defer closeOut()
 	log := zerolog.New(out).Level(level).With().Timestamp().Str("router", set.Peer).Logger()
@@ -87,6 +88,10 @@
 	return process.Start(set, log)
 }
 
+// logTime is the format of a line's time: to the millisecond, so that lines of
+// several routers can be put in order.
+const logTime = "2006-01-02T15:04:05.000Z07:00"
+
 // logLines is how many lines wait for a slow standard output; more are dropped
 // and counted, so that logging never blocks a request.
 const logLines = 4096
--- a/internal/dispatch/flight.go
+++ b/internal/dispatch/flight.go
@@ -93,7 +93,7 @@
 func (n *Node) assign(f *flight, u, source *upstream, by wire.NodeID, wait, work int) {
 	f.placed, f.by, f.work, f.first = u.id, by, work, false
 	n.Counts.Placed++
-	o := Place{ID: f.req.ID, Instance: u.inst, By: by, WaitMS: wait, Work: work}
+	o := Place{ID: f.req.ID, Instance: u.inst, By: by, WaitMS: wait, Work: work, Revision: n.cat.Revision}
 	if source != nil {
 		o.Source = source.inst.Address
 	}
--- a/internal/dispatch/io.go
+++ b/internal/dispatch/io.go
@@ -105,8 +105,9 @@
 	Instance routing.Instance
 	Source   string // address of an engine to fetch kept prompt parts from, or ""
 	By       wire.NodeID
-	WaitMS   int // expected behind others
-	Work     int // tokens expected to be read
+	WaitMS   int    // expected behind others
+	Work     int    // tokens expected to be read
+	Revision uint64 // of the store's content it was decided on here
 }
 
 // Refuse gives a request up; nothing of it was sent by this decision.
--- a/internal/request/forward/answer.go
+++ b/internal/request/forward/answer.go
@@ -28,6 +28,8 @@
 	silence *watchdog
 	whole   bool
 	noted   bool
+
+	firstAfter time.Duration // from sending to the first event
 }
 
 var (
@@ -118,7 +120,7 @@
 	a.w.WriteHeader(res.StatusCode)
 	_, _ = a.w.Write(raw) // the caller may be gone
 	a.s.ctl.End(a.ticket, note)
-	a.s.count.answered.Inc(1)
+	a.logAnswered(a.place, res.StatusCode, a.firstAfter)
 	return stepDone
 }
 
@@ -137,9 +139,9 @@
 	}
 	a.noted = true
 	a.ran = true
-	after := time.Since(a.began)
-	a.s.count.first.Update(after)
-	a.s.ctl.First(a.ticket, after)
+	a.firstAfter = time.Since(a.began)
+	a.s.count.first.Update(a.firstAfter)
+	a.s.ctl.First(a.ticket, a.firstAfter)
 }
 
 // stream passes events on as they come, each once and in order.
@@ -197,7 +199,7 @@
 		a.w.WriteHeader(res.StatusCode)
 	}
 	a.s.ctl.End(a.ticket, wire.NoteDone)
-	a.s.count.answered.Inc(1)
+	a.logAnswered(a.place, res.StatusCode, a.firstAfter)
 	return stepDone
 }
 
--- a/internal/request/forward/count.go
+++ b/internal/request/forward/count.go
@@ -6,6 +6,8 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
+
+	"github.com/silverswitch/silverswitch/internal/dispatch"
 )
 
 type counters struct {
@@ -27,21 +29,25 @@
 	metrics.GetOrRegisterCounter("forward.status."+strconv.Itoa(status), c.reg).Inc(1)
 }
 
-// logEnd writes the line of a request's end. Answers are not logged one by one:
-// they are counted, and their placing is sampled.
+// logEnd writes the line of a request's end without an answer.
 func (v *visit) logEnd(status int, reason, up string, err error) {
-	e := v.s.log.Info()
+	e := v.s.lines.failure()
+	if e == nil {
+		return
+	}
 	v.fields(e, up)
 	if err != nil {
-		e = e.AnErr("cause", err)
+		e.AnErr("cause", err)
 	}
 	e.Int("status", status).Str("reason", reason).Msg("request-failed")
 }
 
+// fields are what every line about a request tells: its id, the inputs that were
+// decided on, and their version.
 func (v *visit) fields(e *zerolog.Event, up string) {
 	e.Str("request", v.id).Str("organisation", v.org).Int64("after_ms", time.Since(v.arrived).Milliseconds())
 	if v.route != nil {
-		e.Str("route", v.route.Name)
+		e.Str("route", v.route.Name).Int64("time_ms", v.deadline.Sub(v.arrived).Milliseconds())
 	}
 	if v.table != nil {
 		e.Uint64("version", v.table.Number)
@@ -50,3 +56,11 @@
 		e.Str("upstream", up)
 	}
 }
+
+// placeFields are what a decision rested on.
+func placeFields(e *zerolog.Event, p *dispatch.Place) {
+	e.Str("by", string(p.By)).Int("wait_ms", p.WaitMS).Int("work", p.Work).Uint64("revision", p.Revision)
+	if p.Source != "" {
+		e.Str("source", p.Source)
+	}
+}
--- a/internal/request/forward/run.go
+++ b/internal/request/forward/run.go
@@ -208,12 +208,28 @@
 
 // logAttempt writes the line of an attempt that did not end well.
 func (r *run) logAttempt(p *dispatch.Place, what string, err error) {
-	e := r.s.log.Info()
+	e := r.s.lines.failure()
+	if e == nil {
+		return
+	}
 	r.fields(e, p.Instance.ID)
+	placeFields(e, p)
 	if err != nil {
-		e = e.AnErr("cause", err)
+		e.AnErr("cause", err)
 	}
-	e.Int("attempt", r.attempts).Int("wait_ms", p.WaitMS).Str("by", string(p.By)).Msg(what)
+	e.Int("attempt", r.attempts).Int64("position", r.last).Bool("may_have_run", r.ran).Msg(what)
+}
+
+// logAnswered writes the line of an answered request, for some of them.
+func (r *run) logAnswered(p *dispatch.Place, status int, first time.Duration) {
+	r.s.count.answered.Inc(1)
+	e := r.s.lines.answered()
+	if e == nil {
+		return
+	}
+	r.fields(e, p.Instance.ID)
+	placeFields(e, p)
+	e.Int("attempt", r.attempts).Int("status", status).Int64("first_ms", first.Milliseconds()).Msg("request-answered")
 }
 
 func lastEvent(h http.Header) int64 {
--- a/internal/request/forward/server.go
+++ b/internal/request/forward/server.go
@@ -27,13 +27,13 @@
 	ups    *conn.Exchanges
 	names  Dialect
 	count  counters
-	log    zerolog.Logger
+	lines  *reqLog
 	tracer trace.Tracer
 }
 
 // NewServer returns the handler's state.
 func NewServer(ctl Control, ups *conn.Exchanges, names Dialect, reg metrics.Registry, log zerolog.Logger) *Server {
-	s := &Server{ctl: ctl, ups: ups, names: names, count: newCounters(reg), log: log, tracer: otel.Tracer("silverswitch")}
+	s := &Server{ctl: ctl, ups: ups, names: names, count: newCounters(reg), lines: newReqLog(log), tracer: otel.Tracer("silverswitch")}
 	ups.Opened = func() { s.count.opened.Inc(1) }
 	return s
 }
--- a/internal/tool/tool.go
+++ b/internal/tool/tool.go
@@ -37,13 +37,14 @@
 var errUsage = errors.New("usage")
 
 var commands = map[string]command{
-	"check":   {"check DIR", "check templates and parameters before publishing", check},
-	"pack":    {"pack -revision N DIR", "write the one value to publish to standard output", pack},
-	"render":  {"render DIR ORGANISATION", "show what an organisation gets", render},
-	"diff":    {"diff OLD-DIR NEW-DIR", "show who gains or loses what", diff},
-	"explain": {"explain -place PLACE DIR ORGANISATION APPLICATION", "show where a request would go, or why it would be refused", explain},
-	"status":  {"status [-json] OPERATOR-URL...", "show the fleet as its routers see it", status},
-	"call":    {"call [flags] CALLER-URL", "send one request and show its outcome", call},
+	"check":           {"check DIR", "check templates and parameters before publishing", check},
+	"pack":            {"pack -revision N DIR", "write the one value to publish to standard output", pack},
+	"render":          {"render DIR ORGANISATION", "show what an organisation gets", render},
+	"diff":            {"diff OLD-DIR NEW-DIR", "show who gains or loses what", diff},
+	"explain":         {"explain -place PLACE DIR ORGANISATION APPLICATION", "show where a request would go, or why it would be refused", explain},
+	"status":          {"status [-json] OPERATOR-URL...", "show the fleet as its routers see it", status},
+	"explain-request": {"explain-request ID [LOG...]", "tell the story of a request of the routed interface from routers' logs", explainRequest},
+	"call":            {"call [flags] CALLER-URL", "send one request and show its outcome", call},
 }
 
 // Main runs the tool and returns its exit code.
