Greetings are repeated until another router is heard

Ruled out: the seeds (they were right). Test: TestGreetingIsRepeatedUntilSomeoneIsHeard, seen to fail before.

--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -23,6 +23,7 @@
 	helpers       = 2
 	maxPiggyback  = 6
 	greetings     = 8 // routers pinged at once at the start
+	greetEvery    = 150 * time.Millisecond
 	spreadPerNode = 4 // times an update is sent for each doubling of the fleet
 )
 
@@ -41,22 +42,23 @@
 
 // Table is the membership state. The control goroutine owns it.
 type Table struct {
-	self     wire.Update
-	members  map[wire.NodeID]*Member
-	roster   map[wire.NodeID]bool // from the VM list, a hint
-	order    []wire.NodeID
-	next     int
-	probe    probe
-	rumours  []rumour
-	lastRun  time.Time
-	lastDed  time.Time
-	lastBury time.Time
-	greeted  bool
-	rnd      *rand.Rand
-	relays   map[uint32]relay
-	tell     map[wire.NodeID]bool // routers that asked for this one's own update
-	seq      uint32
-	Changes  int // counts changes of state, for whoever caches a view
+	self      wire.Update
+	members   map[wire.NodeID]*Member
+	roster    map[wire.NodeID]bool // from the VM list, a hint
+	order     []wire.NodeID
+	next      int
+	probe     probe
+	rumours   []rumour
+	lastRun   time.Time
+	lastDed   time.Time
+	lastBury  time.Time
+	alone     bool // no other router was heard yet
+	lastGreet time.Time
+	rnd       *rand.Rand
+	relays    map[uint32]relay
+	tell      map[wire.NodeID]bool // routers that asked for this one's own update
+	seq       uint32
+	Changes   int // counts changes of state, for whoever caches a view
 }
 
 type probe struct {
@@ -89,6 +91,7 @@
 		rnd:     rnd,
 		relays:  map[uint32]relay{},
 		tell:    map[wire.NodeID]bool{},
+		alone:   true,
 	}
 	for _, id := range seeds {
 		t.meet(id, now)
@@ -219,6 +222,7 @@
 
 // direct is evidence from the router itself, stronger than anyone's suspicion.
 func (t *Table) direct(d *wire.Datagram, now time.Time) {
+	t.alone = false
 	t.meet(d.From, now)
 	m := t.members[d.From]
 	if m == nil || d.Inc < m.Inc {
--- a/internal/core/member/member_test.go
+++ b/internal/core/member/member_test.go
@@ -129,3 +129,20 @@
 	assert.LessOrEqual(t, len(pings), 20*(1+helpers)+10+greetings)
 	assert.LessOrEqual(t, len(m.Piggyback(peer)), maxPiggyback)
 }
+
+// Seen on the platform: routers that started a moment before their seeds stayed
+// alone for seconds, each its own scheduler.
+func TestGreetingIsRepeatedUntilSomeoneIsHeard(t *testing.T) {
+	now := t0
+	tab := New(wire.Update{ID: "a", Inc: 1}, []wire.NodeID{"b", "c"}, now, rand.New(rand.NewPCG(1, 1)))
+	pings := func(d time.Duration) int {
+		n := 0
+		for end := now.Add(d); now.Before(end); now = now.Add(50 * time.Millisecond) {
+			n += len(tab.Tick(now))
+		}
+		return n
+	}
+	assert.GreaterOrEqual(t, pings(900*time.Millisecond), 8)
+	tab.Hear(&wire.Datagram{From: "b", Inc: 1}, now)
+	assert.LessOrEqual(t, pings(900*time.Millisecond), 3)
+}
--- a/internal/core/member/probe.go
+++ b/internal/core/member/probe.go
@@ -15,8 +15,8 @@
 		t.lastBury = now
 		t.bury(now)
 	}
-	if !t.greeted {
-		t.greeted = true
+	if t.alone && now.Sub(t.lastGreet) >= greetEvery {
+		t.lastGreet = now
 		out = append(out, t.greet(now)...)
 	}
 	if now.Sub(t.lastRun) >= ProbeEvery {
@@ -106,7 +106,9 @@
 }
 
 // greet pings a few of the seeds at once, so that a router that starts is known
-// and hears of the others within a round trip.
+// and hears of the others within a round trip. It is repeated until some router
+// was heard: seeds start in any order, and a datagram to a port that is not open
+// yet is lost.
 func (t *Table) greet(now time.Time) []Send {
 	var out []Send
 	t.rnd.Shuffle(len(t.order), func(i, j int) { t.order[i], t.order[j] = t.order[j], t.order[i] })
