Prompts of running requests are not counted twice against kept parts

Cause: the model took a running request's whole prompt from the memory left for kept parts, though the prompt is among them; a busy engine seemed to keep nothing, and shared parts were read again elsewhere. Also the meter took back memory instead of cost for a placement that was not used. Test: TestRunningPromptsAreNotCountedTwice.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -387,3 +387,17 @@
 	}
 	assert.True(t, fetched)
 }
+
+// Prompts of running requests are among the kept parts: counted twice, a busy
+// engine seemed to keep nothing, and parts were read again elsewhere.
+func TestRunningPromptsAreNotCountedTwice(t *testing.T) {
+	u := newUpstream(routing.Instance{ID: "e"}, &routing.Engine{Slots: 64, MemoryTokens: 200_000})
+	shared := wire.PromptPart{Chain: 1, Tokens: 6000}
+	for i := range 20 {
+		own := wire.PromptPart{Chain: uint64(100 + i), Tokens: 2000}
+		u.placeRun(&run{key: runKey{"a", uint64(i)}, tokens: 2050, output: 50, parts: []wire.PromptPart{shared, own}}, start)
+	}
+	assert.Equal(t, 20*2050, u.memory())
+	assert.Equal(t, 46_000, u.cache.used)
+	assert.Equal(t, 6000, u.cache.prefix([]wire.PromptPart{shared}, false))
+}
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -51,8 +51,10 @@
 	key    runKey
 	up     *upstream
 	org    version.ID
+	cost   float64 // as the meter counts it
 	work   int // tokens to read
-	tokens int // of memory
+	tokens int // of memory that is this run's own: not shared with kept parts
+	output int // of that, what it generates
 	parts  []wire.PromptPart
 	placed time.Time
 	until  time.Time // it has surely ended by then
@@ -164,7 +166,26 @@
 	for _, p := range r.parts {
 		u.cache.add(p.Chain, int(p.Tokens), false, now)
 	}
-	u.cache.fit(u.memory())
+	u.fit()
+}
+
+// fit forgets kept parts for which running requests leave no memory. Their
+// prompts are among the parts, so only what they generate comes on top.
+func (u *upstream) fit() {
+	output := 0
+	for _, r := range u.runs {
+		output += r.output
+	}
+	u.cache.fit(output)
+}
+
+// ownTokens is the memory of a request that it shares with no other: the last
+// part of its prompt and what it generates.
+func ownTokens(input, output int, parts []wire.PromptPart) int {
+	if len(parts) > 0 {
+		input = int(parts[len(parts)-1].Tokens)
+	}
+	return input + output
 }
 
 // read takes the run out of the queue: its first event came, or it ended.
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -161,7 +161,7 @@
 			sums[f.placed] = l
 		}
 		l.Running++
-		l.Tokens += uint32(f.req.Input + f.req.Output)
+		l.Tokens += uint32(ownTokens(f.req.Input, f.req.Output, f.req.Parts))
 		if !f.first {
 			l.Unread += uint32(f.work)
 		}
@@ -182,7 +182,7 @@
 		for _, h := range w.Held {
 			if u := p.ups[h.Upstream]; u != nil {
 				u.cache.add(h.Chain, int(h.Tokens), true, now)
-				u.cache.fit(u.memory())
+				u.fit()
 			}
 		}
 	}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -119,7 +119,7 @@
 	holder, held := p.holder(a, now)
 	var best *choice
 	for _, u := range p.order {
-		if !u.takes(a, now) || u.running() >= p.engine.Slots || u.memory()+int(a.Input+a.Output) > int(memoryUsable*float64(p.engine.MemoryTokens)) {
+		if !u.takes(a, now) || u.running() >= p.engine.Slots || u.memory()+ownTokens(int(a.Input), int(a.Output), a.Parts) > int(memoryUsable*float64(p.engine.MemoryTokens)) {
 			continue
 		}
 		c := p.at(u, a, holder, held, now)
@@ -221,8 +221,10 @@
 	r := &run{
 		key:    runKey{from, a.No},
 		org:    a.Org,
+		cost:   tokens,
 		work:   c.work,
-		tokens: int(a.Input + a.Output),
+		tokens: ownTokens(int(a.Input), int(a.Output), a.Parts),
+		output: int(a.Output),
 		parts:  a.Parts,
 		placed: now,
 		until:  now.Add(time.Duration(a.LeftMS)*time.Millisecond + runGrace),
@@ -305,7 +307,7 @@
 		r.up.rest.failed(now)
 		p.forget(r.key, false, now)
 	case wire.NoteUnused:
-		p.meter.grant(r.org, -float64(r.tokens), now)
+		p.meter.grant(r.org, -r.cost, now)
 		p.forget(r.key, false, now)
 	}
 }
@@ -324,7 +326,7 @@
 	for _, part := range r.parts {
 		r.up.cache.add(part.Chain, int(part.Tokens), true, now)
 	}
-	r.up.cache.fit(r.up.memory())
+	r.up.fit()
 	r.up.observe(gotMS, r.want, now)
 	p.learnRate(r, gotMS)
 }
