--- a/cmd/silverswitchd/main.go
+++ b/cmd/silverswitchd/main.go
@@ -83,7 +83,7 @@
 
 func start(set process.Settings, log zerolog.Logger) (daemon, error) {
 	if set.Kind == process.KindStore {
-		return process.StartRouted(set, platform.NewStore(set.Platform), platform.Dialect(), log)
+		return process.StartRouted(set, platform.Deployment(set.Platform), log)
 	}
 	return process.Start(set, log)
 }
--- a/internal/core/wire/work.go
+++ b/internal/core/wire/work.go
@@ -56,11 +56,10 @@
 	Avoid    []version.ID // upstreams that failed this request
 }
 
-// PromptPart is one part of a prompt: the hash of all parts up to it, and its
-// tokens.
+// PromptPart is one part of a prompt: the hash of its name, and its tokens.
 type PromptPart struct {
 	_      struct{} `cbor:",toarray"`
-	Chain  uint64
+	Part   uint64
 	Tokens uint32
 }
 
@@ -105,6 +104,6 @@
 type HeldPart struct {
 	_        struct{} `cbor:",toarray"`
 	Upstream version.ID
-	Chain    uint64
+	Part     uint64
 	Tokens   uint32
 }
--- a/internal/dispatch/cache.go
+++ b/internal/dispatch/cache.go
@@ -17,7 +17,7 @@
 }
 
 type part struct {
-	chain  uint64
+	id     uint64
 	tokens int
 	ready  bool // read; before that another engine cannot fetch it
 	at     time.Time
@@ -27,44 +27,82 @@
 	return &cache{limit: limit, parts: map[uint64]*list.Element{}, order: list.New()}
 }
 
-// prefix returns how many tokens of a prompt's parts are kept, counting whole
-// parts from the first; readyOnly leaves out parts that are still being read.
+// prefix returns how many tokens of a prompt's parts are kept, from the first up
+// to what is missing; readyOnly leaves out parts that are still being read.
 func (c *cache) prefix(parts []wire.PromptPart, readyOnly bool) int {
 	n := 0
 	for _, p := range parts {
-		e := c.parts[p.Chain]
+		e := c.parts[p.Part]
 		if e == nil || readyOnly && !e.Value.(*part).ready {
 			break
 		}
-		n += int(p.Tokens)
+		kept := min(e.Value.(*part).tokens, int(p.Tokens))
+		n += kept
+		if kept < int(p.Tokens) {
+			break
+		}
 	}
 	return n
 }
 
 // add records a use of a part. ready says that it has been read.
-func (c *cache) add(chain uint64, tokens int, ready bool, now time.Time) {
-	if e := c.parts[chain]; e != nil {
+func (c *cache) add(id uint64, tokens int, ready bool, now time.Time) {
+	if e := c.parts[id]; e != nil {
 		p := e.Value.(*part)
 		p.ready = p.ready || ready
 		p.at = now
+		c.used += tokens - p.tokens
+		p.tokens = tokens
 		c.order.MoveToFront(e)
 		return
 	}
-	c.parts[chain] = c.order.PushFront(&part{chain: chain, tokens: tokens, ready: ready, at: now})
+	c.parts[id] = c.order.PushFront(&part{id: id, tokens: tokens, ready: ready, at: now})
 	c.used += tokens
 }
 
-// drop forgets a part, and reports whether it was there and not yet read.
-func (c *cache) drop(chain uint64) {
-	e := c.parts[chain]
+// drop forgets a part.
+func (c *cache) drop(id uint64) {
+	e := c.parts[id]
 	if e == nil {
 		return
 	}
 	c.order.Remove(e)
-	delete(c.parts, chain)
+	delete(c.parts, id)
 	c.used -= e.Value.(*part).tokens
 }
 
+// correctAfter is how old the own knowledge of a part must be until the engine's
+// word, which comes late, goes before it.
+const correctAfter = 600 * time.Millisecond
+
+// correct takes the engine's own word.
+func (c *cache) correct(in Kept, now time.Time) {
+	listed := map[uint64]bool{}
+	for _, k := range in.Parts {
+		listed[k.Part] = k.Tokens > 0
+		e := c.parts[k.Part]
+		switch {
+		case e == nil && k.Tokens > 0:
+			c.add(k.Part, k.Tokens, true, now)
+		case e == nil || now.Sub(e.Value.(*part).at) < correctAfter:
+		case k.Tokens == 0:
+			c.drop(k.Part)
+		default:
+			p := e.Value.(*part)
+			c.used += k.Tokens - p.tokens
+			p.tokens, p.ready = k.Tokens, true
+		}
+	}
+	if !in.Full {
+		return
+	}
+	for id, e := range c.parts {
+		if !listed[id] && now.Sub(e.Value.(*part).at) >= correctAfter {
+			c.drop(id)
+		}
+	}
+}
+
 // fit forgets the least recently used parts beyond what running requests leave.
 func (c *cache) fit(running int) {
 	for c.used > max(0, c.limit-running) {
@@ -72,7 +110,7 @@
 		if e == nil {
 			return
 		}
-		c.drop(e.Value.(*part).chain)
+		c.drop(e.Value.(*part).id)
 	}
 }
 
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -22,6 +22,7 @@
 	maxSlow      = 12.0
 	slowHalfLife = 3 * time.Second // of a slowness that is not seen again
 	memoryUsable = 0.9             // part of an engine's memory planned for
+	toldFor      = 2 * time.Second // an engine's own word on what it keeps is believed
 )
 
 // upstream is what is known of one instance: its load, its health, and for an
@@ -35,7 +36,8 @@
 	queue []*run                        // without a first event, in order of placing
 	since time.Time                     // the head of the queue has been read since
 	cache *cache
-	slow  float64 // own times against the pool's, 1 is normal
+	told  time.Time // the engine said itself what it keeps
+	slow  float64   // own times against the pool's, 1 is normal
 	seen  time.Time
 	rest  rest
 }
@@ -52,9 +54,9 @@
 	up     *upstream
 	org    version.ID
 	cost   float64 // as the meter counts it
-	work   int // tokens to read
-	tokens int // of memory that is this run's own: not shared with kept parts
-	output int // of that, what it generates
+	work   int     // tokens to read
+	tokens int     // of memory that is this run's own: not shared with kept parts
+	output int     // of that, what it generates
 	parts  []wire.PromptPart
 	placed time.Time
 	until  time.Time // it has surely ended by then
@@ -164,14 +166,19 @@
 		return
 	}
 	for _, p := range r.parts {
-		u.cache.add(p.Chain, int(p.Tokens), false, now)
+		u.cache.add(p.Part, int(p.Tokens), false, now)
 	}
-	u.fit()
+	u.fit(now)
 }
 
 // fit forgets kept parts for which running requests leave no memory. Their
 // prompts are among the parts, so only what they generate comes on top.
-func (u *upstream) fit() {
+//
+// While the engine tells itself what has left, nothing is guessed.
+func (u *upstream) fit(now time.Time) {
+	if now.Sub(u.told) < toldFor {
+		return
+	}
 	output := 0
 	for _, r := range u.runs {
 		output += r.output
@@ -207,17 +214,17 @@
 		return
 	}
 	for _, p := range r.parts {
-		if e := u.cache.parts[p.Chain]; e != nil && !e.Value.(*part).ready && !u.reading(p.Chain) {
-			u.cache.drop(p.Chain)
+		if e := u.cache.parts[p.Part]; e != nil && !e.Value.(*part).ready && !u.reading(p.Part) {
+			u.cache.drop(p.Part)
 		}
 	}
 }
 
 // reading reports whether a queued run will read the part.
-func (u *upstream) reading(chain uint64) bool {
+func (u *upstream) reading(part uint64) bool {
 	for _, q := range u.queue {
 		for _, p := range q.parts {
-			if p.Chain == chain {
+			if p.Part == part {
 				return true
 			}
 		}
--- a/internal/dispatch/flight.go
+++ b/internal/dispatch/flight.go
@@ -226,6 +226,6 @@
 		if len(n.read) >= maxTold {
 			return
 		}
-		n.read = append(n.read, wire.HeldPart{Upstream: up, Chain: part.Chain, Tokens: part.Tokens})
+		n.read = append(n.read, wire.HeldPart{Upstream: up, Part: part.Part, Tokens: part.Tokens})
 	}
 }
--- a/internal/dispatch/io.go
+++ b/internal/dispatch/io.go
@@ -82,6 +82,20 @@
 // Seen says that every change of the store up to a revision is known.
 type Seen struct{ AsOf uint64 }
 
+// Kept is news of the prompt parts that an engine keeps: all of them when Full,
+// else what changed.
+type Kept struct {
+	Instance string
+	Full     bool
+	Parts    []KeptPart
+}
+
+// KeptPart is a part and its tokens kept, 0 when it has left.
+type KeptPart struct {
+	Part   uint64
+	Tokens int
+}
+
 // Leave begins a planned stop.
 type Leave struct{}
 
@@ -92,6 +106,7 @@
 func (End) input()       {}
 func (Catalogue) input() {}
 func (Sighted) input()   {}
+func (Kept) input()      {}
 func (Seen) input()      {}
 func (Leave) input()     {}
 
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -144,6 +144,8 @@
 		n.catalogue(in)
 	case Sighted:
 		n.sighted(in, now)
+	case Kept:
+		n.kept(in, now)
 	case Seen:
 		n.cat.AsOf = max(n.cat.AsOf, in.AsOf)
 	case Leave:
@@ -249,6 +251,31 @@
 	return d.Sum64()
 }
 
+// Scheduled returns the engines that this router schedules.
+func (n *Node) Scheduled(now time.Time) []routing.Instance {
+	var out []routing.Instance
+	for _, p := range n.pools {
+		if p.engine == nil || n.schedulerOf(p.id, now) != n.set.ID {
+			continue
+		}
+		for _, u := range p.order {
+			out = append(out, u.inst)
+		}
+	}
+	return out
+}
+
+// kept corrects the model by what an engine itself says it keeps.
+func (n *Node) kept(in Kept, now time.Time) {
+	id := version.IDOf(in.Instance)
+	for _, p := range n.pools {
+		if u := p.ups[id]; u != nil && u.cache != nil {
+			u.cache.correct(in, now)
+			u.told = now
+		}
+	}
+}
+
 func (n *Node) leave() {
 	if n.leaving {
 		return
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -181,8 +181,8 @@
 		}
 		for _, h := range w.Held {
 			if u := p.ups[h.Upstream]; u != nil {
-				u.cache.add(h.Chain, int(h.Tokens), true, now)
-				u.fit()
+				u.cache.add(h.Part, int(h.Tokens), true, now)
+				u.fit(now)
 			}
 		}
 	}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -324,9 +324,9 @@
 		return
 	}
 	for _, part := range r.parts {
-		r.up.cache.add(part.Chain, int(part.Tokens), true, now)
+		r.up.cache.add(part.Part, int(part.Tokens), true, now)
 	}
-	r.up.fit()
+	r.up.fit(now)
 	r.up.observe(gotMS, r.want, now)
 	p.learnRate(r, gotMS)
 }
--- a/internal/process/routed.go
+++ b/internal/process/routed.go
@@ -47,9 +47,19 @@
 	stopMargin = 600 * time.Millisecond
 )
 
+// Deployment is what is particular to where the routers run.
+type Deployment struct {
+	Source Source
+	Names  forward.Dialect
+	// Kept returns a reader of what engines keep, over the router's connections;
+	// nil where engines do not tell.
+	Kept func(*conn.Exchanges) KeptReader
+}
+
 // StartRouted opens every listener and begins to serve. On error nothing is left
 // open.
-func StartRouted(set Settings, src Source, names forward.Dialect, log zerolog.Logger) (*Routed, error) {
+func StartRouted(set Settings, dep Deployment, log zerolog.Logger) (*Routed, error) {
+	src, names := dep.Source, dep.Names
 	limitMemory(set.MemoryMB)
 	reg := metrics.NewRegistry()
 	sealer, err := conn.NewSealer(set.Secret, "route")
@@ -82,6 +92,9 @@
 	d.st.OnTable = d.edge.use
 	go d.st.Run(ctx)
 	go newFollower(src, d.st, log, reg).run(ctx)
+	if dep.Kept != nil {
+		go newKeptFollower(dep.Kept(d.ups), d.st, log, reg).run(ctx)
+	}
 	go d.receive()
 	log.Info().Str("place", set.Place).Str("callers", set.Callers).Int("seeds", len(set.Seeds)).Int("memory_mb", set.MemoryMB).Msg("started")
 	return d, nil
--- a/internal/process/steer.go
+++ b/internal/process/steer.go
@@ -39,6 +39,7 @@
 	ready   atomic.Bool
 	watches atomic.Bool
 	asOf    atomic.Uint64
+	engines atomic.Pointer[[]routing.Instance] // that this router schedules
 	leaving atomic.Bool
 	OnTable func(routing.Limits) // called for each accepted table, set before Run
 
@@ -146,6 +147,8 @@
 	s.ticks++
 	if s.ticks%watchTicks == 0 {
 		s.watches.Store(s.node.Watches(now))
+		engines := s.node.Scheduled(now)
+		s.engines.Store(&engines)
 	}
 	if s.ticks%statusTicks == 0 {
 		s.judgeReady(now)
@@ -353,6 +356,19 @@
 	}
 }
 
+// Step gives the node one input.
+func (s *Steerer) Step(in dispatch.Input) {
+	s.do(func(now time.Time) { s.node.Step(in, now) })
+}
+
+// Scheduled returns the engines that this router schedules.
+func (s *Steerer) Scheduled() []routing.Instance {
+	if p := s.engines.Load(); p != nil {
+		return *p
+	}
+	return nil
+}
+
 // Deliver hands over a datagram. When the control goroutine lags, datagrams are
 // dropped, as a network would.
 func (s *Steerer) Deliver(m *wire.Datagram) {
--- a/internal/request/forward/dialect.go
+++ b/internal/request/forward/dialect.go
@@ -95,7 +95,6 @@
 	if hint := tokens(h.Get(d.LengthHint)); hint > 0 {
 		p.output = hint
 	}
-	chain := uint64(0)
 	sum := 0
 	for _, text := range strings.Split(h.Get(d.PromptParts), ",") {
 		id, count, ok := strings.Cut(strings.TrimSpace(text), ":")
@@ -103,14 +102,16 @@
 		if !ok || n == 0 || len(p.parts) >= maxParts {
 			break
 		}
-		chain = xxhash.Sum64String(strconv.FormatUint(chain, 16) + "/" + id)
-		p.parts = append(p.parts, wire.PromptPart{Chain: chain, Tokens: uint32(n)})
+		p.parts = append(p.parts, wire.PromptPart{Part: PartID(id), Tokens: uint32(n)})
 		sum += n
 	}
 	p.input = max(p.input, sum)
 	return p
 }
 
+// PartID is the number of a prompt part's name inside the fleet.
+func PartID(name string) uint64 { return xxhash.Sum64String(name) }
+
 func tokens(text string) int {
 	n, err := strconv.Atoi(strings.TrimSpace(text))
 	if err != nil || n < 0 || n > maxTokens {
