--- a/cmd/silverswitchd/main.go
+++ b/cmd/silverswitchd/main.go
@@ -51,10 +51,10 @@
 		fmt.Println(*path + ": ok")
 		return exitOK
 	}
-	return serve(set)
+	return serve(*path, set)
 }
 
-func serve(set process.Settings) int {
+func serve(path string, set process.Settings) int {
 	level, err := zerolog.ParseLevel(set.LogLevel)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -66,11 +66,14 @@
 	log := zerolog.New(out).Level(level).With().Timestamp().Str("router", set.Peer).Logger()
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	d, err := start(set, log)
 	if err != nil {
 		log.Error().Err(err).Msg("not-started")
 		return exitFailed
 	}
+	go process.WatchSettings(path, set, hangups, d.Reload, log)
 	<-signals
 	return stop(d, signals, log)
 }
@@ -79,6 +82,7 @@
 type daemon interface {
 	Shutdown(context.Context) int
 	Open(time.Duration) int
+	Reload(process.Settings)
 }
 
 func start(set process.Settings, log zerolog.Logger) (daemon, error) {
--- a/cmd/silverswitchd/process_test.go
+++ b/cmd/silverswitchd/process_test.go
@@ -420,3 +420,16 @@
 	assert.Equal(t, exitSettings, cmd.ProcessState.ExitCode())
 	assert.Contains(t, string(out), "plaec")
 }
+
+// Seen on a grown day (hup): the hang-up signal ended the process with code 129.
+func TestHangUpSignalReloadsAndEndsNothing(t *testing.T) {
+	f := newFleet(t, 1, 2, time.Millisecond)
+	r := f.routers[0]
+	f.ready(r, 1)
+	for range 5 {
+		require.NoError(t, r.cmd.Process.Signal(syscall.SIGHUP))
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.ready(r, 1)
+	require.NoError(t, r.cmd.Process.Signal(syscall.Signal(0)), "the process runs")
+}
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -141,6 +141,13 @@
 	return sorted(ids)
 }
 
+// Meet adds routers that may be there, to be probed.
+func (t *Table) Meet(ids []wire.NodeID, now time.Time) {
+	for _, id := range ids {
+		t.meet(id, now)
+	}
+}
+
 func (t *Table) meet(id wire.NodeID, now time.Time) {
 	if id == t.self.ID || t.members[id] != nil {
 		return
@@ -231,7 +238,7 @@
 	m.Heard = now
 	newer := d.Inc > m.Inc || d.Refute > m.Refute
 	if newer || m.State == wire.Suspect {
-		t.set(m, wire.Update{ID: d.From, Inc: d.Inc, Refute: max(d.Refute, sameInc(m, d)), State: d.State, Place: m.Place, Public: m.Public}, now)
+		t.set(m, wire.Update{ID: d.From, Inc: d.Inc, Refute: max(d.Refute, sameInc(m, d)), State: d.State, Place: m.Place, Public: m.Public, Power: m.Power}, now)
 		return
 	}
 	if m.State == wire.Dead {
@@ -260,7 +267,7 @@
 		m = t.members[u.ID]
 	}
 	if m.Place == "" && u.Place != "" {
-		m.Place, m.Public = u.Place, u.Public
+		m.Place, m.Public, m.Power = u.Place, u.Public, u.Power
 		t.Changes++
 	}
 	if supersedes(u, m.Update) {
@@ -289,7 +296,7 @@
 
 func (t *Table) set(m *Member, u wire.Update, now time.Time) {
 	if u.Place == "" {
-		u.Place, u.Public = m.Place, m.Public
+		u.Place, u.Public, u.Power = m.Place, m.Public, m.Power
 	}
 	if u.State != m.State || u.Inc != m.Inc {
 		m.Since = now
--- a/internal/core/wire/wire.go
+++ b/internal/core/wire/wire.go
@@ -60,6 +60,7 @@
 	State  State
 	Place  string
 	Public string // base URL for callers
+	Power  uint32 // thousandths of a core the router has, 0 when it does not say
 }
 
 // Datagram is everything one router tells another at one moment.
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -28,18 +28,21 @@
 // upstream is what is known of one instance: its load, its health, and for an
 // engine what it reads and keeps.
 type upstream struct {
-	id    version.ID
-	inst  routing.Instance
-	place version.ID
-	runs  map[runKey]*run
-	loads map[wire.NodeID]wire.WorkLoad // as other routers state them
-	queue []*run                        // without a first event, in order of placing
-	since time.Time                     // the head of the queue has been read since
-	cache *cache
-	told  time.Time // the engine said itself what it keeps
-	slow  float64   // own times against the pool's, 1 is normal
-	seen  time.Time
-	rest  rest
+	id     version.ID
+	inst   routing.Instance
+	place  version.ID
+	runs   map[runKey]*run
+	nodes  map[wire.NodeID]*nodeUse
+	total  use
+	queue  []*run    // without a first event, in order of placing
+	queued int       // tokens to read in the queue
+	output int       // tokens that its runs will generate
+	since  time.Time // the head of the queue has been read since
+	cache  *cache
+	told   time.Time // the engine said itself what it keeps
+	slow   float64   // own times against the pool's, 1 is normal
+	seen   time.Time
+	rest   rest
 }
 
 // runKey names a request placed anywhere in the fleet.
@@ -73,7 +76,7 @@
 		inst:  inst,
 		place: version.IDOf(inst.Place),
 		runs:  map[runKey]*run{},
-		loads: map[wire.NodeID]wire.WorkLoad{},
+		nodes: map[wire.NodeID]*nodeUse{},
 		slow:  1,
 	}
 	if engine != nil {
@@ -82,51 +85,58 @@
 	return u
 }
 
-// running returns the requests at the upstream: those placed here, or what
-// routers state where that is more.
-func (u *upstream) running() int {
-	return u.sum(func(*run) int { return 1 }, func(l wire.WorkLoad) int { return int(l.Running) })
+// nodeUse is what one router has at an upstream: what was placed here, and what
+// the router states itself. The larger counts, since either may lag.
+type nodeUse struct {
+	runs, tokens, work int // placed here; work is what has no first event
+	load               wire.WorkLoad
 }
 
-// memory returns the tokens that running requests hold.
-func (u *upstream) memory() int {
-	return u.sum(func(r *run) int { return r.tokens }, func(l wire.WorkLoad) int { return int(l.Tokens) })
-}
+// use is a sum over routers, kept up to date by change.
+type use struct{ running, memory, unread int }
 
-func (u *upstream) sum(ofRun func(*run) int, ofLoad func(wire.WorkLoad) int) int {
-	if len(u.loads) == 0 {
-		n := 0
-		for _, r := range u.runs {
-			n += ofRun(r)
-		}
-		return n
+func (n *nodeUse) sum() use {
+	return use{
+		running: max(n.runs, int(n.load.Running)),
+		memory:  max(n.tokens, int(n.load.Tokens)),
+		unread:  max(0, int(n.load.Unread)-n.work),
 	}
-	byNode := map[wire.NodeID]int{}
-	for k, r := range u.runs {
-		byNode[k.node] += ofRun(r)
-	}
-	n := 0
-	for node, l := range u.loads {
-		n += max(0, ofLoad(l)-byNode[node])
+}
+
+// change alters a router's use and the sums with it.
+func (u *upstream) change(node wire.NodeID, alter func(*nodeUse)) {
+	n := u.nodes[node]
+	if n == nil {
+		n = &nodeUse{}
+		u.nodes[node] = n
 	}
-	for _, x := range byNode {
-		n += x
+	old := n.sum()
+	alter(n)
+	now := n.sum()
+	u.total.running += now.running - old.running
+	u.total.memory += now.memory - old.memory
+	u.total.unread += now.unread - old.unread
+	if *n == (nodeUse{}) {
+		delete(u.nodes, node)
 	}
-	return n
 }
 
+// running returns the requests at the upstream.
+func (u *upstream) running() int { return u.total.running }
+
+// memory returns the tokens that running requests hold.
+func (u *upstream) memory() int { return u.total.memory }
+
 // backlog returns how long the engine needs to read what it was sent, in
 // milliseconds. Reading goes in order of arrival, so only the time since the
 // head began counts as progress, and no more than the head and half of what
 // follows: a first event that does not come means that reading stands still.
 func (u *upstream) backlog(rate float64, now time.Time) float64 {
-	others := float64(u.unreadElsewhere())
+	// What routers state beyond what was placed here: decided by the scheduler
+	// before, or by the routers themselves.
+	total := float64(u.total.unread + u.queued)
 	if len(u.queue) == 0 {
-		return others / rate * u.slow
-	}
-	total := others
-	for _, r := range u.queue {
-		total += float64(r.work)
+		return total / rate * u.slow
 	}
 	head := float64(u.queue[0].work)
 	ms := total / rate * u.slow
@@ -134,26 +144,7 @@
 	return max(ms-float64(now.Sub(u.since).Microseconds())/1000, floor)
 }
 
-// unreadElsewhere returns the tokens to be read that routers state beyond what
-// was placed here: decided by the scheduler before, or by the routers themselves.
-func (u *upstream) unreadElsewhere() int {
-	n := 0
-	for node, l := range u.loads {
-		if l.Unread == 0 {
-			continue
-		}
-		here := 0
-		for _, r := range u.queue {
-			if r.key.node == node {
-				here += r.work
-			}
-		}
-		n += max(0, int(l.Unread)-here)
-	}
-	return n
-}
-
-// place adds a run at the end of the queue.
+// placeRun adds a run at the end of the queue.
 func (u *upstream) placeRun(r *run, now time.Time) {
 	r.up = u
 	r.alone = len(u.queue) == 0
@@ -162,6 +153,13 @@
 		u.since = now
 	}
 	u.queue = append(u.queue, r)
+	u.queued += r.work
+	u.output += r.output
+	u.change(r.key.node, func(n *nodeUse) {
+		n.runs++
+		n.tokens += r.tokens
+		n.work += r.work
+	})
 	if u.cache == nil {
 		return
 	}
@@ -179,11 +177,7 @@
 	if now.Sub(u.told) < toldFor {
 		return
 	}
-	output := 0
-	for _, r := range u.runs {
-		output += r.output
-	}
-	u.cache.fit(output)
+	u.cache.fit(u.output)
 }
 
 // ownTokens is the memory of a request that it shares with no other: the last
@@ -201,6 +195,8 @@
 		if q == r {
 			u.queue = append(u.queue[:i], u.queue[i+1:]...)
 			u.since = now
+			u.queued -= r.work
+			u.change(r.key.node, func(n *nodeUse) { n.work -= r.work })
 			return
 		}
 	}
@@ -210,6 +206,11 @@
 func (u *upstream) end(r *run, whole bool, now time.Time) {
 	u.read(r, now)
 	delete(u.runs, r.key)
+	u.output -= r.output
+	u.change(r.key.node, func(n *nodeUse) {
+		n.runs--
+		n.tokens -= r.tokens
+	})
 	if whole || r.first || u.cache == nil {
 		return
 	}
--- a/internal/dispatch/flight.go
+++ b/internal/dispatch/flight.go
@@ -131,6 +131,7 @@
 			n.event(Event{Name: "scheduler-silent", Router: f.by, Detail: "decided here"})
 		}
 		n.silent[f.by] = now.Add(silentFor)
+		clear(n.ranks)
 		n.members.Suspect(f.by, now)
 	}
 	p := n.pools[f.pool]
--- a/internal/dispatch/io.go
+++ b/internal/dispatch/io.go
@@ -96,6 +96,12 @@
 	Tokens int
 }
 
+// NewSettings changes what may change while the process runs.
+type NewSettings struct {
+	Seeds []wire.NodeID
+	Retry RetryRules
+}
+
 // Leave begins a planned stop.
 type Leave struct{}
 
@@ -108,7 +114,10 @@
 func (Sighted) input()   {}
 func (Kept) input()      {}
 func (Seen) input()      {}
-func (Leave) input()     {}
+
+func (NewSettings) input() {}
+
+func (Leave) input() {}
 
 // Output is one thing to do. The types below are all there are.
 type Output interface{ output() }
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -60,6 +60,7 @@
 	ID    wire.NodeID
 	Inc   wire.Incarnation
 	Place string
+	Power uint32 // thousandths of a core this router has, 0 when unknown
 	Seeds []wire.NodeID
 	Retry RetryRules
 	Seed  uint64 // of the node's own random numbers
@@ -74,6 +75,7 @@
 	pools   map[version.ID]*pool
 	flights map[uint64]*flight
 	budgets map[version.ID]*retryBudget
+	ranks   map[version.ID]*ranking
 	silent  map[wire.NodeID]time.Time // until when a router is passed over
 	ahead   map[wire.NodeID]ahead
 	read    []wire.HeldPart // since the last regular message
@@ -108,7 +110,7 @@
 // New returns a node that has heard nobody.
 func New(set Settings, now time.Time) *Node {
 	rnd := rand.New(rand.NewPCG(set.Seed, uint64(set.Inc)))
-	self := wire.Update{ID: set.ID, Inc: set.Inc, Place: set.Place}
+	self := wire.Update{ID: set.ID, Inc: set.Inc, Place: set.Place, Power: set.Power}
 	return &Node{
 		set:      set,
 		place:    version.IDOf(set.Place),
@@ -117,6 +119,7 @@
 		flights:  map[uint64]*flight{},
 		budgets:  map[version.ID]*retryBudget{},
 		silent:   map[wire.NodeID]time.Time{},
+		ranks:    map[version.ID]*ranking{},
 		ahead:    map[wire.NodeID]ahead{},
 		sights:   map[wire.NodeID]time.Time{},
 		notes:    map[wire.NodeID][]wire.WorkNote{},
@@ -148,6 +151,8 @@
 		n.kept(in, now)
 	case Seen:
 		n.cat.AsOf = max(n.cat.AsOf, in.AsOf)
+	case NewSettings:
+		n.newSettings(in, now)
 	case Leave:
 		n.leave()
 	}
@@ -198,6 +203,15 @@
 	}
 }
 
+func (n *Node) newSettings(in NewSettings, now time.Time) {
+	n.set.Seeds = in.Seeds
+	n.members.Meet(in.Seeds, now)
+	if in.Retry != n.set.Retry {
+		n.set.Retry = in.Retry
+		clear(n.budgets) // counted anew: a window's worth is allowed again at most
+	}
+}
+
 // catalogue takes newer content of the platform's store.
 func (n *Node) catalogue(c Catalogue) {
 	n.cat = c
@@ -226,20 +240,61 @@
 	}
 }
 
-// schedulerOf returns the router that decides for a service: the first of the
-// live ones by rendezvous hashing that is not known to be silent.
+// schedulerOf returns the router that decides for a service.
 func (n *Node) schedulerOf(service version.ID, now time.Time) wire.NodeID {
-	best := n.set.ID
-	score := uint64(0)
+	if ranked := n.ranked(service, now); len(ranked) > 0 {
+		return ranked[0]
+	}
+	return n.set.ID
+}
+
+// ranked returns the live routers that are not known to be silent in the order in
+// which they would decide for a service: those with most processor first, since
+// a scheduler works for the whole fleet, and of equal ones by rendezvous hashing.
+func (n *Node) ranked(service version.ID, now time.Time) []wire.NodeID {
+	r := n.ranks[service]
+	if r != nil && r.changes == n.members.Changes && now.Sub(r.at) < rankFor {
+		return r.order
+	}
+	r = &ranking{changes: n.members.Changes, at: now}
 	for _, id := range n.members.Live(false) {
-		if until, silent := n.silent[id]; silent && now.Before(until) {
-			continue
+		if until, silent := n.silent[id]; !silent || now.After(until) {
+			r.order = append(r.order, id)
 		}
-		if s := rank(service, id); s >= score {
-			best, score = id, s
+	}
+	sort.Slice(r.order, func(i, j int) bool {
+		a, b := r.order[i], r.order[j]
+		if pa, pb := n.power(a), n.power(b); pa != pb {
+			return pa > pb
 		}
+		return rank(service, a) > rank(service, b)
+	})
+	n.ranks[service] = r
+	return r.order
+}
+
+// ranking is a service's routers in order, kept for a moment.
+type ranking struct {
+	order   []wire.NodeID
+	changes int
+	at      time.Time
+}
+
+// rankFor is how long a ranking is kept while no router's state changes; a silent
+// one clears it at once.
+const rankFor = 100 * time.Millisecond
+
+// power is a router's processor, in steps of a quarter of a core, so that small
+// differences do not make one router the scheduler of everything.
+func (n *Node) power(id wire.NodeID) uint32 {
+	const step = 250
+	if id == n.set.ID {
+		return n.set.Power / step
+	}
+	if m := n.members.Get(id); m != nil {
+		return m.Power / step
 	}
-	return best
+	return 0
 }
 
 func rank(service version.ID, id wire.NodeID) uint64 {
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -22,6 +22,7 @@
 	}
 	if _, was := n.silent[d.From]; was {
 		delete(n.silent, d.From)
+		clear(n.ranks)
 		n.event(Event{Name: "router-heard-again", Router: d.From})
 	}
 	if d.Tell {
@@ -125,7 +126,28 @@
 	n.assign(f, p.ups[a.Upstream], p.ups[a.Source], from, int(a.AfterMS), int(a.Work))
 }
 
-// sendBeat tells every router what this one uses and what was read lately.
+// heirs is how many routers keep the model of kept parts warm beside a service's
+// scheduler.
+const heirs = 3
+
+// isHeir reports whether a router may soon be the scheduler of some engines.
+func (n *Node) isHeir(id wire.NodeID, now time.Time) bool {
+	for _, p := range n.pools {
+		if p.engine == nil {
+			continue
+		}
+		ranked := n.ranked(p.id, now)
+		for _, r := range ranked[:min(heirs, len(ranked))] {
+			if r == id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// sendBeat tells every router what this one uses, and the heirs what was read
+// lately.
 func (n *Node) sendBeat(now time.Time) {
 	live := n.members.Live(true)
 	n.beatDue = now.Add(beatPeriod(len(live)))
@@ -137,7 +159,10 @@
 			continue
 		}
 		w := n.work(id)
-		w.Beat, w.Revision, w.Loads, w.Full, w.Held = n.beat, n.cat.Revision, loads, true, n.read
+		w.Beat, w.Revision, w.Loads, w.Full = n.beat, n.cat.Revision, loads, true
+		if n.isHeir(id, now) {
+			w.Held = n.read
+		}
 		w.Sight = n.sightMS(now)
 		n.takeNotes(id, w)
 	}
@@ -191,13 +216,15 @@
 
 // applyLoads replaces what a router states of its use of upstreams.
 func (n *Node) applyLoads(from wire.NodeID, loads []wire.WorkLoad) {
+	stated := map[version.ID]wire.WorkLoad{}
+	for _, l := range loads {
+		stated[l.Upstream] = l
+	}
 	for _, p := range n.pools {
-		for _, u := range p.ups {
-			delete(u.loads, from)
-		}
-		for _, l := range loads {
-			if u := p.ups[l.Upstream]; u != nil {
-				u.loads[from] = l
+		for id, u := range p.ups {
+			l, now := stated[id]
+			if old := u.nodes[from]; now || old != nil && old.load != (wire.WorkLoad{}) {
+				u.change(from, func(n *nodeUse) { n.load = l })
 			}
 		}
 	}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -117,17 +117,20 @@
 		return p.choosePlain(a, now)
 	}
 	holder, held := p.holder(a, now)
-	var best *choice
+	var best choice
 	for _, u := range p.order {
 		if !u.takes(a, now) || u.running() >= p.engine.Slots || u.memory()+ownTokens(int(a.Input), int(a.Output), a.Parts) > int(memoryUsable*float64(p.engine.MemoryTokens)) {
 			continue
 		}
 		c := p.at(u, a, holder, held, now)
-		if best == nil || c.cost < best.cost {
+		if best.up == nil || c.cost < best.cost {
 			best = c
 		}
 	}
-	return best
+	if best.up == nil {
+		return nil
+	}
+	return &best
 }
 
 // holder returns the engine that keeps most of the prompt, read and ready.
@@ -146,10 +149,10 @@
 }
 
 // at works out what a request would meet at an engine.
-func (p *pool) at(u *upstream, a *wire.WorkAsk, holder *upstream, held int, now time.Time) *choice {
+func (p *pool) at(u *upstream, a *wire.WorkAsk, holder *upstream, held int, now time.Time) choice {
 	u.settle(now)
 	kept := u.cache.prefix(a.Parts, false)
-	c := &choice{up: u, waitMS: u.backlog(p.rate, now)}
+	c := choice{up: u, waitMS: u.backlog(p.rate, now)}
 	extra := 0.0
 	if holder != nil && holder != u && held > kept {
 		kept = held
@@ -179,11 +182,8 @@
 			continue
 		}
 		u.settle(now)
-		others := 0
-		for _, l := range u.loads {
-			others += int(l.Running)
-		}
-		c := &choice{up: u, cost: (float64(len(u.runs))*plainRunMS + float64(others)*plainOtherMS) * u.slow}
+		own := len(u.runs)
+		c := &choice{up: u, cost: (float64(own)*plainRunMS + float64(max(0, u.running()-own))*plainOtherMS) * u.slow}
 		if u.place != a.Place {
 			c.cost += plainPlaceMS
 		}
@@ -362,7 +362,9 @@
 		}
 	}
 	for _, u := range p.ups {
-		delete(u.loads, id)
+		if u.nodes[id] != nil {
+			u.change(id, func(n *nodeUse) { n.load = wire.WorkLoad{} })
+		}
 	}
 }
 
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -19,18 +19,19 @@
 // less than an even share gets it, the rest share evenly what is left.
 type meter struct {
 	capacity float64 // tokens in a window, 0 when unknown
-	orgs     map[version.ID]*use
+	orgs     map[version.ID]*tally
 	step     int64
 	shares   map[version.ID]float64
 	dirty    bool
 }
 
-type use struct{ asked, got [shareSteps]float64 }
+// tally is one organisation's tokens by step.
+type tally struct{ asked, got [shareSteps]float64 }
 
 func newMeter(tokensPerSecond float64) *meter {
 	return &meter{
 		capacity: tokensPerSecond * shareStep.Seconds() * shareSteps,
-		orgs:     map[version.ID]*use{},
+		orgs:     map[version.ID]*tally{},
 		shares:   map[version.ID]float64{},
 	}
 }
@@ -54,10 +55,10 @@
 	return int(step % shareSteps)
 }
 
-func (m *meter) of(org version.ID) *use {
+func (m *meter) of(org version.ID) *tally {
 	u := m.orgs[org]
 	if u == nil {
-		u = &use{}
+		u = &tally{}
 		m.orgs[org] = u
 	}
 	return u
--- a/internal/dispatch/store.go
+++ b/internal/dispatch/store.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"sort"
 	"time"
 
 	"github.com/silverswitch/silverswitch/internal/core/wire"
@@ -25,7 +24,7 @@
 	if len(live) <= watchers || n.cat.Table == nil {
 		return true
 	}
-	if n.isWatcher(live, now) {
+	if n.isWatcher(now) {
 		return true
 	}
 	limit := sightFor + 2*beatPeriod(len(live))
@@ -37,16 +36,9 @@
 	return true
 }
 
-// isWatcher ranks the live routers by rendezvous hashing under the store's name.
-func (n *Node) isWatcher(live []wire.NodeID, now time.Time) bool {
-	store := serviceID("the platform's store")
-	ranked := make([]wire.NodeID, 0, len(live))
-	for _, id := range live {
-		if until, silent := n.silent[id]; !silent || now.After(until) {
-			ranked = append(ranked, id)
-		}
-	}
-	sort.Slice(ranked, func(i, j int) bool { return rank(store, ranked[i]) > rank(store, ranked[j]) })
+// isWatcher ranks the live routers as for a service of the store's name.
+func (n *Node) isWatcher(now time.Time) bool {
+	ranked := n.ranked(serviceID("the platform's store"), now)
 	for _, id := range ranked[:min(watchers, len(ranked))] {
 		if id == n.set.ID {
 			return true
--- a/internal/process/daemon.go
+++ b/internal/process/daemon.go
@@ -184,6 +184,10 @@
 	return cut
 }
 
+// Reload takes settings that may change while the process runs: none of this
+// interface yet; WatchSettings says which wait for a restart.
+func (d *Daemon) Reload(Settings) {}
+
 // openWait bounds how long the control goroutine is asked for a count.
 const openWait = time.Second
 
--- /dev/null
+++ b/internal/process/reload.go
@@ -0,0 +1,87 @@
+package process
+
+import (
+	"os"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// settingsEvery is how often the settings file is looked at: it may change
+// without a signal.
+const settingsEvery = 2 * time.Second
+
+// reloadable are the fields of Settings that a running process takes; all others
+// wait for a restart.
+var reloadable = map[string]bool{"Seeds": true, "Retry": true, "Wait": true, "Bound": true, "LogLevel": true}
+
+// WatchSettings reads the settings file again at each hang-up signal and when it
+// has changed, and applies what may change in a running process. A file with
+// faults is reported and changes nothing. It returns when the channel is closed.
+func WatchSettings(path string, set Settings, hangups <-chan os.Signal, apply func(Settings), log zerolog.Logger) {
+	tick := time.NewTicker(settingsEvery)
+	defer tick.Stop()
+	last := stamp(path)
+	for {
+		select {
+		case _, open := <-hangups:
+			if !open {
+				return
+			}
+		case <-tick.C:
+			if stamp(path) == last {
+				continue
+			}
+		}
+		last = stamp(path)
+		set = reload(path, set, apply, log)
+	}
+}
+
+// stamp tells one state of a file from another.
+func stamp(path string) (s struct {
+	at   time.Time
+	size int64
+}) {
+	if info, err := os.Stat(path); err == nil {
+		s.at, s.size = info.ModTime(), info.Size()
+	}
+	return s
+}
+
+// reload returns the settings in force after reading the file again.
+func reload(path string, set Settings, apply func(Settings), log zerolog.Logger) Settings {
+	next, err := LoadSettings(path)
+	if err != nil {
+		log.Error().Err(err).Msg("settings-rejected")
+		return set
+	}
+	changed, waiting := differences(set, next)
+	if len(changed) > 0 {
+		if level, err := zerolog.ParseLevel(next.LogLevel); err == nil {
+			zerolog.SetGlobalLevel(level)
+		}
+		apply(next)
+	}
+	log.Info().Str("changed", strings.Join(changed, ",")).Str("after_restart", strings.Join(waiting, ",")).Msg("settings-reloaded")
+	return next
+}
+
+// differences names the fields that differ: those that a running process takes,
+// and those that wait.
+func differences(a, b Settings) (changed, waiting []string) {
+	va, vb := reflect.ValueOf(a), reflect.ValueOf(b)
+	for i := range va.NumField() {
+		if reflect.DeepEqual(va.Field(i).Interface(), vb.Field(i).Interface()) {
+			continue
+		}
+		if name := va.Type().Field(i).Name; reloadable[name] {
+			changed = append(changed, name)
+		} else {
+			waiting = append(waiting, name)
+		}
+	}
+	return changed, waiting
+}
--- a/internal/process/routed.go
+++ b/internal/process/routed.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -23,6 +24,7 @@
 
 // Routed is one router process of the routed interface.
 type Routed struct {
+	mu       sync.Mutex // of the times of a planned stop
 	set      Settings
 	log      zerolog.Logger
 	st       *Steerer
@@ -113,6 +115,7 @@
 		ID:    wire.NodeID(d.set.Peer),
 		Inc:   inc,
 		Place: d.set.Place,
+		Power: uint32(1000 * d.set.Cores),
 		Seeds: d.set.Seeds,
 		Retry: d.set.Retry,
 		Seed:  uint64(inc),
@@ -188,12 +191,15 @@
 // returns the number of requests cut.
 func (d *Routed) Shutdown(ctx context.Context) int {
 	began := time.Now()
-	d.log.Info().Int64("wait_ms", d.set.Wait.Milliseconds()).Int64("bound_ms", d.set.Bound.Milliseconds()).Msg("stopping")
+	d.mu.Lock()
+	wait, bound := d.set.Wait, d.set.Bound
+	d.mu.Unlock()
+	d.log.Info().Int64("wait_ms", wait.Milliseconds()).Int64("bound_ms", bound.Milliseconds()).Msg("stopping")
 	d.st.Leave()
-	sleep(ctx, d.set.Wait)
-	if d.set.Bound > 0 {
+	sleep(ctx, wait)
+	if bound > 0 {
 		var stop context.CancelFunc
-		ctx, stop = context.WithDeadline(ctx, began.Add(d.set.Bound-stopMargin))
+		ctx, stop = context.WithDeadline(ctx, began.Add(bound-stopMargin))
 		defer stop()
 	}
 	err := d.edge.shutdown(ctx)
@@ -206,6 +212,15 @@
 	return cut
 }
 
+// Reload takes settings that may change while the process runs: the seeds and the
+// rules of the retry budget at once, the times of a planned stop at the next one.
+func (d *Routed) Reload(set Settings) {
+	d.mu.Lock()
+	d.set.Wait, d.set.Bound = set.Wait, set.Bound
+	d.mu.Unlock()
+	d.st.Step(dispatch.NewSettings{Seeds: set.Seeds, Retry: set.Retry})
+}
+
 // Open returns the requests that have no outcome yet.
 func (d *Routed) Open(time.Duration) int { return d.st.Open() }
 
--- a/internal/process/settings.go
+++ b/internal/process/settings.go
@@ -38,6 +38,7 @@
 	ReadyAt  string        // [ready] path
 	Retry    dispatch.RetryRules
 	MemoryMB int           // [machine] memory_mb, 0 when unknown
+	Cores    float64       // [machine] cores, 0 when unknown
 	CertFile string        // [tls] certificate
 	KeyFile  string        // [tls] key
 	PlainOK  bool          // [tls] plain_text_allowed
@@ -103,6 +104,9 @@
 [machine]
 ; Memory of this VM for the process; 0 when unknown.
 memory_mb = 0
+; Processor of this VM for the process, in cores; 0 when unknown. Routers with
+; more are asked to schedule first.
+cores = 0
 
 [tls]
 certificate =
@@ -273,6 +277,7 @@
 	retry.Done()
 	machine := r.section("machine")
 	s.MemoryMB = machine.Integer("memory_mb", 0, 0, 16<<20)
+	s.Cores = machine.Number("cores", 0, 0, 1024)
 	machine.Done()
 }
 
