A router short of processor refuses at its door

Now the lag of the control goroutine refuses a part of what comes (60 to 250 ms), memory bounds the requests at once, and a router that is late itself blames no scheduler. Test: TestOverloadedRouterRefusesAtOnce.

--- a/internal/dispatch/flight.go
+++ b/internal/dispatch/flight.go
@@ -126,7 +126,8 @@
 // router that was heard since the ask is slow, not gone, and stays scheduler.
 func (n *Node) silentScheduler(f *flight, now time.Time) {
 	n.Counts.OwnDecision++
-	if m := n.members.Get(f.by); m == nil || m.Heard.Before(f.asked) {
+	// A router that is late itself cannot tell whose silence it is.
+	if m := n.members.Get(f.by); !n.late && (m == nil || m.Heard.Before(f.asked)) {
 		if until := n.silent[f.by]; now.After(until) {
 			n.event(Event{Name: "scheduler-silent", Router: f.by, Detail: "decided here"})
 		}
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -30,6 +30,8 @@
 	// to have been frozen.
 	PauseLimit = time.Second
 
+	// lateTick is the gap between ticks from which a router is late itself.
+	lateTick = 3 * TickEvery
 	// askAgain is after how long an unanswered ask is sent again: a datagram or
 	// its answer was lost. Ten round trips between places of a region.
 	askAgain = 20 * time.Millisecond
@@ -88,6 +90,7 @@
 	sights   map[wire.NodeID]time.Time // and elsewhere, as told
 	fetchDue time.Time
 	lastTick time.Time
+	late     bool // the last tick came late: this router is short of processor
 	leaving  bool
 	rnd      *rand.Rand
 	box      map[wire.NodeID]*wire.Datagram
@@ -160,6 +163,7 @@
 
 // Tick moves time on. The driver calls it every TickEvery.
 func (n *Node) Tick(now time.Time) {
+	n.late = now.Sub(n.lastTick) > lateTick
 	n.notePause(now)
 	n.lastTick = now
 	for _, s := range n.members.Tick(now) {
@@ -191,10 +195,10 @@
 // load is old, so it lets others decide until it has heard them.
 func (n *Node) notePause(now time.Time) {
 	gap := now.Sub(n.lastTick)
-	n.lastTick = now
 	if gap <= PauseLimit {
 		return
 	}
+	n.lastTick = now
 	n.Counts.Woke++
 	n.event(Event{Name: "woke", Value: uint64(gap.Milliseconds()), Detail: "milliseconds without a tick"})
 	n.members.Refresh()
--- a/internal/process/routed.go
+++ b/internal/process/routed.go
@@ -83,7 +83,7 @@
 		d.close()
 		return nil, err
 	}
-	if d.edge, err = newEdge(set.Callers, forward.NewServer(d.st, d.ups, names, reg, log), log); err != nil {
+	if d.edge, err = newEdge(set.Callers, forward.NewServer(d.st, d.ups, names, mostOpen(set.MemoryMB), reg, log), log); err != nil {
 		d.close()
 		return nil, err
 	}
@@ -102,6 +102,22 @@
 	return d, nil
 }
 
+const (
+	// openPerMB is how many requests at once a megabyte of the VM's memory bears:
+	// 60 KB each for bodies, buffers and stacks, in half of the memory.
+	openPerMB = 8
+	// openUnknown is the bound where the memory is unknown.
+	openUnknown = 20_000
+)
+
+// mostOpen is how many requests a router takes at once.
+func mostOpen(mb int) int {
+	if mb == 0 {
+		return openUnknown
+	}
+	return openPerMB * mb
+}
+
 func limitMemory(mb int) {
 	if mb > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(mb) * (1 << 20)))
--- a/internal/request/forward/count.go
+++ b/internal/request/forward/count.go
@@ -11,16 +11,16 @@
 )
 
 type counters struct {
-	reg                                                  metrics.Registry
-	arrived, answered, opened, resumed, repeated, broken metrics.Counter
-	first                                                metrics.Timer
+	reg                                                        metrics.Registry
+	arrived, answered, opened, resumed, repeated, broken, shed metrics.Counter
+	first                                                      metrics.Timer
 }
 
 func newCounters(reg metrics.Registry) counters {
 	c := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("forward."+name, reg) }
 	return counters{
 		reg: reg, arrived: c("arrived"), answered: c("answered"), opened: c("connections"), resumed: c("resumed"),
-		repeated: c("repeated"), broken: c("broken"),
+		repeated: c("repeated"), broken: c("broken"), shed: c("shed"),
 		first: metrics.GetOrRegisterTimer("forward.first", reg),
 	}
 }
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -38,10 +38,12 @@
 	next  int
 	notes []uint8
 	leave atomic.Bool
+	lag   atomic.Int64
 }
 
 func (c *fakeControl) Table() *routing.Table { return c.table }
 func (c *fakeControl) Leaving() bool         { return c.leave.Load() }
+func (c *fakeControl) Lag() time.Duration    { return time.Duration(c.lag.Load()) }
 
 func (c *fakeControl) Submit(dispatch.Request) *Ticket {
 	t := NewTicket(1)
@@ -169,12 +171,19 @@
 	ctl *fakeControl
 	url string
 	ex  *conn.Exchanges
+
+	most int
 }
 
 func newRig(t *testing.T, ups ...string) *rig {
 	t.Helper()
-	r := &rig{ctl: &fakeControl{table: testTable(t), ups: ups}, ex: conn.NewExchanges()}
-	s := httptest.NewServer(NewServer(r.ctl, r.ex, testDialect, metrics.NewRegistry(), zerolog.Nop()))
+	return newRigOf(t, 100, ups...)
+}
+
+func newRigOf(t *testing.T, most int, ups ...string) *rig {
+	t.Helper()
+	r := &rig{ctl: &fakeControl{table: testTable(t), ups: ups}, ex: conn.NewExchanges(), most: most}
+	s := httptest.NewServer(NewServer(r.ctl, r.ex, testDialect, r.most, metrics.NewRegistry(), zerolog.Nop()))
 	t.Cleanup(func() { s.Close(); r.ex.Close() })
 	r.url = s.URL
 	return r
@@ -409,6 +418,29 @@
 	<-ended
 }
 
+// Seen on a grown day: a small router that got most of its place's callers took
+// them all, and answered none in time.
+func TestOverloadedRouterRefusesAtOnce(t *testing.T) {
+	a, got := script(t, okHello)
+	r := newRig(t, a)
+	r.ctl.lag.Store(int64(10 * time.Second))
+	refused := 0
+	for range 20 {
+		res, _, err := r.do(t, "POST", "/once/x", "body")
+		require.NoError(t, err)
+		if res.StatusCode == 503 {
+			refused++
+			assert.NotEmpty(t, res.Header.Get("Retry-After"))
+		}
+	}
+	assert.GreaterOrEqual(t, refused, 12)
+	assert.LessOrEqual(t, len(got()), 20-refused)
+	full := newRigOf(t, 0, a)
+	res, _, err := full.do(t, "POST", "/once/x", "body")
+	require.NoError(t, err)
+	assert.Equal(t, 503, res.StatusCode, "no room for another request")
+}
+
 func TestPromptIsReadFromHeaders(t *testing.T) {
 	p := testDialect.readPrompt(http.Header{"X-Usage": {"1460,80"}, "X-Parts": {"5c:800,91:410, e4:250"}})
 	assert.Equal(t, 1460, p.input)
--- a/internal/request/forward/server.go
+++ b/internal/request/forward/server.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -26,14 +27,16 @@
 	ctl    Control
 	ups    *conn.Exchanges
 	names  Dialect
+	most   int64 // requests at once
+	open   atomic.Int64
 	count  counters
 	lines  *reqLog
 	tracer trace.Tracer
 }
 
-// NewServer returns the handler's state.
-func NewServer(ctl Control, ups *conn.Exchanges, names Dialect, reg metrics.Registry, log zerolog.Logger) *Server {
-	s := &Server{ctl: ctl, ups: ups, names: names, count: newCounters(reg), lines: newReqLog(log), tracer: otel.Tracer("silverswitch")}
+// NewServer returns the handler's state. It refuses requests beyond most at once.
+func NewServer(ctl Control, ups *conn.Exchanges, names Dialect, most int, reg metrics.Registry, log zerolog.Logger) *Server {
+	s := &Server{ctl: ctl, ups: ups, names: names, most: int64(most), count: newCounters(reg), lines: newReqLog(log), tracer: otel.Tracer("silverswitch")}
 	ups.Opened = func() { s.count.opened.Inc(1) }
 	return s
 }
@@ -57,6 +60,27 @@
 // comeBackStarting is when a caller should return to a router that has no table.
 const comeBackStarting = 500 * time.Millisecond
 
+// Load that a router refuses at its door, so that what it takes is served in
+// time: another attempt enters by another router. The lag of the control state
+// is tens of milliseconds where a quota of processor is spent in each tenth of a
+// second, and hundreds where requests come faster than they can be served.
+const (
+	lagFrom           = 60 * time.Millisecond // nothing is refused up to this
+	lagFull           = 250 * time.Millisecond
+	shedMost          = 0.9 // part refused from lagFull on
+	comeBackElsewhere = 100 * time.Millisecond
+)
+
+// sheds decides whether a request is refused for the router's own load.
+func (s *Server) sheds() bool {
+	over := s.ctl.Lag() - lagFrom
+	if over <= 0 {
+		return false
+	}
+	part := min(shedMost, float64(over)/float64(lagFull-lagFrom))
+	return rand.Float64() < part
+}
+
 // ServeHTTP decides from the headers, reads the body within its bounds, and runs
 // the request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -65,6 +89,12 @@
 	ctx, span := s.tracer.Start(ctx, "entry", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
 	v := &visit{s: s, w: w, r: r.WithContext(ctx), id: r.Header.Get(s.names.RequestID), arrived: time.Now()}
+	defer s.open.Add(-1)
+	if s.open.Add(1) > s.most || s.sheds() {
+		s.count.shed.Inc(1)
+		v.fail(notRun("router-overloaded", comeBackElsewhere))
+		return
+	}
 	if f := v.admit(); f != nil {
 		v.fail(*f)
 		return
