--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -401,3 +401,20 @@
 	assert.Equal(t, 46_000, u.cache.used)
 	assert.Equal(t, 6000, u.cache.prefix([]wire.PromptPart{shared}, false))
 }
+
+// What waits for a patient route makes the others wait too.
+func TestWaitsAreKeptWithinTheStrictestTarget(t *testing.T) {
+	b := routing.Builder{Number: 1, Services: []*routing.Service{{Name: "s", Engine: &routing.Engine{Slots: 64, MemoryTokens: 200_000}}}}
+	for i, ms := range []int{1000, 600, 800} {
+		b.Routes = append(b.Routes, &routing.Route{Name: fmt.Sprint(i), Prefix: "/", Timeout: time.Second, Target: time.Duration(ms) * time.Millisecond,
+			Split: []routing.Part{{Service: "s", Weight: 1}}})
+	}
+	tab, err := b.Build()
+	require.NoError(t, err)
+	assert.InDelta(t, 600, strictest(tab, "s"), 0)
+	p := newPool(tab.Services["s"], 0)
+	a := &wire.WorkAsk{AimMS: 1000, LeftMS: 4000}
+	patient := p.waitLimit(a, &choice{}, start)
+	p.aim = strictest(tab, "s")
+	assert.InDelta(t, 0.6*patient, p.waitLimit(a, &choice{}, start), 1)
+}
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -207,6 +207,22 @@
 	}
 }
 
+// strictest returns the least target of the routes that lead to a service, in
+// milliseconds. Waits at engines are kept within it for all of them: what waits
+// for a patient route makes the others wait too.
+func strictest(t *routing.Table, service string) float64 {
+	least := 0.0
+	for _, r := range t.Routes {
+		for _, part := range r.Split {
+			ms := float64(r.Target.Milliseconds())
+			if part.Service == service && part.Weight > 0 && ms > 0 && (least == 0 || ms < least) {
+				least = ms
+			}
+		}
+	}
+	return least
+}
+
 func (n *Node) newSettings(in NewSettings, now time.Time) {
 	n.set.Seeds = in.Seeds
 	n.members.Meet(in.Seeds, now)
@@ -233,6 +249,7 @@
 			p = newPool(s, c.Table.Limits.TokensPerSecond)
 			n.pools[id] = p
 		}
+		p.aim = strictest(c.Table, s.Name)
 		for _, u := range p.setInstances(by[s.Name]) {
 			n.out = append(n.out, Gone{Instance: u.inst})
 		}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -43,6 +43,7 @@
 	order   []*upstream // by ID
 	runs    map[runKey]*run
 	rate    float64
+	aim     float64 // the strictest target of the routes to it, in milliseconds, 0 when unknown
 	meter   *meter
 }
 
@@ -247,6 +248,9 @@
 	if a.AimMS == 0 {
 		aim = float64(a.LeftMS) / 4
 	}
+	if p.aim > 0 {
+		aim = min(aim, p.aim)
+	}
 	part := waitUnder
 	if over := p.meter.over(a.Org, now); over >= 1 {
 		part = max(waitLeast, waitAtShare-(waitAtShare-waitLeast)*(over-1)/(overFull-1))
