Callers' idle connections make room for new ones

Ruled out: processor (the router's log went on in time). Now answers ask to close from 0.35 of the descriptors on, and the longest idle connection is closed from 0.6 on. Test: TestIdleConnectionsMakeRoom.

--- /dev/null
+++ b/internal/process/crowd_test.go
@@ -0,0 +1,45 @@
+package process
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// Seen on a grown day: a router ran out of descriptors over idle connections of
+// callers that open one for each request, and accepted nobody for seconds.
+func TestIdleConnectionsMakeRoom(t *testing.T) {
+	c := newCrowd(reservedFiles + 10) // asks to close above 3, closes idle ones above 6
+	var ours, theirs []net.Conn
+	for range 9 {
+		a, b := net.Pipe()
+		ours, theirs = append(ours, a), append(theirs, b)
+	}
+	closed := func(i int) bool {
+		_ = theirs[i].SetReadDeadline(aLongTimeAgo)
+		_, err := theirs[i].Read(make([]byte, 1))
+		nerr, ok := err.(net.Error)
+		return !ok || !nerr.Timeout()
+	}
+	for i := range 6 {
+		c.connState(ours[i], http.StateNew)
+		c.connState(ours[i], http.StateActive)
+		assert.Equal(t, i+1 > 3, c.dense())
+		c.connState(ours[i], http.StateIdle)
+	}
+	c.connState(ours[0], http.StateActive) // in use again
+	c.connState(ours[6], http.StateNew)
+	assert.True(t, closed(1), "the longest idle one")
+	assert.False(t, closed(0), "one in use")
+	assert.False(t, closed(2))
+	c.connState(ours[1], http.StateClosed)
+	assert.Equal(t, 6, c.open)
+	unbounded := newCrowd(0)
+	unbounded.connState(ours[7], http.StateNew)
+	assert.False(t, unbounded.dense())
+}
+
+var aLongTimeAgo = time.Unix(1, 0)
--- a/internal/process/edge.go
+++ b/internal/process/edge.go
@@ -20,6 +20,7 @@
 type edge struct {
 	listener net.Listener
 	handler  http.Handler
+	crowd    *crowd
 	log      zerolog.Logger
 	mu       sync.Mutex
 	limits   routing.Limits
@@ -27,22 +28,37 @@
 	feed     *feed
 	all      []*http.Server
 	closed   bool
+	failedAt time.Time // last line of a failed accept; accept goroutine only
 }
 
 // startLimits are in force until the first table is known.
 var startLimits = routing.Limits{HeaderBytes: 16 << 10, HeaderTime: 3 * time.Second, IdleTime: 15 * time.Second}
 
-func newEdge(addr string, handler http.Handler, log zerolog.Logger) (*edge, error) {
-	l, err := net.Listen("tcp", addr)
+func newEdge(addr string, handler http.Handler, descriptors int, log zerolog.Logger) (*edge, error) {
+	// Callers that are gone without a word are found by the limits on idle time and
+	// requests; probes would cost four system calls a connection.
+	config := net.ListenConfig{KeepAlive: -1}
+	l, err := config.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, ErrSettings.Wrap(err, "[router] caller_address = %q", addr)
 	}
-	e := &edge{listener: l, handler: handler, log: log}
+	e := &edge{listener: l, crowd: newCrowd(descriptors), log: log}
+	e.handler = e.closing(handler)
 	e.use(startLimits)
 	go e.accept()
 	return e, nil
 }
 
+// closing asks callers to close their connections while there are many.
+func (e *edge) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.crowd.dense() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // use puts limits in force for new connections.
 func (e *edge) use(l routing.Limits) {
 	l.TokensPerSecond, l.BodyBytes = 0, 0
@@ -57,9 +73,9 @@
 		ReadHeaderTimeout: l.HeaderTime,
 		IdleTimeout:       l.IdleTime,
 		MaxHeaderBytes:    l.HeaderBytes,
-		ErrorLog:          nil,
+		ConnState:         e.crowd.connState,
+		ErrorLog:          quietLog(),
 	}
-	e.current.ErrorLog = quietLog()
 	e.feed = newFeed(e.listener.Addr())
 	e.all = append(e.all, e.current)
 	go func(s *http.Server, f *feed) {
@@ -76,8 +92,7 @@
 			return
 		}
 		if err != nil { // out of descriptors: those in use end soon
-			e.log.Warn().Err(err).Msg("accept-failed")
-			time.Sleep(acceptPause)
+			e.acceptFailed(err)
 			continue
 		}
 		e.mu.Lock()
@@ -87,7 +102,19 @@
 	}
 }
 
-const acceptPause = 5 * time.Millisecond
+const (
+	acceptPause   = 5 * time.Millisecond
+	acceptLogSpan = time.Second
+)
+
+// acceptFailed waits a moment; of many failures one a second is logged.
+func (e *edge) acceptFailed(err error) {
+	if now := time.Now(); now.Sub(e.failedAt) >= acceptLogSpan {
+		e.failedAt = now
+		e.log.Warn().Err(err).Msg("accept-failed")
+	}
+	time.Sleep(acceptPause)
+}
 
 // stopAccepting closes the listener; open connections go on.
 func (e *edge) stopAccepting() { e.listener.Close() }
--- a/internal/process/routed.go
+++ b/internal/process/routed.go
@@ -83,7 +83,7 @@
 		d.close()
 		return nil, err
 	}
-	if d.edge, err = newEdge(set.Callers, forward.NewServer(d.st, d.ups, names, mostOpen(set.MemoryMB), reg, log), log); err != nil {
+	if d.edge, err = newEdge(set.Callers, forward.NewServer(d.st, d.ups, names, mostOpen(set.MemoryMB), reg, log), set.Files, log); err != nil {
 		d.close()
 		return nil, err
 	}
--- a/internal/process/settings.go
+++ b/internal/process/settings.go
@@ -39,6 +39,7 @@
 	Retry    dispatch.RetryRules
 	MemoryMB int           // [machine] memory_mb, 0 when unknown
 	Cores    float64       // [machine] cores, 0 when unknown
+	Files    int           // [machine] descriptors, 0 when unknown
 	CertFile string        // [tls] certificate
 	KeyFile  string        // [tls] key
 	PlainOK  bool          // [tls] plain_text_allowed
@@ -104,6 +105,8 @@
 [machine]
 ; Memory of this VM for the process; 0 when unknown.
 memory_mb = 0
+; Descriptors the process may have; 0 when unknown.
+descriptors = 0
 ; Processor of this VM for the process, in cores; 0 when unknown. Routers with
 ; more are asked to schedule first.
 cores = 0
@@ -277,6 +280,7 @@
 	retry.Done()
 	machine := r.section("machine")
 	s.MemoryMB = machine.Integer("memory_mb", 0, 0, 16<<20)
+	s.Files = machine.Integer("descriptors", 0, 0, 1<<30)
 	s.Cores = machine.Number("cores", 0, 0, 1024)
 	machine.Done()
 }
