--- /dev/null
+++ b/internal/process/lag.go
@@ -0,0 +1,73 @@
+package process
+
+import (
+	"context"
+	"math"
+	"runtime/metrics"
+	"sync/atomic"
+	"time"
+)
+
+// lagMeter measures how long goroutines that could run wait for the processor. It
+// is this process's measure of being short of it: timers and the control
+// goroutine are served first, so their own lateness tells nothing.
+type lagMeter struct {
+	mean   atomic.Int64 // nanoseconds
+	before []uint64
+}
+
+const (
+	lagEvery  = 100 * time.Millisecond
+	lagWeight = 0.3 // of one period in the average
+	lagMetric = "/sched/latencies:seconds"
+)
+
+// run measures until the context ends.
+func (l *lagMeter) run(ctx context.Context) {
+	sample := []metrics.Sample{{Name: lagMetric}}
+	for ctx.Err() == nil {
+		sleep(ctx, lagEvery)
+		metrics.Read(sample)
+		if sample[0].Value.Kind() != metrics.KindFloat64Histogram {
+			return // this runtime does not tell
+		}
+		h := sample[0].Value.Float64Histogram()
+		l.take(h.Buckets, h.Counts)
+	}
+}
+
+// take adds one reading of the histogram.
+func (l *lagMeter) take(buckets []float64, counts []uint64) {
+	if len(l.before) != len(counts) {
+		l.before = append([]uint64(nil), counts...)
+		return
+	}
+	sum, n := 0.0, 0.0
+	for i, c := range counts {
+		if d := float64(c - l.before[i]); d > 0 {
+			n += d
+			sum += d * middle(buckets[i], buckets[i+1])
+		}
+		l.before[i] = c
+	}
+	now := 0.0
+	if n > 0 {
+		now = sum / n * float64(time.Second)
+	}
+	mean := float64(l.mean.Load())
+	l.mean.Store(int64(mean + lagWeight*(now-mean)))
+}
+
+// middle of a bucket; the outermost ones are open.
+func middle(lo, hi float64) float64 {
+	switch {
+	case math.IsInf(lo, -1):
+		return hi
+	case math.IsInf(hi, 1):
+		return lo
+	}
+	return (lo + hi) / 2
+}
+
+// lag returns the average wait of late.
+func (l *lagMeter) lag() time.Duration { return time.Duration(l.mean.Load()) }
--- a/internal/process/steer.go
+++ b/internal/process/steer.go
@@ -46,10 +46,7 @@
 	tickets map[uint64]*forward.Ticket // control goroutine only
 	begun   time.Time
 	ticks   int
-
-	lag      atomic.Int64 // nanoseconds
-	lagMean  float64      // control goroutine only
-	lastTick time.Time    // control goroutine only
+	lag     lagMeter
 }
 
 // content is the view as other routers fetch it.
@@ -105,6 +102,7 @@
 // Run is the control goroutine. It ends with the context.
 func (s *Steerer) Run(ctx context.Context) {
 	defer close(s.done)
+	go s.lag.run(ctx)
 	tick := time.NewTicker(dispatch.TickEvery)
 	defer tick.Stop()
 	for {
@@ -144,7 +142,6 @@
 const watchTicks = 10
 
 func (s *Steerer) tick(now time.Time) {
-	s.measureLag(now)
 	if s.view.Tick(now) {
 		s.publish(now)
 	}
@@ -171,24 +168,8 @@
 	return s.view.Table.Number
 }
 
-// lagWeight is the weight of one tick in the average lag: about half a second.
-const lagWeight = 0.02
-
-// measureLag averages how late the control goroutine runs. It is this process's
-// measure of being short of processor.
-func (s *Steerer) measureLag(now time.Time) {
-	if !s.lastTick.IsZero() {
-		late := max(0, now.Sub(s.lastTick)-dispatch.TickEvery)
-		// A tick that is late stands for all that were dropped meanwhile.
-		weight := min(1, lagWeight*float64(1+late/dispatch.TickEvery))
-		s.lagMean += weight * (float64(late) - s.lagMean)
-		s.lag.Store(int64(s.lagMean))
-	}
-	s.lastTick = now
-}
-
 // Lag implements forward.Control.
-func (s *Steerer) Lag() time.Duration { return time.Duration(s.lag.Load()) }
+func (s *Steerer) Lag() time.Duration { return s.lag.lag() }
 
 // act carries out the node's outputs.
 func (s *Steerer) act(outs []dispatch.Output) {
--- a/internal/request/forward/control.go
+++ b/internal/request/forward/control.go
@@ -22,8 +22,7 @@
 	First(t *Ticket, after time.Duration)
 	// End ends the ticket. After a refusal it does nothing.
 	End(t *Ticket, note uint8)
-	// Lag returns how late the control state runs of late: how short of processor
-	// this router is.
+	// Lag returns how long work that could go on waits for the processor.
 	Lag() time.Duration
 	// Leaving reports whether a planned stop has begun.
 	Leaving() bool
--- a/internal/request/forward/server.go
+++ b/internal/request/forward/server.go
@@ -61,12 +61,12 @@
 const comeBackStarting = 500 * time.Millisecond
 
 // Load that a router refuses at its door, so that what it takes is served in
-// time: another attempt enters by another router. The lag of the control state
-// is tens of milliseconds where a quota of processor is spent in each tenth of a
-// second, and hundreds where requests come faster than they can be served.
+// time: another attempt enters by another router. A request wakes some twenty
+// goroutines until its first byte is passed on, so each millisecond of lag makes
+// it later by that many. Source: docs/BENCH.md.
 const (
-	lagFrom           = 60 * time.Millisecond // nothing is refused up to this
-	lagFull           = 250 * time.Millisecond
+	lagFrom           = 6 * time.Millisecond // nothing is refused up to this
+	lagFull           = 30 * time.Millisecond
 	shedMost          = 0.9 // part refused from lagFull on
 	comeBackElsewhere = 100 * time.Millisecond
 )
