Busy upstreams are given time; begun requests are resumed whatever the wait

Now silence before the answer counts from twice the target and four times the expected wait on; a request that has been sent is not refused for the wait again; an idle connection on which a request waits unread is not closed.

--- a/internal/conn/exchange.go
+++ b/internal/conn/exchange.go
@@ -280,22 +280,35 @@
 // quietAndOpen looks at an idle connection without waiting: bytes that nobody
 // asked for, an end or an error make it useless.
 func quietAndOpen(c net.Conn) bool {
+	_, err, known := peek(c)
+	return !known || err == syscall.EAGAIN
+}
+
+// Quiet reports whether no byte waits on a connection to be read. One that cannot
+// be looked at counts as quiet.
+func Quiet(c net.Conn) bool {
+	n, _, known := peek(c)
+	return !known || n <= 0
+}
+
+// peek looks for a byte without taking it and without waiting.
+func peek(c net.Conn) (n int, err error, known bool) {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return true
+		return 0, nil, false
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err, true
 	}
-	quiet := false
 	var one [1]byte
-	err = raw.Read(func(fd uintptr) bool {
-		_, e := syscall.Read(int(fd), one[:])
-		quiet = e == syscall.EAGAIN || e == syscall.EWOULDBLOCK
-		return true
+	gone := raw.Control(func(fd uintptr) {
+		n, _, err = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err == nil && quiet
+	if gone != nil {
+		return 0, gone, true
+	}
+	return n, err, true
 }
 
 // IsNotSent reports whether an error of Send proves that no byte was sent.
--- /dev/null
+++ b/internal/conn/exchange_test.go
@@ -0,0 +1,141 @@
+package conn
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func anyAnswer(*http.Response) bool { return true }
+
+// serveRaw accepts connections and hands each to f.
+func serveRaw(t *testing.T, f func(net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go f(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func get(t *testing.T, p *Exchanges, addr string) (string, error) {
+	t.Helper()
+	x, err := p.Send(context.Background(), addr, &Message{Method: "GET", Target: "/", Host: "h", Header: http.Header{}}, anyAnswer)
+	if err != nil {
+		return "", err
+	}
+	raw, err := io.ReadAll(x.Response.Body)
+	x.Close(err == nil)
+	return string(raw), err
+}
+
+func TestConnectionsAreKeptWhileTheyAreSound(t *testing.T) {
+	opened := 0
+	p := NewExchanges()
+	p.Opened = func() { opened++ }
+	defer p.Close()
+	extra := false
+	addr := serveRaw(t, func(c net.Conn) {
+		buf := make([]byte, 4096)
+		for {
+			if _, err := c.Read(buf); err != nil {
+				return
+			}
+			text := ok
+			if extra {
+				text += "HTTP/1.1 200 OK\r\n"
+			}
+			_, _ = c.Write([]byte(text))
+		}
+	})
+	for range 3 {
+		body, err := get(t, p, addr)
+		require.NoError(t, err)
+		assert.Equal(t, "ok", body)
+	}
+	assert.Equal(t, 1, opened)
+	extra = true
+	_, err := get(t, p, addr)
+	require.NoError(t, err)
+	time.Sleep(50 * time.Millisecond) // the extra bytes are there in any case
+	extra = false
+	body, err := get(t, p, addr)
+	require.NoError(t, err)
+	assert.Equal(t, "ok", body)
+	assert.Equal(t, 2, opened, "one with bytes that nobody asked for is not used again")
+}
+
+func TestNotSentIsToldFromBroken(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	closed := l.Addr().String()
+	l.Close()
+	_, err = get(t, NewExchanges(), closed)
+	assert.True(t, IsNotSent(err))
+	addr := serveRaw(t, func(c net.Conn) { c.Close() })
+	_, err = get(t, NewExchanges(), addr)
+	require.Error(t, err)
+	assert.False(t, IsNotSent(err), "it may have run")
+}
+
+// An upstream may answer before it has read a long body, and read on later.
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	addr := serveRaw(t, func(c net.Conn) {
+		_, _ = c.Write([]byte(ok))
+		_, _ = io.Copy(io.Discard, c)
+	})
+	x, err := NewExchanges().Send(context.Background(), addr, &Message{Method: "POST", Target: "/", Host: "h", Header: http.Header{}, Body: []byte(strings.Repeat("x", 8<<20))}, anyAnswer)
+	require.NoError(t, err)
+	raw, err := io.ReadAll(x.Response.Body)
+	require.NoError(t, err)
+	assert.Equal(t, "ok", string(raw))
+	x.Close(true)
+}
+
+func TestEndOfContextClosesTheConnection(t *testing.T) {
+	ended := make(chan struct{})
+	addr := serveRaw(t, func(c net.Conn) {
+		_, _ = io.Copy(io.Discard, c)
+		close(ended)
+	})
+	ctx, stop := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer stop()
+	_, err := NewExchanges().Send(ctx, addr, &Message{Method: "GET", Target: "/", Host: "h", Header: http.Header{}}, anyAnswer)
+	require.Error(t, err)
+	<-ended
+}
+
+func TestQuietSeesBytesThatWait(t *testing.T) {
+	near := make(chan net.Conn, 1)
+	addr := serveRaw(t, func(c net.Conn) { near <- c })
+	far, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	defer far.Close()
+	c := <-near
+	defer c.Close()
+	assert.True(t, Quiet(c))
+	_, err = far.Write([]byte("x"))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return !Quiet(c) }, 5*time.Second, time.Millisecond)
+	one := make([]byte, 1)
+	_, err = c.Read(one)
+	require.NoError(t, err)
+	assert.Equal(t, "x", string(one), "it was not taken")
+}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -418,3 +418,21 @@
 	p.aim = strictest(tab, "s")
 	assert.InDelta(t, 0.6*patient, p.waitLimit(a, &choice{}, start), 1)
 }
+
+// Seen on a grown day (LOST): a stream whose upstream broke was refused another
+// for the wait there, and cut.
+func TestBegunRequestsAreNotRefusedForTheWait(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	id := f.order[0]
+	f.arrive(id, 1, engines, "a", 500)
+	f.placed(id, 1)
+	for no := uint64(2); no < 40; no++ {
+		f.arrive(id, no, engines, "b", 4000)
+	}
+	f.nodes[id].Step(Again{ID: 1, Event: wire.NoteFailed}, f.now)
+	f.deliver()
+	f.placed(id, 1)
+	f.arrive(id, 50, engines, "a", 500)
+	_, refused := f.got[id][50].(Refuse)
+	assert.True(t, refused, "a new request would wait too long")
+}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -214,7 +214,8 @@
 	}
 	if p.engine != nil {
 		limit := p.waitLimit(a, c, now)
-		if c.waitMS > limit {
+		// One that has been sent before is work half done, or an answer half given.
+		if c.waitMS > limit && len(a.Avoid) == 0 {
 			return verdict{after: p.comeBack(a, c.waitMS, limit), why: ReasonCapacity}
 		}
 		p.meter.grant(a.Org, tokens, now)
--- a/internal/process/crowd.go
+++ b/internal/process/crowd.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"sync"
+
+	"github.com/silverswitch/silverswitch/internal/conn"
 )
 
 // Parts of a process's descriptors that callers' connections may take. The rest
@@ -45,7 +47,7 @@
 }
 
 // connState follows http.Server's connections.
-func (c *crowd) connState(conn net.Conn, state http.ConnState) {
+func (c *crowd) connState(caller net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	var drop net.Conn
 	switch state {
@@ -53,13 +55,13 @@
 		c.open++
 		drop = c.oldest()
 	case http.StateActive:
-		c.unlist(conn)
+		c.unlist(caller)
 	case http.StateIdle:
-		c.where[conn] = c.idle.PushBack(conn)
+		c.where[caller] = c.idle.PushBack(caller)
 		drop = c.oldest()
 	case http.StateClosed, http.StateHijacked:
 		c.open--
-		c.unlist(conn)
+		c.unlist(caller)
 	}
 	c.mu.Unlock()
 	if drop != nil {
@@ -67,23 +69,29 @@
 	}
 }
 
+// oldestTries is how many idle connections are looked at for a quiet one.
+const oldestTries = 8
+
 // oldest takes the longest idle connection off the list when there are too many.
+// One on which a request has arrived that was not read yet stays.
 func (c *crowd) oldest() net.Conn {
 	if c.most == 0 || c.open <= c.most {
 		return nil
 	}
 	e := c.idle.Front()
-	if e == nil {
-		return nil
+	for i := 0; e != nil && i < oldestTries; i++ {
+		if idle := e.Value.(net.Conn); conn.Quiet(idle) {
+			c.unlist(idle)
+			return idle
+		}
+		e = e.Next()
 	}
-	conn := e.Value.(net.Conn)
-	c.unlist(conn)
-	return conn
+	return nil
 }
 
-func (c *crowd) unlist(conn net.Conn) {
-	if e := c.where[conn]; e != nil {
+func (c *crowd) unlist(caller net.Conn) {
+	if e := c.where[caller]; e != nil {
 		c.idle.Remove(e)
-		delete(c.where, conn)
+		delete(c.where, caller)
 	}
 }
--- a/internal/request/forward/run.go
+++ b/internal/request/forward/run.go
@@ -112,24 +112,28 @@
 }
 
 // firstLimit is how long an upstream may be silent before its answer begins when
-// the request may be sent elsewhere; 0 is no limit.
+// the request may be sent elsewhere; 0 is no limit. By then the answer is late
+// where it is; a shorter limit would end work that a busy upstream, or this
+// router, is merely slow with.
 func (r *run) firstLimit(p *dispatch.Place) time.Duration {
 	if !r.mayRepeat() {
 		return 0
 	}
-	expect := time.Duration(p.WaitMS) * time.Millisecond
 	if r.route.Kind == routing.Stream {
-		return max(r.route.Target, 3*expect+firstSlack)
+		expect := time.Duration(p.WaitMS) * time.Millisecond
+		return max(firstTargets*r.route.Target, firstWaits*expect+firstSlack)
 	}
-	return max(r.route.Target, plainFirst)
+	return max(firstTargets*r.route.Target, plainFirst)
 }
 
 const (
-	// firstSlack is added to three times the expected wait at an engine before its
-	// silence counts as a fault.
-	firstSlack = 400 * time.Millisecond
-	// plainFirst is the least silence of a plain service that counts as one.
-	plainFirst = 150 * time.Millisecond
+	// firstTargets and firstWaits are in times of the route's target, and of the
+	// expected wait at an engine; firstSlack comes on top of the latter.
+	firstTargets = 2
+	firstWaits   = 4
+	firstSlack   = 600 * time.Millisecond
+	// plainFirst is the least silence of a plain service that counts as a fault.
+	plainFirst = 300 * time.Millisecond
 )
 
 func (r *run) mayRepeat() bool {
--- a/internal/request/forward/server.go
+++ b/internal/request/forward/server.go
@@ -29,6 +29,7 @@
 	names  Dialect
 	most   int64 // requests at once
 	open   atomic.Int64
+	door   *door
 	count  counters
 	lines  *reqLog
 	tracer trace.Tracer
@@ -36,7 +37,7 @@
 
 // NewServer returns the handler's state. It refuses requests beyond most at once.
 func NewServer(ctl Control, ups *conn.Exchanges, names Dialect, most int, reg metrics.Registry, log zerolog.Logger) *Server {
-	s := &Server{ctl: ctl, ups: ups, names: names, most: int64(most), count: newCounters(reg), lines: newReqLog(log), tracer: otel.Tracer("silverswitch")}
+	s := &Server{ctl: ctl, ups: ups, names: names, most: int64(most), door: newDoor(), count: newCounters(reg), lines: newReqLog(log), tracer: otel.Tracer("silverswitch")}
 	ups.Opened = func() { s.count.opened.Inc(1) }
 	return s
 }
@@ -60,27 +61,6 @@
 // comeBackStarting is when a caller should return to a router that has no table.
 const comeBackStarting = 500 * time.Millisecond
 
-// Load that a router refuses at its door, so that what it takes is served in
-// time: another attempt enters by another router. A request wakes some twenty
-// goroutines until its first byte is passed on, so each millisecond of lag makes
-// it later by that many. Source: docs/BENCH.md.
-const (
-	lagFrom           = 6 * time.Millisecond // nothing is refused up to this
-	lagFull           = 30 * time.Millisecond
-	shedMost          = 0.9 // part refused from lagFull on
-	comeBackElsewhere = 100 * time.Millisecond
-)
-
-// sheds decides whether a request is refused for the router's own load.
-func (s *Server) sheds() bool {
-	over := s.ctl.Lag() - lagFrom
-	if over <= 0 {
-		return false
-	}
-	part := min(shedMost, float64(over)/float64(lagFull-lagFrom))
-	return rand.Float64() < part
-}
-
 // ServeHTTP decides from the headers, reads the body within its bounds, and runs
 // the request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -90,15 +70,16 @@
 	defer span.End()
 	v := &visit{s: s, w: w, r: r.WithContext(ctx), id: r.Header.Get(s.names.RequestID), arrived: time.Now()}
 	defer s.open.Add(-1)
-	if s.open.Add(1) > s.most || s.sheds() {
-		s.count.shed.Inc(1)
-		v.fail(notRun("router-overloaded", comeBackElsewhere))
-		return
-	}
+	full := s.open.Add(1) > s.most
 	if f := v.admit(); f != nil {
 		v.fail(*f)
 		return
 	}
+	if full || s.door.refuses(v.org, s.ctl.Lag(), v.arrived) {
+		s.count.shed.Inc(1)
+		v.fail(notRun("router-overloaded", comeBackElsewhere))
+		return
+	}
 	if f := v.readBody(); f != nil {
 		v.fail(*f)
 		return
