Routers that start together know each other within a second

Now a starting router asks its seeds for everyone, every 150 ms for 2.5 s. Greetings are no longer probes. Test: TestRoutersThatStartTogetherSoonKnowEachOther.

--- a/internal/core/io.go
+++ b/internal/core/io.go
@@ -218,6 +218,7 @@
 		n.headVersion(d)
 		d.Updates = n.members.Piggyback(id)
 		d.Tell = n.members.Lacks(id)
+		d.All = n.members.Joining(id)
 		d.Drains = n.drainsToTell()
 		n.out = append(n.out, Send{To: id, Datagram: d})
 	}
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -14,17 +14,21 @@
 
 // Timing of the failure detector.
 const (
-	ProbeEvery    = time.Second
-	ackTimeout    = 200 * time.Millisecond
-	suspectFor    = 1500 * time.Millisecond
-	retryDead     = 2 * time.Second
-	buryEvery     = 200 * time.Millisecond
-	forgetAfter   = 10 * time.Minute
-	helpers       = 2
-	maxPiggyback  = 6
-	greetings     = 8 // routers pinged at once at the start
-	greetEvery    = 150 * time.Millisecond
-	spreadPerNode = 4 // times an update is sent for each doubling of the fleet
+	ProbeEvery   = time.Second
+	ackTimeout   = 200 * time.Millisecond
+	suspectFor   = 1500 * time.Millisecond
+	retryDead    = 2 * time.Second
+	buryEvery    = 200 * time.Millisecond
+	forgetAfter  = 10 * time.Minute
+	helpers      = 2
+	maxPiggyback = 6
+	greetings    = 8 // routers pinged at once at the start
+	greetEvery   = 150 * time.Millisecond
+	// joinFor is how long a router that has started asks its seeds again and again
+	// for every router they know: where many start at once, each knows few at first.
+	joinFor       = 2500 * time.Millisecond
+	maxAllSent    = 400 // updates in one answer, 60 bytes each
+	spreadPerNode = 4   // times an update is sent for each doubling of the fleet
 )
 
 // Member is one router as this one knows it.
@@ -53,6 +57,10 @@
 	lastDed   time.Time
 	lastBury  time.Time
 	alone     bool // no other router was heard yet
+	started   time.Time
+	seeds     []wire.NodeID
+	asking    bool                 // the next pings ask for every update
+	all       map[wire.NodeID]bool // routers that asked for every update
 	lastGreet time.Time
 	rnd       *rand.Rand
 	relays    map[uint32]relay
@@ -92,6 +100,9 @@
 		relays:  map[uint32]relay{},
 		tell:    map[wire.NodeID]bool{},
 		alone:   true,
+		started: now,
+		seeds:   seeds,
+		all:     map[wire.NodeID]bool{},
 	}
 	for _, id := range seeds {
 		t.meet(id, now)
@@ -214,6 +225,9 @@
 	if d.Tell {
 		t.tell[d.From] = true
 	}
+	if d.All {
+		t.all[d.From] = true
+	}
 	for _, u := range d.Updates {
 		t.learn(u, now)
 	}
@@ -336,6 +350,10 @@
 // Piggyback returns the updates for a datagram to a router. One that is held
 // dead or suspect is told so, that it may refute.
 func (t *Table) Piggyback(to wire.NodeID) []wire.Update {
+	if t.all[to] {
+		delete(t.all, to)
+		return t.everyone(to)
+	}
 	var out []wire.Update
 	if m := t.members[to]; m != nil && m.State >= wire.Suspect && m.Inc != 0 {
 		out = append(out, m.Update)
@@ -358,6 +376,31 @@
 	return out
 }
 
+// everyone returns every router's update for one that has just started.
+func (t *Table) everyone(to wire.NodeID) []wire.Update {
+	out := []wire.Update{t.self}
+	for _, m := range t.All() {
+		if m.Inc != 0 && m.ID != to && len(out) < maxAllSent {
+			out = append(out, m.Update)
+		}
+	}
+	return out
+}
+
+// Joining reports whether pings to a router ask for every update: it is a seed,
+// and this router has just started.
+func (t *Table) Joining(to wire.NodeID) bool {
+	if !t.asking {
+		return false
+	}
+	for _, id := range t.seeds {
+		if id == to {
+			return true
+		}
+	}
+	return false
+}
+
 func (t *Table) entry(id wire.NodeID) (wire.Update, bool) {
 	if id == t.self.ID {
 		return t.self, true
--- a/internal/core/member/probe.go
+++ b/internal/core/member/probe.go
@@ -15,7 +15,8 @@
 		t.lastBury = now
 		t.bury(now)
 	}
-	if t.alone && now.Sub(t.lastGreet) >= greetEvery {
+	t.asking = t.alone || now.Sub(t.started) < joinFor
+	if t.asking && now.Sub(t.lastGreet) >= greetEvery {
 		t.lastGreet = now
 		out = append(out, t.greet(now)...)
 	}
@@ -111,11 +112,17 @@
 // yet is lost.
 func (t *Table) greet(now time.Time) []Send {
 	var out []Send
-	t.rnd.Shuffle(len(t.order), func(i, j int) { t.order[i], t.order[j] = t.order[j], t.order[i] })
-	for _, id := range t.order[:min(greetings, len(t.order))] {
-		out = append(out, t.ping(id, now)...)
+	for _, id := range t.seeds[:min(greetings, len(t.seeds))] {
+		m := t.members[id]
+		if m == nil {
+			continue // this router itself
+		}
+		if !m.asked {
+			m.asked, m.Since = true, now
+		}
+		t.seq++ // no probe: silence proves nothing yet
+		out = append(out, Send{To: id, Ping: &wire.Ping{Seq: t.seq}})
 	}
-	t.probe.open = false // none of them is a probe: silence proves nothing yet
 	return out
 }
 
--- a/internal/core/wire/wire.go
+++ b/internal/core/wire/wire.go
@@ -82,6 +82,7 @@
 	Votes   []Vote          `cbor:"14,keyasint,omitempty"`
 	States  []PoolState     `cbor:"15,keyasint,omitempty"`
 	Work    *Work           `cbor:"17,keyasint,omitempty"`
+	All     bool            `cbor:"18,keyasint,omitempty"` // the sender has just started: it wants every router's update
 }
 
 // Ping asks for an Ack. When Target is set, the receiver asks it in its place.
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -423,6 +423,7 @@
 		d.From, d.Inc, d.Refute, d.State = self.ID, self.Inc, self.Refute, self.State
 		d.Updates = n.members.Piggyback(id)
 		d.Tell = n.members.Lacks(id)
+		d.All = n.members.Joining(id)
 		n.out = append(n.out, Send{To: id, Datagram: d})
 	}
 	clear(n.box)
