--- a/internal/process/kept.go
+++ b/internal/process/kept.go
@@ -34,6 +34,8 @@
 // gaps no more often than keptListAgain.
 const (
 	keptEvery     = 700 * time.Millisecond
+	keptIdle      = 50 * time.Millisecond // while this router schedules nothing
+	keptFirst     = 5 * time.Millisecond  // between two engines of which nothing is known
 	keptTimeout   = 400 * time.Millisecond
 	keptListAgain = 5 * time.Second
 )
@@ -72,14 +74,18 @@
 		engines := f.st.Scheduled()
 		f.forget(engines)
 		if len(engines) == 0 {
-			sleep(ctx, keptEvery)
+			sleep(ctx, keptIdle)
 			continue
 		}
 		for _, e := range engines {
+			pause := keptEvery / time.Duration(len(engines))
 			if s := f.take(e.ID); s != nil {
+				if s.listed.IsZero() {
+					pause = min(pause, keptFirst)
+				}
 				go f.read(ctx, e, s)
 			}
-			sleep(ctx, keptEvery/time.Duration(len(engines)))
+			sleep(ctx, pause)
 		}
 	}
 }
