--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo lint test bench fuzz model guards capacity
+.PHONY: build deploy demo lint test bench fuzz model guards capacity
 
 build:
 	go build ./...
@@ -7,10 +7,15 @@
 	./demo/demo.sh
 
 lint:
-	@test -z "$$(gofmt -l cmd internal)" || { gofmt -l cmd internal; echo 'gofmt: the files above'; exit 1; }
+	@test -z "$$(gofmt -l cmd internal platform)" || { gofmt -l cmd internal platform; echo 'gofmt: the files above'; exit 1; }
 	go vet ./...
 	go tool staticcheck ./...
 
+# The build of deploy/system.toml, as the users' machines run it.
+deploy:
+	sh -c "$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)"
+	test -x target/silverswitchd
+
 test: lint
 	go test -race -count=1 -timeout 5m ./...
 
@@ -26,6 +31,9 @@
 	go test ./internal/request -run XXX -fuzz FuzzCompletion -fuzztime 5000x
 	go test ./internal/version -run XXX -fuzz FuzzLoad -fuzztime 2000x
 	go test ./internal/process -run XXX -fuzz FuzzSettings -fuzztime 2000x
+	go test ./internal/request/forward -run XXX -fuzz FuzzPrompt -fuzztime 5000x
+	go test ./platform -run XXX -fuzz FuzzDecodeTable -fuzztime 5000x
+	go test ./platform -run XXX -fuzz FuzzKept -fuzztime 5000x
 
 # The protocols' specification: needs spin and a C compiler.
 model:
--- a/internal/dispatch/cache.go
+++ b/internal/dispatch/cache.go
@@ -113,10 +113,3 @@
 		c.drop(e.Value.(*part).id)
 	}
 }
-
-// clear forgets everything: the engine has started anew or failed.
-func (c *cache) clear() {
-	c.parts = map[uint64]*list.Element{}
-	c.order.Init()
-	c.used = 0
-}
--- a/internal/request/forward/door_test.go
+++ b/internal/request/forward/door_test.go
@@ -29,5 +29,11 @@
 	all := float64(refused["flood"]+refused["small"]) / 20_000
 	assert.InDelta(t, 0.5, all, 0.05)
 	assert.False(t, d.refuses("flood", lagFrom, now), "a router that keeps up refuses nobody")
-	assert.True(t, d.refuses("flood", time.Second, now) || d.refuses("flood", time.Second, now) || d.refuses("flood", time.Second, now))
+	late := 0
+	for range 100 {
+		if d.refuses("flood", time.Second, now) {
+			late++
+		}
+	}
+	assert.Greater(t, late, 70)
 }
