--- a/internal/core/wire/work.go
+++ b/internal/core/wire/work.go
@@ -71,7 +71,9 @@
 	Upstream version.ID
 	Source   version.ID // an upstream to fetch kept prompt parts from, or 0
 	Work     uint32     // tokens the upstream is expected to read
+	WaitMS   uint32     // expected behind others
 	AfterMS  uint32     // of a refusal: when to come back
+	LimitMS  uint32     // of a refusal: the wait that was allowed
 	Why      uint8
 }
 
--- a/internal/dispatch/flight.go
+++ b/internal/dispatch/flight.go
@@ -103,7 +103,7 @@
 func (n *Node) refuse(f *flight, v verdict, by wire.NodeID) {
 	delete(n.flights, f.req.ID)
 	n.Counts.Refused++
-	n.out = append(n.out, Refuse{ID: f.req.ID, Reason: v.why, After: v.after, By: by})
+	n.out = append(n.out, Refuse{ID: f.req.ID, Reason: v.why, After: v.after, By: by, WaitMS: int(v.wait), LimitMS: int(v.limit), Revision: n.cat.Revision})
 }
 
 // tickFlights repeats asks that were not answered, and gives up on schedulers
--- a/internal/dispatch/io.go
+++ b/internal/dispatch/io.go
@@ -145,6 +145,10 @@
 	Reason Reason
 	After  time.Duration // when to come back
 	By     wire.NodeID
+
+	WaitMS   int    // expected behind others at the best upstream
+	LimitMS  int    // that was allowed
+	Revision uint64 // of the store's content it was decided on here
 }
 
 // Fetch asks the driver to read the store's content from a peer that knows more.
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -82,10 +82,11 @@
 	}
 	v := p.decide(from, a, now)
 	if v.choice == nil {
-		w.Answers = append(w.Answers, wire.WorkAnswer{No: a.No, Try: a.Try, AfterMS: uint32(v.after.Milliseconds()), Why: uint8(v.why)})
+		w.Answers = append(w.Answers, wire.WorkAnswer{No: a.No, Try: a.Try, AfterMS: uint32(v.after.Milliseconds()), Why: uint8(v.why),
+			WaitMS: uint32(v.wait), LimitMS: uint32(v.limit)})
 		return
 	}
-	ans := wire.WorkAnswer{No: a.No, Try: a.Try, Upstream: v.choice.up.id, Work: uint32(v.choice.work), AfterMS: uint32(v.choice.waitMS)}
+	ans := wire.WorkAnswer{No: a.No, Try: a.Try, Upstream: v.choice.up.id, Work: uint32(v.choice.work), WaitMS: uint32(v.choice.waitMS)}
 	if v.choice.source != nil {
 		ans.Source = v.choice.source.id
 	}
@@ -106,7 +107,7 @@
 		return
 	}
 	if a.Upstream == 0 {
-		n.refuse(f, verdict{why: Reason(a.Why), after: time.Duration(a.AfterMS) * time.Millisecond}, from)
+		n.refuse(f, verdict{why: Reason(a.Why), after: time.Duration(a.AfterMS) * time.Millisecond, wait: float64(a.WaitMS), limit: float64(a.LimitMS)}, from)
 		return
 	}
 	p := n.pools[f.pool]
@@ -123,7 +124,7 @@
 		n.decideHere(f, p, now)
 		return
 	}
-	n.assign(f, p.ups[a.Upstream], p.ups[a.Source], from, int(a.AfterMS), int(a.Work))
+	n.assign(f, p.ups[a.Upstream], p.ups[a.Source], from, int(a.WaitMS), int(a.Work))
 }
 
 // heirs is how many routers keep the model of kept parts warm beside a service's
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -200,6 +200,8 @@
 	choice *choice
 	after  time.Duration
 	why    Reason
+	wait   float64 // of a refusal: expected at the best upstream, in milliseconds
+	limit  float64 // of a refusal: allowed
 }
 
 // decide places a request or refuses it.
@@ -216,7 +218,7 @@
 		limit := p.waitLimit(a, c, now)
 		// One that has been sent before is work half done, or an answer half given.
 		if c.waitMS > limit && len(a.Avoid) == 0 {
-			return verdict{after: p.comeBack(a, c.waitMS, limit), why: ReasonCapacity}
+			return verdict{after: p.comeBack(a, c.waitMS, limit), why: ReasonCapacity, wait: c.waitMS, limit: limit}
 		}
 		p.meter.grant(a.Org, tokens, now)
 	}
--- a/internal/request/forward/count.go
+++ b/internal/request/forward/count.go
@@ -30,16 +30,22 @@
 }
 
 // logEnd writes the line of a request's end without an answer.
-func (v *visit) logEnd(status int, reason, up string, err error) {
+func (v *visit) logEnd(f failure) {
 	e := v.s.lines.failure()
 	if e == nil {
 		return
 	}
-	v.fields(e, up)
-	if err != nil {
-		e.AnErr("cause", err)
+	v.fields(e, f.up)
+	if f.err != nil {
+		e.AnErr("cause", f.err)
 	}
-	e.Int("status", status).Str("reason", reason).Msg("request-failed")
+	if d := f.refusal; d != nil {
+		e.Str("by", string(d.By)).Int("wait_ms", d.WaitMS).Int("limit_ms", d.LimitMS).Uint64("revision", d.Revision)
+	}
+	if f.after > 0 {
+		e.Int64("come_back_ms", f.after.Milliseconds())
+	}
+	e.Int("status", f.status).Str("reason", f.reason).Msg("request-failed")
 }
 
 // fields are what every line about a request tells: its id, the inputs that were
--- a/internal/request/forward/failure.go
+++ b/internal/request/forward/failure.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/silverswitch/silverswitch/internal/dispatch"
 )
 
 // failure is an outcome without an answer. Status 503, 429, 408 and 421 promise
@@ -14,6 +16,8 @@
 	after  time.Duration // when to come back, 0 to leave it open
 	err    error
 	up     string // the last upstream
+
+	refusal *dispatch.Refuse // the decision that refused, for the log
 }
 
 // fail tells the caller. It must be called before any of an answer was sent.
@@ -34,7 +38,7 @@
 	v.w.WriteHeader(f.status)
 	_, _ = v.w.Write([]byte(body)) // the caller may be gone
 	v.s.count.failed(f.status)
-	v.logEnd(f.status, f.reason, f.up, f.err)
+	v.logEnd(f)
 }
 
 // notRun is a refusal that is true: nothing of the request ran.
--- a/internal/request/forward/run.go
+++ b/internal/request/forward/run.go
@@ -63,7 +63,9 @@
 	case r.ran:
 		r.fail(inDoubt("upstream-failed", false, "", nil))
 	default:
-		r.fail(notRun(f.Reason.String(), f.After))
+		end := notRun(f.Reason.String(), f.After)
+		end.refusal = &f
+		r.fail(end)
 	}
 }
 
@@ -72,7 +74,7 @@
 	switch {
 	case r.r.Context().Err() != nil:
 		r.s.count.broken.Inc(1)
-		r.logEnd(0, "caller-gone", up, nil)
+		r.logEnd(failure{reason: "caller-gone", up: up})
 		panic(http.ErrAbortHandler)
 	case r.begun:
 		r.abort(reason)
@@ -89,7 +91,7 @@
 // abort cuts an answer that has begun, so that it cannot look whole.
 func (r *run) abort(reason string) {
 	r.s.count.broken.Inc(1)
-	r.logEnd(0, "answer-cut: "+reason, "", nil)
+	r.logEnd(failure{reason: "answer-cut: " + reason})
 	panic(http.ErrAbortHandler)
 }
 
--- a/internal/tool/story.go
+++ b/internal/tool/story.go
@@ -133,7 +133,7 @@
 // concerns reports whether a line is a change of belief that may explain the
 // request: of one of its routers, near it in time.
 func (l logLine) concerns(routers, upstreams map[string]bool, first, last time.Time) bool {
-	if _, ofRequest := l.fields["request"]; ofRequest || !routers[l.router] {
+	if _, ofRequest := l.fields["request"]; ofRequest || !routers[l.router] || l.message == "lines-left-out" {
 		return false
 	}
 	if up, ok := l.fields["upstream"].(string); ok && !upstreams[up] {
