Organisations over their share wait less

Cause: what an organisation asks beyond its share was still let wait for up to 0.45 of the target behind others, and made those within their share late (p50 of condition-report 259 ms at a fifth of the engines' reading). Now at most 0.35, falling to 0.03 (one chunk of reading) at 1.8 times the share; an engine with less before it still takes everyone, so none stands idle.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -25,9 +25,9 @@
 // fully useful. Source: docs/BENCH.md.
 const (
 	waitUnder   = 0.80 // for an organisation under its share
-	waitAtShare = 0.45 // at its share, falling from there
-	waitLeast   = 0.12 // however far over its share
-	overFull    = 2.5  // times its share at which waitLeast is reached
+	waitAtShare = 0.35 // at its share, falling from there
+	waitLeast   = 0.03 // however far over its share
+	overFull    = 1.8  // times its share at which waitLeast is reached
 	// largeOwn is the part of the aim beyond which a prompt's own reading makes it
 	// late in any case; such prompts take their turn behind half the wait.
 	largeOwn = 1.0
