Of two organisations far over their shares the farther waits less

Now the wait falls with the cube of how far over the share one is, without a floor. Test: TestOfTwoFarOverTheFartherWaitsLess, seen to fail before.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/silverswitch/silverswitch/internal/core/wire"
 	"github.com/silverswitch/silverswitch/internal/routing"
+	"github.com/silverswitch/silverswitch/internal/version"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -436,3 +437,21 @@
 	_, refused := f.got[id][50].(Refuse)
 	assert.True(t, refused, "a new request would wait too long")
 }
+
+// Seen in a hunt on ghadiyal (FAIR): two organisations were both so far over their
+// shares that they might wait equally long, and the one that sent more got most.
+func TestOfTwoFarOverTheFartherWaitsLess(t *testing.T) {
+	p := newPool(&routing.Service{Name: "s", Engine: &routing.Engine{Slots: 64, MemoryTokens: 200_000}}, 1000)
+	for org := range uint32(10) {
+		p.meter.ask(version.ID(org+1), 10_000, start)
+	}
+	limits := map[int]float64{}
+	for _, got := range []int{300, 800, 1600, 3200} {
+		p.meter.of(1).got = [shareSteps]float64{}
+		p.meter.grant(1, float64(got), start)
+		limits[got] = p.waitLimit(&wire.WorkAsk{Org: 1, AimMS: 600, LeftMS: 6000}, &choice{}, start)
+	}
+	assert.Greater(t, limits[300], limits[800])
+	assert.Greater(t, limits[800], 1.5*limits[1600])
+	assert.Greater(t, limits[1600], 1.5*limits[3200])
+}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -25,9 +25,11 @@
 // fully useful. Source: docs/BENCH.md.
 const (
 	waitUnder   = 0.80 // for an organisation under its share
-	waitAtShare = 0.35 // at its share, falling from there
-	waitLeast   = 0.03 // however far over its share
-	overFull    = 1.8  // times its share at which waitLeast is reached
+	waitAtShare = 0.35 // at its share
+	// overPower is how fast the wait falls beyond the share: with the cube of how
+	// far an organisation is over. It has no floor, so that of two that are far over
+	// the farther one always waits less.
+	overPower = 3
 	// largeOwn is the part of the aim beyond which a prompt's own reading makes it
 	// late in any case; such prompts take their turn behind half the wait.
 	largeOwn = 1.0
@@ -256,7 +258,7 @@
 	}
 	part := waitUnder
 	if over := p.meter.over(a.Org, now); over >= 1 {
-		part = max(waitLeast, waitAtShare-(waitAtShare-waitLeast)*(over-1)/(overFull-1))
+		part = waitAtShare / math.Pow(over, overPower)
 	}
 	room := aim - baseMS - c.ownMS
 	if c.ownMS > largeOwn*aim {
