--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -11,11 +11,8 @@
 
 import (
 	"math/rand/v2"
-	"sort"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/silverswitch/silverswitch/internal/core/member"
 	"github.com/silverswitch/silverswitch/internal/core/wire"
 	"github.com/silverswitch/silverswitch/internal/routing"
@@ -261,72 +258,6 @@
 	}
 }
 
-// schedulerOf returns the router that decides for a service.
-func (n *Node) schedulerOf(service version.ID, now time.Time) wire.NodeID {
-	if ranked := n.ranked(service, now); len(ranked) > 0 {
-		return ranked[0]
-	}
-	return n.set.ID
-}
-
-// ranked returns the live routers that are not known to be silent in the order in
-// which they would decide for a service: those with most processor first, since
-// a scheduler works for the whole fleet, and of equal ones by rendezvous hashing.
-func (n *Node) ranked(service version.ID, now time.Time) []wire.NodeID {
-	r := n.ranks[service]
-	if r != nil && r.changes == n.members.Changes && now.Sub(r.at) < rankFor {
-		return r.order
-	}
-	r = &ranking{changes: n.members.Changes, at: now}
-	for _, id := range n.members.Live(false) {
-		if until, silent := n.silent[id]; !silent || now.After(until) {
-			r.order = append(r.order, id)
-		}
-	}
-	sort.Slice(r.order, func(i, j int) bool {
-		a, b := r.order[i], r.order[j]
-		if pa, pb := n.power(a), n.power(b); pa != pb {
-			return pa > pb
-		}
-		return rank(service, a) > rank(service, b)
-	})
-	n.ranks[service] = r
-	return r.order
-}
-
-// ranking is a service's routers in order, kept for a moment.
-type ranking struct {
-	order   []wire.NodeID
-	changes int
-	at      time.Time
-}
-
-// rankFor is how long a ranking is kept while no router's state changes; a silent
-// one clears it at once.
-const rankFor = 100 * time.Millisecond
-
-// power is a router's processor, in steps of a quarter of a core, so that small
-// differences do not make one router the scheduler of everything.
-func (n *Node) power(id wire.NodeID) uint32 {
-	const step = 250
-	if id == n.set.ID {
-		return n.set.Power / step
-	}
-	if m := n.members.Get(id); m != nil {
-		return m.Power / step
-	}
-	return 0
-}
-
-func rank(service version.ID, id wire.NodeID) uint64 {
-	var b [4]byte
-	b[0], b[1], b[2], b[3] = byte(service), byte(service>>8), byte(service>>16), byte(service>>24)
-	d := xxhash.New()
-	_, _ = d.Write(b[:]) // a digest takes everything
-	_, _ = d.WriteString(string(id))
-	return d.Sum64()
-}
-
 // Scheduled returns the engines that this router schedules.
 func (n *Node) Scheduled(now time.Time) []routing.Instance {
 	var out []routing.Instance
@@ -435,35 +366,3 @@
 
 // Heard reports whether any other router was ever heard.
 func (n *Node) Heard() bool { return len(n.members.Live(true)) > 1 }
-
-// Upstreams returns the state of every upstream, for status pages.
-func (n *Node) Upstreams(now time.Time) []UpstreamState {
-	var out []UpstreamState
-	for _, p := range n.pools {
-		for _, u := range p.order {
-			s := UpstreamState{Service: p.service, ID: u.inst.ID, Address: u.inst.Address, Place: u.inst.Place, Draining: u.inst.Draining,
-				Running: u.running(), Slow: u.slow, Resting: u.rest.resting(now)}
-			if u.cache != nil {
-				s.BacklogMS = int(u.backlog(p.rate, now))
-				s.KeptTokens = u.cache.used
-			}
-			out = append(out, s)
-		}
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
-	return out
-}
-
-// UpstreamState is one upstream as this router models it.
-type UpstreamState struct {
-	Service    string  `json:"service"`
-	ID         string  `json:"id"`
-	Address    string  `json:"address"`
-	Place      string  `json:"place"`
-	Draining   bool    `json:"draining"`
-	Resting    bool    `json:"resting"`
-	Running    int     `json:"running"`
-	BacklogMS  int     `json:"backlog_ms"`
-	KeptTokens int     `json:"kept_tokens"`
-	Slow       float64 `json:"slow"`
-}
--- /dev/null
+++ b/internal/dispatch/status.go
@@ -0,0 +1,38 @@
+package dispatch
+
+import (
+	"sort"
+	"time"
+)
+
+// Upstreams returns the state of every upstream, for status pages.
+func (n *Node) Upstreams(now time.Time) []UpstreamState {
+	var out []UpstreamState
+	for _, p := range n.pools {
+		for _, u := range p.order {
+			s := UpstreamState{Service: p.service, ID: u.inst.ID, Address: u.inst.Address, Place: u.inst.Place, Draining: u.inst.Draining,
+				Running: u.running(), Slow: u.slow, Resting: u.rest.resting(now)}
+			if u.cache != nil {
+				s.BacklogMS = int(u.backlog(p.rate, now))
+				s.KeptTokens = u.cache.used
+			}
+			out = append(out, s)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// UpstreamState is one upstream as this router models it.
+type UpstreamState struct {
+	Service    string  `json:"service"`
+	ID         string  `json:"id"`
+	Address    string  `json:"address"`
+	Place      string  `json:"place"`
+	Draining   bool    `json:"draining"`
+	Resting    bool    `json:"resting"`
+	Running    int     `json:"running"`
+	BacklogMS  int     `json:"backlog_ms"`
+	KeptTokens int     `json:"kept_tokens"`
+	Slow       float64 `json:"slow"`
+}
--- a/internal/process/routed.go
+++ b/internal/process/routed.go
@@ -186,11 +186,27 @@
 	})
 	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-		writeRegistry(w, reg, nil)
+		writeRegistry(w, reg, decisionLines(d.st.Status()))
 	})
 	return r
 }
 
+// decisionLines are the control state's totals for the metrics page.
+func decisionLines(s *Status) map[string]string {
+	if s == nil {
+		return nil
+	}
+	lines := map[string]string{}
+	for name, n := range map[string]uint64{
+		"placed": s.Counts.Placed, "refused": s.Counts.Refused, "asked": s.Counts.Asked, "asked_again": s.Counts.AskedAgain,
+		"own_decisions": s.Counts.OwnDecision, "answers_late": s.Counts.AnswersLate, "pauses": s.Counts.Woke,
+		"table_version": s.Version, "store_revision": s.Revision, "routers": uint64(len(s.Routers)),
+	} {
+		lines[promName("dispatch."+name)] = fmt.Sprint(n)
+	}
+	return lines
+}
+
 func (d *Routed) receive() {
 	buf := make([]byte, 64<<10)
 	for {
--- a/internal/request/forward/count.go
+++ b/internal/request/forward/count.go
@@ -13,7 +13,7 @@
 type counters struct {
 	reg                                                        metrics.Registry
 	arrived, answered, opened, resumed, repeated, broken, shed metrics.Counter
-	first                                                      metrics.Timer
+	first, decision                                            metrics.Timer
 }
 
 func newCounters(reg metrics.Registry) counters {
@@ -21,7 +21,8 @@
 	return counters{
 		reg: reg, arrived: c("arrived"), answered: c("answered"), opened: c("connections"), resumed: c("resumed"),
 		repeated: c("repeated"), broken: c("broken"), shed: c("shed"),
-		first: metrics.GetOrRegisterTimer("forward.first", reg),
+		first:    metrics.GetOrRegisterTimer("forward.first", reg),
+		decision: metrics.GetOrRegisterTimer("forward.decision", reg),
 	}
 }
 
--- a/internal/request/forward/run.go
+++ b/internal/request/forward/run.go
@@ -38,7 +38,9 @@
 // loop waits for a decision and tries, until there is an outcome.
 func (r *run) loop() {
 	for {
+		asked := time.Now()
 		d, ok := r.ticket.wait(r.ctx)
+		r.s.count.decision.UpdateSince(asked)
 		if !ok {
 			r.s.ctl.End(r.ticket, wire.NoteUnused)
 			r.giveUp("no-decision-in-time", "", nil)
