--- a/internal/core/wire/work.go
+++ b/internal/core/wire/work.go
@@ -11,7 +11,6 @@
 	Answers  []WorkAnswer `cbor:"4,keyasint,omitempty"`
 	Notes    []WorkNote   `cbor:"5,keyasint,omitempty"`
 	Loads    []WorkLoad   `cbor:"6,keyasint,omitempty"`  // absolute, of the sender's own requests
-	Full     bool         `cbor:"7,keyasint,omitempty"`  // Loads lists every upstream the sender uses
 	Held     []HeldPart   `cbor:"8,keyasint,omitempty"`  // prompt parts that upstreams have read
 	Sight    uint32       `cbor:"9,keyasint,omitempty"`  // ms since the sender read the store itself, plus one; 0 is never
 	Delta    *StoreDelta  `cbor:"10,keyasint,omitempty"` // a change of the store's content
@@ -51,7 +50,6 @@
 	AimMS    uint32     // until the answer is late, 0 when it is
 	LeftMS   uint32     // until the caller's deadline
 	Priority uint8
-	Bytes    uint32
 	Parts    []PromptPart
 	Avoid    []version.ID // upstreams that failed this request
 }
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -61,7 +61,6 @@
 	tokens int     // of memory that is this run's own: not shared with kept parts
 	output int     // of that, what it generates
 	parts  []wire.PromptPart
-	placed time.Time
 	until  time.Time // it has surely ended by then
 	first  bool
 	alone  bool // nothing was queued before it
--- a/internal/dispatch/flight.go
+++ b/internal/dispatch/flight.go
@@ -70,7 +70,6 @@
 		AimMS:    leftMS(r.Aim, now),
 		LeftMS:   leftMS(r.Deadline, now),
 		Priority: uint8(min(max(r.Priority, 0), 255)),
-		Bytes:    uint32(r.Bytes),
 		Parts:    r.Parts,
 		Avoid:    f.avoid,
 	}
--- a/internal/dispatch/io.go
+++ b/internal/dispatch/io.go
@@ -31,7 +31,6 @@
 	Org      string
 	Input    int // tokens of the prompt
 	Output   int // tokens expected
-	Bytes    int // of the body
 	Parts    []wire.PromptPart
 	Priority int
 	Aim      time.Time // an answer after this is late
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -160,7 +160,7 @@
 			continue
 		}
 		w := n.work(id)
-		w.Beat, w.Revision, w.Loads, w.Full = n.beat, n.cat.Revision, loads, true
+		w.Beat, w.Revision, w.Loads = n.beat, n.cat.Revision, loads
 		if n.isHeir(id, now) {
 			w.Held = n.read
 		}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -232,7 +232,6 @@
 		tokens: ownTokens(int(a.Input), int(a.Output), a.Parts),
 		output: int(a.Output),
 		parts:  a.Parts,
-		placed: now,
 		until:  now.Add(time.Duration(a.LeftMS)*time.Millisecond + runGrace),
 		want:   baseMS + c.waitMS + c.ownMS,
 	}
--- a/internal/request/forward/server.go
+++ b/internal/request/forward/server.go
@@ -161,7 +161,6 @@
 		Org:      v.org,
 		Input:    v.prompt.input,
 		Output:   v.prompt.output,
-		Bytes:    len(v.body),
 		Parts:    v.prompt.parts,
 		Priority: v.priority,
 		Aim:      v.arrived.Add(v.route.Target),
