Routers that are late or short of processor keep to shares

By the scheduler's meter the three largest organisations had got 1.2 to 1.6 million tokens in four seconds each; on the wire one of them got 4.0 to 6.0 million in six.

Ruled out: the meter itself (dumped each period in a trial: even shares).

Change: the processor used against the settings' cores decides at the door, beside the waits; what is refused there counts as asked for; the scheduler's answers say how much of its share an organisation has had, and a router places nothing by itself for one that has had it; what it does place by itself it tells the scheduler. Asks are not repeated while the own tick is late.

--- a/internal/core/wire/work.go
+++ b/internal/core/wire/work.go
@@ -14,6 +14,18 @@
 	Held     []HeldPart   `cbor:"8,keyasint,omitempty"`  // prompt parts that upstreams have read
 	Sight    uint32       `cbor:"9,keyasint,omitempty"`  // ms since the sender read the store itself, plus one; 0 is never
 	Delta    *StoreDelta  `cbor:"10,keyasint,omitempty"` // a change of the store's content
+	Unasked  []Unasked    `cbor:"11,keyasint,omitempty"` // since the last time
+}
+
+// Unasked is work of one organisation on which the sender decided without the
+// scheduler: refused for want of processor, or placed because no answer came. Both
+// are in tokens as shares are counted.
+type Unasked struct {
+	_       struct{} `cbor:",toarray"`
+	Service version.ID
+	Org     version.ID
+	Wanted  uint32
+	Placed  uint32
 }
 
 // StoreDelta is every change of the store's content from one revision to another.
@@ -72,6 +84,7 @@
 	WaitMS   uint32     // expected behind others
 	AfterMS  uint32     // of a refusal: when to come back
 	LimitMS  uint32     // of a refusal: the wait that was allowed
+	Over     uint32     // hundredths of its share that the organisation has had
 	Why      uint8
 }
 
--- a/internal/dispatch/flight.go
+++ b/internal/dispatch/flight.go
@@ -82,6 +82,7 @@
 func (n *Node) decideHere(f *flight, p *pool, now time.Time) {
 	a := n.askOf(f, now)
 	v := p.decide(n.set.ID, &a, now)
+	n.countUnasked(p, &a, v.choice != nil, now)
 	if v.choice == nil {
 		n.refuse(f, v, n.set.ID)
 		return
@@ -112,9 +113,12 @@
 		if f.placed != 0 {
 			continue
 		}
-		if now.Sub(f.asked) >= askGiveUp {
+		switch {
+		case now.Sub(f.asked) >= askGiveUp:
 			n.silentScheduler(f, now)
-		} else if now.Sub(f.sent) >= askAgain {
+		case n.late:
+			// The answer may wait unread here.
+		case now.Sub(f.sent) >= askAgain:
 			n.Counts.AskedAgain++
 			n.ask(f, now)
 		}
@@ -140,6 +144,10 @@
 		return
 	}
 	f.try++ // an answer that still comes is to an ask that is over
+	if len(f.avoid) == 0 && n.unasked.hadShare(orgAt{p.id, version.IDOf(f.req.Org)}, now) {
+		n.refuse(f, verdict{why: ReasonCapacity, after: minComeBack}, n.set.ID)
+		return
+	}
 	n.decideHere(f, p, now)
 }
 
--- a/internal/dispatch/io.go
+++ b/internal/dispatch/io.go
@@ -95,6 +95,21 @@
 	Tokens int
 }
 
+// Turned is work that this router refused without asking for a place, for want of
+// processor. It counts as asked for when capacity is shared.
+type Turned struct{ Work []TurnedWork }
+
+// TurnedWork is the refused work of one organisation at one service.
+type TurnedWork struct {
+	Service string
+	Org     string
+	Tokens  float64 // as Cost counts them
+}
+
+// Cost is the work of a request as shares are counted: a token read counts once,
+// a token generated twice (the platform's measure of what its engines produce).
+func Cost(input, output int) float64 { return float64(input) + 2*float64(output) }
+
 // NewSettings changes what may change while the process runs.
 type NewSettings struct {
 	Seeds []wire.NodeID
@@ -113,6 +128,7 @@
 func (Sighted) input()   {}
 func (Kept) input()      {}
 func (Seen) input()      {}
+func (Turned) input()    {}
 
 func (NewSettings) input() {}
 
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -78,6 +78,7 @@
 	silent  map[wire.NodeID]time.Time // until when a router is passed over
 	ahead   map[wire.NodeID]ahead
 	read    []wire.HeldPart // since the last regular message
+	unasked unaskedWork
 	notes   map[wire.NodeID][]wire.WorkNote
 	noteDue time.Time
 	beat    uint32
@@ -126,6 +127,7 @@
 		lastTick: now,
 		rnd:      rnd,
 		box:      map[wire.NodeID]*wire.Datagram{},
+		unasked:  newUnaskedWork(),
 	}
 }
 
@@ -151,6 +153,8 @@
 		n.kept(in, now)
 	case Seen:
 		n.cat.AsOf = max(n.cat.AsOf, in.AsOf)
+	case Turned:
+		n.turned(in)
 	case NewSettings:
 		n.newSettings(in, now)
 	case Leave:
@@ -168,6 +172,7 @@
 	}
 	n.tickFlights(now)
 	n.tickFetch(now)
+	n.tickUnasked(now)
 	if !now.Before(n.beatDue) {
 		n.sendBeat(now)
 		for _, p := range n.pools {
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -37,6 +37,9 @@
 	for _, note := range w.Notes {
 		n.heardNote(from, note, now)
 	}
+	for _, u := range w.Unasked {
+		n.heardUnasked(u, now)
+	}
 	for i := range w.Asks {
 		n.answer(from, &w.Asks[i], now)
 	}
@@ -83,10 +86,10 @@
 	v := p.decide(from, a, now)
 	if v.choice == nil {
 		w.Answers = append(w.Answers, wire.WorkAnswer{No: a.No, Try: a.Try, AfterMS: uint32(v.after.Milliseconds()), Why: uint8(v.why),
-			WaitMS: uint32(v.wait), LimitMS: uint32(v.limit)})
+			WaitMS: uint32(v.wait), LimitMS: uint32(v.limit), Over: v.over})
 		return
 	}
-	ans := wire.WorkAnswer{No: a.No, Try: a.Try, Upstream: v.choice.up.id, Work: uint32(v.choice.work), WaitMS: uint32(v.choice.waitMS)}
+	ans := wire.WorkAnswer{No: a.No, Try: a.Try, Upstream: v.choice.up.id, Work: uint32(v.choice.work), WaitMS: uint32(v.choice.waitMS), Over: v.over}
 	if v.choice.source != nil {
 		ans.Source = v.choice.source.id
 	}
@@ -106,6 +109,7 @@
 		}
 		return
 	}
+	n.unasked.heardOver(f.pool, version.IDOf(f.req.Org), a.Over, now)
 	if a.Upstream == 0 {
 		n.refuse(f, verdict{why: Reason(a.Why), after: time.Duration(a.AfterMS) * time.Millisecond, wait: float64(a.WaitMS), limit: float64(a.LimitMS)}, from)
 		return
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -33,6 +33,8 @@
 	// largeOwn is the part of the aim beyond which a prompt's own reading makes it
 	// late in any case; such prompts take their turn behind half the wait.
 	largeOwn = 1.0
+	// mostOver bounds how far over its share an organisation is told to be.
+	mostOver = 1000
 )
 
 // pool is one service's upstreams as this router models them. Every router has
@@ -204,23 +206,25 @@
 	why    Reason
 	wait   float64 // of a refusal: expected at the best upstream, in milliseconds
 	limit  float64 // of a refusal: allowed
+	over   uint32  // hundredths of its share that the organisation has had
 }
 
 // decide places a request or refuses it.
 func (p *pool) decide(from wire.NodeID, a *wire.WorkAsk, now time.Time) verdict {
-	tokens := float64(a.Input) + 2*float64(a.Output)
+	tokens := Cost(int(a.Input), int(a.Output))
 	if a.Try <= 1 {
 		p.meter.ask(a.Org, tokens, now)
 	}
+	over := uint32(100 * min(p.meter.over(a.Org, now), mostOver))
 	c := p.choose(a, now)
 	if c == nil {
-		return verdict{after: p.comeBack(a, p.shortest(now), 0), why: p.whyNone()}
+		return verdict{after: p.comeBack(a, p.shortest(now), 0), why: p.whyNone(), over: over}
 	}
 	if p.engine != nil {
 		limit := p.waitLimit(a, c, now)
 		// One that has been sent before is work half done, or an answer half given.
 		if c.waitMS > limit && len(a.Avoid) == 0 {
-			return verdict{after: p.comeBack(a, c.waitMS, limit), why: ReasonCapacity, wait: c.waitMS, limit: limit}
+			return verdict{after: p.comeBack(a, c.waitMS, limit), why: ReasonCapacity, wait: c.waitMS, limit: limit, over: over}
 		}
 		p.meter.grant(a.Org, tokens, now)
 	}
@@ -238,7 +242,7 @@
 	p.forget(r.key, false, now)
 	c.up.placeRun(r, now)
 	p.runs[r.key] = r
-	return verdict{choice: c}
+	return verdict{choice: c, over: over}
 }
 
 // runGrace is how much longer than its caller's deadline a run is kept when
--- a/internal/process/lag.go
+++ b/internal/process/lag.go
@@ -1,7 +1,6 @@
 package process
 
 import (
-	"context"
 	"math"
 	"runtime/metrics"
 	"sync/atomic"
@@ -17,23 +16,19 @@
 }
 
 const (
-	lagEvery  = 100 * time.Millisecond
 	lagWeight = 0.3 // of one period in the average
 	lagMetric = "/sched/latencies:seconds"
 )
 
-// run measures until the context ends.
-func (l *lagMeter) run(ctx context.Context) {
+// read adds what the runtime has counted since the last time.
+func (l *lagMeter) read() {
 	sample := []metrics.Sample{{Name: lagMetric}}
-	for ctx.Err() == nil {
-		sleep(ctx, lagEvery)
-		metrics.Read(sample)
-		if sample[0].Value.Kind() != metrics.KindFloat64Histogram {
-			return // this runtime does not tell
-		}
-		h := sample[0].Value.Float64Histogram()
-		l.take(h.Buckets, h.Counts)
+	metrics.Read(sample)
+	if sample[0].Value.Kind() != metrics.KindFloat64Histogram {
+		return // this runtime does not tell
 	}
+	h := sample[0].Value.Float64Histogram()
+	l.take(h.Buckets, h.Counts)
 }
 
 // take adds one reading of the histogram.
--- a/internal/process/steer.go
+++ b/internal/process/steer.go
@@ -45,7 +45,8 @@
 	tickets map[uint64]*forward.Ticket // control goroutine only
 	begun   time.Time
 	ticks   int
-	lag     lagMeter
+	strain  strainMeter
+	turned  turnedWork
 }
 
 // Status is what operators see of the control state.
@@ -79,6 +80,7 @@
 		begun:   now,
 		done:    make(chan struct{}),
 		tickets: map[uint64]*forward.Ticket{},
+		strain:  strainMeter{cores: float64(set.Power) / 1000},
 	}
 	s.watches.Store(true)
 	return s
@@ -91,7 +93,7 @@
 // Run is the control goroutine. It ends with the context.
 func (s *Steerer) Run(ctx context.Context) {
 	defer close(s.done)
-	go s.lag.run(ctx)
+	go s.strain.run(ctx)
 	tick := time.NewTicker(dispatch.TickEvery)
 	defer tick.Stop()
 	for {
@@ -127,6 +129,10 @@
 // statusTicks is how many ticks lie between two copies for status pages.
 const statusTicks = 25
 
+// turnedTicks is how many ticks lie between two reports of work refused at the
+// door; shares are counted in steps of 250 ms.
+const turnedTicks = 20
+
 // watchTicks is how many ticks lie between two judgements of who watches.
 const watchTicks = 10
 
@@ -136,6 +142,11 @@
 	}
 	s.node.Tick(now)
 	s.ticks++
+	if s.ticks%turnedTicks == 0 {
+		if work := s.turned.take(); len(work) > 0 {
+			s.node.Step(dispatch.Turned{Work: work}, now)
+		}
+	}
 	if s.ticks%watchTicks == 0 {
 		s.watches.Store(s.node.Watches(now))
 		engines := s.node.Scheduled(now)
@@ -157,8 +168,11 @@
 	return s.view.Table.Number
 }
 
-// Lag implements forward.Control.
-func (s *Steerer) Lag() time.Duration { return s.lag.lag() }
+// Excess implements forward.Control.
+func (s *Steerer) Excess() float64 { return s.strain.excess() }
+
+// TurnedAway implements forward.Control.
+func (s *Steerer) TurnedAway(w dispatch.TurnedWork) { s.turned.add(w) }
 
 // act carries out the node's outputs.
 func (s *Steerer) act(outs []dispatch.Output) {
--- a/internal/request/forward/control.go
+++ b/internal/request/forward/control.go
@@ -22,8 +22,11 @@
 	First(t *Ticket, after time.Duration)
 	// End ends the ticket. After a refusal it does nothing.
 	End(t *Ticket, note uint8)
-	// Lag returns how long work that could go on waits for the processor.
-	Lag() time.Duration
+	// Excess returns the part of all arrivals that this router should refuse for
+	// want of processor.
+	Excess() float64
+	// TurnedAway says that work was refused for that reason, without Submit.
+	TurnedAway(w dispatch.TurnedWork)
 	// Leaving reports whether a planned stop has begun.
 	Leaving() bool
 }
--- a/internal/request/forward/door.go
+++ b/internal/request/forward/door.go
@@ -7,16 +7,12 @@
 	"time"
 )
 
-// Load that a router refuses at its door, so that what it takes is served in
-// time: another attempt enters by another router. A request wakes some twenty
-// goroutines until its first byte is passed on, so each millisecond of lag makes
-// it later by that many. Source: docs/BENCH.md.
 const (
-	lagFrom           = 4 * time.Millisecond // nothing is refused up to this
-	lagFull           = 20 * time.Millisecond
-	shedMost          = 0.9 // part refused from lagFull on
+	// comeBackElsewhere is when a caller may try again that was refused for want of
+	// processor: its next attempt enters by another router.
 	comeBackElsewhere = 100 * time.Millisecond
-	doorSpan          = 500 * time.Millisecond
+	// doorSpan is the time over which organisations' arrivals are compared.
+	doorSpan = 500 * time.Millisecond
 )
 
 // door decides who is refused when this router is short of processor. The part
@@ -35,12 +31,12 @@
 
 func newDoor() *door { return &door{now: map[string]int{}, last: map[string]int{}} }
 
-// refuses counts an arrival, and decides whether it is refused.
-func (d *door) refuses(org string, lag time.Duration, now time.Time) bool {
+// refuses counts an arrival, and decides whether it is among the part of all that
+// must go.
+func (d *door) refuses(org string, part float64, now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.count(org, now)
-	part := shedPart(lag)
 	if part == 0 {
 		return false
 	}
@@ -54,14 +50,6 @@
 	return sent > d.level && rand.Float64() > d.level/sent
 }
 
-// shedPart is the part of all arrivals to refuse at a lag.
-func shedPart(lag time.Duration) float64 {
-	if lag <= lagFrom {
-		return 0
-	}
-	return min(shedMost, float64(lag-lagFrom)/float64(lagFull-lagFrom))
-}
-
 func (d *door) count(org string, now time.Time) {
 	switch age := now.Sub(d.begun); {
 	case age >= 2*doorSpan:
--- a/internal/request/forward/door_test.go
+++ b/internal/request/forward/door_test.go
@@ -12,7 +12,7 @@
 func TestFloodIsRefusedBeforeOthers(t *testing.T) {
 	d := newDoor()
 	now := time.Unix(1_800_000_000, 0)
-	lag := (lagFrom + lagFull) / 2 // half of everything is to go
+	const part = 0.5 // of everything is to go
 	refused, sent := map[string]int{}, map[string]int{}
 	for i := range 20_000 {
 		now = now.Add(time.Millisecond)
@@ -21,17 +21,17 @@
 			org = "small"
 		}
 		sent[org]++
-		if d.refuses(org, lag, now) {
+		if d.refuses(org, part, now) {
 			refused[org]++
 		}
 	}
 	assert.Less(t, refused["small"], sent["small"]/20)
 	all := float64(refused["flood"]+refused["small"]) / 20_000
 	assert.InDelta(t, 0.5, all, 0.05)
-	assert.False(t, d.refuses("flood", lagFrom, now), "a router that keeps up refuses nobody")
+	assert.False(t, d.refuses("flood", 0, now), "a router that keeps up refuses nobody")
 	late := 0
 	for range 100 {
-		if d.refuses("flood", time.Second, now) {
+		if d.refuses("flood", 0.9, now) {
 			late++
 		}
 	}
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -38,12 +38,25 @@
 	next  int
 	notes []uint8
 	leave atomic.Bool
-	lag   atomic.Int64
+	full  atomic.Bool // excess of nine in ten
+	away  []dispatch.TurnedWork
 }
 
 func (c *fakeControl) Table() *routing.Table { return c.table }
 func (c *fakeControl) Leaving() bool         { return c.leave.Load() }
-func (c *fakeControl) Lag() time.Duration    { return time.Duration(c.lag.Load()) }
+
+func (c *fakeControl) Excess() float64 {
+	if c.full.Load() {
+		return 0.9
+	}
+	return 0
+}
+
+func (c *fakeControl) TurnedAway(w dispatch.TurnedWork) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.away = append(c.away, w)
+}
 
 func (c *fakeControl) Submit(dispatch.Request) *Ticket {
 	t := NewTicket(1)
@@ -423,7 +436,7 @@
 func TestOverloadedRouterRefusesAtOnce(t *testing.T) {
 	a, got := script(t, okHello)
 	r := newRig(t, a)
-	r.ctl.lag.Store(int64(10 * time.Second))
+	r.ctl.full.Store(true)
 	refused := 0
 	for range 20 {
 		res, _, err := r.do(t, "POST", "/once/x", "body")
@@ -435,6 +448,9 @@
 	}
 	assert.GreaterOrEqual(t, refused, 12)
 	assert.LessOrEqual(t, len(got()), 20-refused)
+	r.ctl.mu.Lock()
+	assert.Len(t, r.ctl.away, refused, "each counts as asked for")
+	r.ctl.mu.Unlock()
 	full := newRigOf(t, 0, a)
 	res, _, err := full.do(t, "POST", "/once/x", "body")
 	require.NoError(t, err)
--- a/internal/request/forward/server.go
+++ b/internal/request/forward/server.go
@@ -75,9 +75,8 @@
 		v.fail(*f)
 		return
 	}
-	if full || s.door.refuses(v.org, s.ctl.Lag(), v.arrived) {
-		s.count.shed.Inc(1)
-		v.fail(notRun("router-overloaded", comeBackElsewhere))
+	if full || s.door.refuses(v.org, s.ctl.Excess(), v.arrived) {
+		v.turnAway()
 		return
 	}
 	if f := v.readBody(); f != nil {
@@ -87,6 +86,18 @@
 	v.run()
 }
 
+// turnAway refuses a request for want of processor. Its work still counts as asked
+// for, so that its organisation's share is not cut for having come in here.
+func (v *visit) turnAway() {
+	v.s.count.shed.Inc(1)
+	v.s.ctl.TurnedAway(dispatch.TurnedWork{
+		Service: v.route.Pick(rand.Float64()),
+		Org:     v.org,
+		Tokens:  dispatch.Cost(v.prompt.input, v.prompt.output),
+	})
+	v.fail(notRun("router-overloaded", comeBackElsewhere))
+}
+
 // admit decides from the headers alone.
 func (v *visit) admit() *failure {
 	v.table = v.s.ctl.Table()
