Every router knows how old the fleet's knowledge of the store is; silent paths and late sends

Changes: the latest reading of the store is passed on with its reader and number, so passing it on cannot make it look younger; three routers watch, each every second; a router that hears of no reading for 1.65 s (8 routers) to 2.35 s (64) looks for itself; routers that the store turns away are not chosen; the return of the store is told, so that lapsed entries are given time everywhere. An upstream that left after the placing gets nothing, at no cost to the retry budget. A router short of processor neither repeats asks nor suspects schedulers.

--- a/internal/conn/exchange_test.go
+++ b/internal/conn/exchange_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -139,3 +140,114 @@
 	require.NoError(t, err)
 	assert.Equal(t, "x", string(one), "it was not taken")
 }
+
+// A path may go silent for the connections that are open while new ones work: what
+// is kept to that upstream is given up, and when a second one falls silent,
+// everything that is kept.
+func TestSilenceOfKeptConnectionsGivesUpTheOthers(t *testing.T) {
+	var mute atomic.Bool
+	serve := func(c net.Conn) {
+		buf := make([]byte, 4096)
+		for n := 0; ; n++ {
+			if _, err := c.Read(buf); err != nil {
+				return
+			}
+			if n > 0 && mute.Load() {
+				continue // reads, and never answers on an old connection
+			}
+			_, _ = c.Write([]byte(ok))
+		}
+	}
+	a, b, d := serveRaw(t, serve), serveRaw(t, serve), serveRaw(t, serve)
+	p := NewExchanges()
+	defer p.Close()
+	opened, fell := 0, 0
+	p.Opened = func() { opened++ }
+	p.Fell = func(string, int) { fell++ }
+	hold := func(addr string, n int) {
+		var list []*Exchange
+		for range n {
+			x, err := p.Send(context.Background(), addr, &Message{Method: "GET", Target: "/", Host: "h", Header: http.Header{}}, anyAnswer)
+			require.NoError(t, err)
+			list = append(list, x)
+		}
+		for _, x := range list {
+			_, _ = io.Copy(io.Discard, x.Response.Body)
+			x.Close(true)
+		}
+	}
+	hold(a, 3)
+	hold(b, 3)
+	hold(d, 2)
+	require.Equal(t, 8, opened)
+	mute.Store(true)
+	silent := func(addr string) {
+		ctx, stop := context.WithCancelCause(context.Background())
+		time.AfterFunc(30*time.Millisecond, func() { stop(ErrSilence) })
+		_, err := p.Send(ctx, addr, &Message{Method: "GET", Target: "/", Host: "h", Header: http.Header{}}, anyAnswer)
+		require.Error(t, err)
+		assert.False(t, IsNotSent(err), "it may have run")
+	}
+	silent(a)
+	assert.Equal(t, 1, fell)
+	_, err := get(t, p, a)
+	require.NoError(t, err, "on a new connection")
+	assert.Equal(t, 9, opened)
+	silent(b)
+	assert.Equal(t, 2, fell)
+	_, err = get(t, p, d)
+	require.NoError(t, err, "what is kept to others is given up too")
+	assert.Equal(t, 10, opened)
+}
+
+// A caller that leaves says nothing about the path to the upstream.
+func TestLeavingCallerCastsNoDoubt(t *testing.T) {
+	n := 0
+	addr := serveRaw(t, func(c net.Conn) {
+		buf := make([]byte, 4096)
+		for ; ; n++ {
+			if _, err := c.Read(buf); err != nil {
+				return
+			}
+			if n == 0 {
+				_, _ = c.Write([]byte(ok))
+			}
+		}
+	})
+	p := NewExchanges()
+	defer p.Close()
+	p.Fell = func(string, int) { t.Error("no silence") }
+	_, err := get(t, p, addr)
+	require.NoError(t, err)
+	ctx, stop := context.WithTimeout(context.Background(), 30*time.Millisecond)
+	defer stop()
+	_, err = p.Send(ctx, addr, &Message{Method: "GET", Target: "/", Host: "h", Header: http.Header{}}, anyAnswer)
+	require.Error(t, err)
+}
+
+func TestWithdrawnExchangeSendsNothing(t *testing.T) {
+	got := make(chan int, 10)
+	addr := serveRaw(t, func(c net.Conn) {
+		buf := make([]byte, 4096)
+		for {
+			n, err := c.Read(buf)
+			if err != nil {
+				return
+			}
+			got <- n
+			_, _ = c.Write([]byte(ok))
+		}
+	})
+	p := NewExchanges()
+	defer p.Close()
+	opened := 0
+	p.Opened = func() { opened++ }
+	wanted := false
+	_, err := p.Send(context.Background(), addr, &Message{Method: "GET", Target: "/", Host: "h", Header: http.Header{}, Wanted: func() bool { return wanted }}, anyAnswer)
+	assert.True(t, IsWithdrawn(err))
+	assert.True(t, IsNotSent(err))
+	_, err = get(t, p, addr)
+	require.NoError(t, err)
+	assert.Equal(t, 1, opened, "the connection is kept")
+	assert.Len(t, got, 1)
+}
--- /dev/null
+++ b/internal/conn/idle.go
@@ -0,0 +1,232 @@
+package conn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Bounds of the connections to upstreams.
+const (
+	// dialTimeout is many times the round trip inside a region, and well under the
+	// second within which callers expect a new connection themselves.
+	dialTimeout = 400 * time.Millisecond
+	// idleLimit is how long a connection is kept unused when the upstream states
+	// nothing itself.
+	idleLimit = 4 * time.Second
+	// idleMargin is kept from the timeout an upstream states.
+	idleMargin = 700 * time.Millisecond
+	// unackedFor is how long sent bytes may stay unacknowledged before a connection
+	// counts as broken: a path that has gone silent shows in no other way. Three
+	// packets lost in a row are sent again within it.
+	unackedFor = 1500 * time.Millisecond
+	// silencesFor is the time within which kept connections to two upstreams that
+	// fall silent cast doubt on all that are kept.
+	silencesFor = 3 * time.Second
+	readBuffer  = 4 << 10
+)
+
+// Exchanges holds the idle connections to all upstreams. The codec is net/http's;
+// unlike its Transport, nothing here ever sends a request twice, and an answer to
+// another request is told from the own one. It may be used by any goroutine.
+type Exchanges struct {
+	mu     sync.Mutex
+	idle   map[string][]*upConn
+	silent silence
+	Opened func()                         // counts new connections, may be nil
+	Fell   func(addr string, dropped int) // a kept connection fell silent, may be nil
+}
+
+// silence is the last kept connection that fell silent.
+type silence struct {
+	addr string
+	at   time.Time
+}
+
+// NewExchanges returns an empty pool.
+func NewExchanges() *Exchanges { return &Exchanges{idle: map[string][]*upConn{}} }
+
+type upConn struct {
+	net.Conn
+	kept  bool // it has served before
+	addr  string
+	br    *bufio.Reader
+	since time.Time // idle since
+	limit time.Duration
+}
+
+func (p *Exchanges) take(ctx context.Context, addr string) (*upConn, error) {
+	for {
+		c := p.pop(addr)
+		if c == nil {
+			return p.dial(ctx, addr)
+		}
+		if time.Since(c.since) < c.limit && quietAndOpen(c.Conn) {
+			return c, nil
+		}
+		c.Close()
+	}
+}
+
+func (p *Exchanges) pop(addr string) *upConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[addr]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[addr] = list[:len(list)-1]
+	return c
+}
+
+func (p *Exchanges) dial(ctx context.Context, addr string) (*upConn, error) {
+	ctx, stop := context.WithTimeout(ctx, dialTimeout)
+	defer stop()
+	d := net.Dialer{KeepAlive: -1, Control: limitUnacked}
+	c, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	if p.Opened != nil {
+		p.Opened()
+	}
+	return &upConn{Conn: c, addr: addr, br: bufio.NewReaderSize(c, readBuffer), limit: idleLimit}, nil
+}
+
+// limitUnacked bounds how long sent bytes may stay unacknowledged.
+func limitUnacked(_, _ string, raw syscall.RawConn) error {
+	var err error
+	gone := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedFor.Milliseconds()))
+	})
+	return errors.Join(gone, err)
+}
+
+// fellSilent takes a kept connection on which nothing came back. Those that are
+// kept to the same upstream lie on the same path and are closed; when two upstreams
+// fall silent, all that are kept.
+func (p *Exchanges) fellSilent(addr string, now time.Time) {
+	p.mu.Lock()
+	all := p.silent.addr != "" && p.silent.addr != addr && now.Sub(p.silent.at) < silencesFor
+	p.silent = silence{addr, now}
+	p.mu.Unlock()
+	dropped := 0
+	if all {
+		dropped = p.dropAll()
+	} else {
+		dropped = p.Forget(addr)
+	}
+	if p.Fell != nil {
+		p.Fell(addr, dropped)
+	}
+}
+
+// put keeps a connection. The oldest that are too old are closed on the way.
+func (p *Exchanges) put(c *upConn, h http.Header) {
+	if t := statedTimeout(h); t > 0 {
+		c.limit = max(0, t-idleMargin)
+	}
+	p.keep(c)
+}
+
+func (p *Exchanges) keep(c *upConn) {
+	c.since, c.kept = time.Now(), true
+	p.mu.Lock()
+	list := p.idle[c.addr]
+	var old []*upConn
+	for len(list) > 0 && time.Since(list[0].since) >= list[0].limit {
+		old = append(old, list[0])
+		list = list[1:]
+	}
+	p.idle[c.addr] = append(list, c)
+	p.mu.Unlock()
+	for _, o := range old {
+		o.Close()
+	}
+}
+
+// statedTimeout reads "timeout=N" of a Keep-Alive header, whole seconds.
+func statedTimeout(h http.Header) time.Duration {
+	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, val, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if n, err := strconv.Atoi(val); err == nil && strings.EqualFold(name, "timeout") {
+			return time.Duration(n) * time.Second
+		}
+	}
+	return 0
+}
+
+// Forget closes the idle connections to an address whose upstream has ended. It
+// returns their number.
+func (p *Exchanges) Forget(addr string) int {
+	p.mu.Lock()
+	list := p.idle[addr]
+	delete(p.idle, addr)
+	p.mu.Unlock()
+	for _, c := range list {
+		c.Close()
+	}
+	return len(list)
+}
+
+// Close ends every idle connection.
+func (p *Exchanges) Close() { p.dropAll() }
+
+func (p *Exchanges) dropAll() int {
+	p.mu.Lock()
+	all := p.idle
+	p.idle = map[string][]*upConn{}
+	p.mu.Unlock()
+	n := 0
+	for _, list := range all {
+		n += len(list)
+		for _, c := range list {
+			c.Close()
+		}
+	}
+	return n
+}
+
+// quietAndOpen looks at an idle connection without waiting: bytes that nobody
+// asked for, an end or an error make it useless.
+func quietAndOpen(c net.Conn) bool {
+	_, err, known := peek(c)
+	return !known || err == syscall.EAGAIN
+}
+
+// Quiet reports whether no byte waits on a connection to be read. One that cannot
+// be looked at counts as quiet.
+func Quiet(c net.Conn) bool {
+	n, _, known := peek(c)
+	return !known || n <= 0
+}
+
+// peek looks for a byte without taking it and without waiting.
+func peek(c net.Conn) (n int, err error, known bool) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return 0, nil, false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0, err, true
+	}
+	var one [1]byte
+	gone := raw.Control(func(fd uintptr) {
+		n, _, err = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	if gone != nil {
+		return 0, gone, true
+	}
+	return n, err, true
+}
--- a/internal/core/wire/work.go
+++ b/internal/core/wire/work.go
@@ -12,9 +12,23 @@
 	Notes    []WorkNote   `cbor:"5,keyasint,omitempty"`
 	Loads    []WorkLoad   `cbor:"6,keyasint,omitempty"`  // absolute, of the sender's own requests
 	Held     []HeldPart   `cbor:"8,keyasint,omitempty"`  // prompt parts that upstreams have read
-	Sight    uint32       `cbor:"9,keyasint,omitempty"`  // ms since the sender read the store itself, plus one; 0 is never
+	Sight    *StoreSight  `cbor:"9,keyasint,omitempty"`  // the latest one that the sender knows of
 	Delta    *StoreDelta  `cbor:"10,keyasint,omitempty"` // a change of the store's content
 	Unasked  []Unasked    `cbor:"11,keyasint,omitempty"` // since the last time
+	Blind    bool         `cbor:"12,keyasint,omitempty"` // the store does not answer the sender
+}
+
+// StoreSight is one reading of the platform's store by some router. It is passed on
+// until a later one is known, so that every router knows how old the fleet's
+// knowledge of the store is. By, Inc and No name the reading: its age is counted
+// from when it was first heard, so passing it on cannot make it look younger.
+type StoreSight struct {
+	_      struct{} `cbor:",toarray"`
+	By     NodeID
+	Inc    Incarnation
+	No     uint32 // counts the reader's readings
+	AgeMS  uint32
+	BackMS uint32 // since the reader found the store back after an outage, plus one; 0 is not lately
 }
 
 // Unasked is work of one organisation on which the sender decided without the
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -455,3 +455,20 @@
 	assert.Greater(t, limits[800], 1.5*limits[1600])
 	assert.Greater(t, limits[1600], 1.5*limits[3200])
 }
+
+// A placement whose upstream has left before the request was sent is no repeat.
+func TestPlacementThatWasNotUsedTakesNoBudget(t *testing.T) {
+	f := newFleet(t, 1, 3)
+	id := f.order[0]
+	f.nodes[id].set.Retry = RetryRules{Ratio: 0, Window: 10 * time.Second, Slack: 0}
+	f.arrive(id, 1, engines, "a", 100)
+	first := f.placed(id, 1)
+	f.nodes[id].Step(Again{ID: 1, Event: wire.NoteUnused}, f.now)
+	f.deliver()
+	assert.NotEqual(t, first.Instance.ID, f.placed(id, 1).Instance.ID)
+	f.nodes[id].Step(Again{ID: 1, Event: wire.NoteFailed}, f.now)
+	f.deliver()
+	r, refused := f.got[id][1].(Refuse)
+	require.True(t, refused)
+	assert.Equal(t, ReasonBudget, r.Reason)
+}
--- a/internal/dispatch/io.go
+++ b/internal/dispatch/io.go
@@ -47,7 +47,8 @@
 type Arrive struct{ Request Request }
 
 // Again asks for another upstream for a request that was placed, after the one
-// it had failed it (Event is a Note constant).
+// it had failed it (Event is a Note constant). With NoteUnused nothing was sent, and
+// it is no repeat.
 type Again struct {
 	ID    uint64
 	Event uint8
@@ -75,8 +76,18 @@
 }
 
 // Sighted says that this router has read the store itself just now, with the
-// changes it found, nil for none.
-type Sighted struct{ Delta *wire.StoreDelta }
+// changes it found, nil for none. Back says that the store had not answered it
+// before.
+type Sighted struct {
+	Delta *wire.StoreDelta
+	Back  bool
+}
+
+// Unsighted says that the store did not answer this router.
+type Unsighted struct{}
+
+// Strained says whether this router is short of processor.
+type Strained struct{ On bool }
 
 // Seen says that every change of the store up to a revision is known.
 type Seen struct{ AsOf uint64 }
@@ -129,6 +140,8 @@
 func (Kept) input()      {}
 func (Seen) input()      {}
 func (Turned) input()    {}
+func (Unsighted) input() {}
+func (Strained) input()  {}
 
 func (NewSettings) input() {}
 
@@ -178,6 +191,13 @@
 	Delta *wire.StoreDelta
 }
 
+// StoreBack says that a peer found the store back after an outage, at a time: what
+// is missing there may have lapsed meanwhile.
+type StoreBack struct {
+	From wire.NodeID
+	At   time.Time
+}
+
 // Gone says that an instance has left: connections to it can go.
 type Gone struct{ Instance routing.Instance }
 
@@ -194,7 +214,10 @@
 func (Refuse) output() {}
 func (Fetch) output()  {}
 func (Apply) output()  {}
-func (Gone) output()   {}
-func (Event) output()  {}
+
+func (StoreBack) output() {}
+
+func (Gone) output()  {}
+func (Event) output() {}
 
 func serviceID(name string) version.ID { return version.IDOf(name) }
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -84,11 +84,11 @@
 	beat    uint32
 	beatDue time.Time
 
-	sight    time.Time                 // the store was read here
-	sights   map[wire.NodeID]time.Time // and elsewhere, as told
+	store    storeSights
 	fetchDue time.Time
 	lastTick time.Time
-	late     bool // the last tick came late: this router is short of processor
+	late     bool // this router is short of processor, or its last tick came late
+	strained bool
 	leaving  bool
 	rnd      *rand.Rand
 	box      map[wire.NodeID]*wire.Datagram
@@ -122,7 +122,7 @@
 		silent:   map[wire.NodeID]time.Time{},
 		ranks:    map[version.ID]*ranking{},
 		ahead:    map[wire.NodeID]ahead{},
-		sights:   map[wire.NodeID]time.Time{},
+		store:    newStoreSights(),
 		notes:    map[wire.NodeID][]wire.WorkNote{},
 		lastTick: now,
 		rnd:      rnd,
@@ -153,6 +153,10 @@
 		n.kept(in, now)
 	case Seen:
 		n.cat.AsOf = max(n.cat.AsOf, in.AsOf)
+	case Unsighted:
+		n.store.failedAt = now
+	case Strained:
+		n.strained = in.On
 	case Turned:
 		n.turned(in)
 	case NewSettings:
@@ -164,7 +168,7 @@
 
 // Tick moves time on. The driver calls it every TickEvery.
 func (n *Node) Tick(now time.Time) {
-	n.late = now.Sub(n.lastTick) > lateTick
+	n.late = n.strained || now.Sub(n.lastTick) > lateTick
 	n.notePause(now)
 	n.lastTick = now
 	for _, s := range n.members.Tick(now) {
@@ -316,7 +320,7 @@
 		p.lost(id, now)
 	}
 	delete(n.ahead, id)
-	delete(n.sights, id)
+	delete(n.store.blind, id)
 }
 
 func (n *Node) event(e Event) { n.out = append(n.out, e) }
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -46,8 +46,8 @@
 	for _, a := range w.Answers {
 		n.answered(from, a, now)
 	}
-	if w.Sight != 0 {
-		n.sights[from] = now.Add(-time.Duration(w.Sight-1) * time.Millisecond)
+	if w.Sight != nil {
+		n.heardSight(from, w.Sight, now)
 	}
 	if w.Delta != nil {
 		n.heardDelta(from, w.Delta, now)
@@ -168,7 +168,7 @@
 		if n.isHeir(id, now) {
 			w.Held = n.read
 		}
-		w.Sight = n.sightMS(now)
+		w.Sight, w.Blind = n.store.told(now), n.store.isBlind(now)
 		n.takeNotes(id, w)
 	}
 	n.read = nil
@@ -205,6 +205,7 @@
 // heardBeat takes a router's regular message.
 func (n *Node) heardBeat(from wire.NodeID, w *wire.Work, now time.Time) {
 	n.applyLoads(from, w.Loads)
+	n.heardBlind(from, w.Blind, now)
 	for _, p := range n.pools {
 		if p.engine == nil {
 			continue
--- a/internal/dispatch/store.go
+++ b/internal/dispatch/store.go
@@ -4,41 +4,104 @@
 	"time"
 
 	"github.com/silverswitch/silverswitch/internal/core/wire"
+	"github.com/silverswitch/silverswitch/internal/routing"
 )
 
 const (
 	// watchers is how many routers read the platform's store; the others hear of
 	// changes from them. Calls are priced, and the store's rate grows more slowly
-	// than the fleet. Five bear the loss of any few, also of a whole place.
-	watchers = 5
-	// sightFor is how old the last sight of the store may be, beyond what regular
-	// messages lag, until a router that does not watch looks for itself: a watch
-	// waits 2.5 s (internal/process).
-	sightFor = 3500 * time.Millisecond
+	// than the fleet.
+	watchers = 3
+	// sightEvery is how often a watcher reads the store when nothing changes:
+	// internal/process waits a second for a change, and gathers for 150 ms.
+	sightEvery = 1150 * time.Millisecond
+	// sightSlack is for the way of a sight through the fleet, beside half a period
+	// of regular messages. The sum is well within the 2 to 3 s in which a router
+	// must follow the store though it is cut off from its peers.
+	sightSlack = 400 * time.Millisecond
+	// blindFor is how long a router that the store did not answer is not chosen to
+	// watch; then it is tried again.
+	blindFor = 5 * time.Second
+	// backFor is how long the return of the store is told: as long as entries that
+	// lapsed in an outage are given time.
+	backFor = routing.LapseGrace
 )
 
+// storeSights is what this router knows of the fleet's readings of the store.
+type storeSights struct {
+	latest   wire.StoreSight
+	at       time.Time // of the latest
+	heard    map[wire.NodeID]reading
+	no       uint32 // of the own last one
+	failedAt time.Time
+	back     time.Time                 // some router found the store back
+	blind    map[wire.NodeID]time.Time // routers that the store does not answer, as told
+}
+
+// reading names a router's last reading heard of.
+type reading struct {
+	inc wire.Incarnation
+	no  uint32
+}
+
+func newStoreSights() storeSights {
+	return storeSights{heard: map[wire.NodeID]reading{}, blind: map[wire.NodeID]time.Time{}}
+}
+
+// told is the latest reading as it is passed on, or nil before any.
+func (s *storeSights) told(now time.Time) *wire.StoreSight {
+	if s.at.IsZero() {
+		return nil
+	}
+	out := s.latest
+	out.AgeMS = uint32(now.Sub(s.at).Milliseconds())
+	out.BackMS = 0
+	if !s.back.IsZero() && now.Sub(s.back) < backFor {
+		out.BackMS = uint32(now.Sub(s.back).Milliseconds()) + 1
+	}
+	return &out
+}
+
+// isBlind reports whether the store did not answer this router lately.
+func (s *storeSights) isBlind(now time.Time) bool {
+	return !s.failedAt.IsZero() && now.Sub(s.failedAt) < blindFor
+}
+
+// sightLimit is the age of the latest reading from which a router looks for itself.
+func sightLimit(routers int) time.Duration {
+	return sightEvery + sightSlack + beatPeriod(routers)/2
+}
+
 // Watches reports whether this router is to read the store itself: it is one of
-// the watchers, or none of them has seen the store lately.
+// the watchers, or nobody it hears of has read the store lately.
 func (n *Node) Watches(now time.Time) bool {
 	live := n.members.Live(false)
-	if len(live) <= watchers || n.cat.Table == nil {
-		return true
-	}
-	if n.isWatcher(now) {
+	if len(live) <= watchers || n.cat.Table == nil || n.IsWatcher(now) {
 		return true
 	}
-	limit := sightFor + 2*beatPeriod(len(live))
-	for _, at := range n.sights {
-		if now.Sub(at) < limit {
-			return false
-		}
-	}
-	return true
+	return now.Sub(n.store.at) >= sightLimit(len(live))
 }
 
-// isWatcher ranks the live routers as for a service of the store's name.
-func (n *Node) isWatcher(now time.Time) bool {
+// IsWatcher reports whether this router is one of those chosen to watch. They are
+// ranked as for a service of the store's name; those that the store does not
+// answer are passed over while there are others.
+func (n *Node) IsWatcher(now time.Time) bool {
 	ranked := n.ranked(serviceID("the platform's store"), now)
+	chosen := 0
+	for _, id := range ranked {
+		if n.blinded(id, now) {
+			continue
+		}
+		if chosen++; chosen > watchers {
+			return false
+		}
+		if id == n.set.ID {
+			return true
+		}
+	}
+	if chosen > 0 {
+		return false
+	}
 	for _, id := range ranked[:min(watchers, len(ranked))] {
 		if id == n.set.ID {
 			return true
@@ -47,26 +110,60 @@
 	return false
 }
 
+// blinded reports whether the store does not answer a router, as far as is known.
+func (n *Node) blinded(id wire.NodeID, now time.Time) bool {
+	if id == n.set.ID {
+		return n.store.isBlind(now)
+	}
+	at, told := n.store.blind[id]
+	return told && now.Sub(at) < blindFor
+}
+
+func (n *Node) heardBlind(from wire.NodeID, blind bool, now time.Time) {
+	if blind {
+		n.store.blind[from] = now
+	} else {
+		delete(n.store.blind, from)
+	}
+}
+
 // sighted notes that the store was read here, and tells everyone what changed.
 func (n *Node) sighted(in Sighted, now time.Time) {
-	n.sight = now
+	s := &n.store
+	s.no++
+	s.latest = wire.StoreSight{By: n.set.ID, Inc: n.set.Inc, No: s.no}
+	s.at, s.failedAt = now, time.Time{}
+	if in.Back {
+		s.back = now
+	}
 	if in.Delta == nil {
 		return
 	}
 	for _, id := range n.members.Live(true) {
 		if id != n.set.ID {
 			w := n.work(id)
-			w.Delta, w.Sight = in.Delta, n.sightMS(now)
+			w.Delta, w.Sight = in.Delta, s.told(now)
 		}
 	}
 }
 
-// sightMS is the age of the own last sight of the store as it is told.
-func (n *Node) sightMS(now time.Time) uint32 {
-	if n.sight.IsZero() {
-		return 0
+// heardSight takes a reading that a peer knows of, if it is news here.
+func (n *Node) heardSight(from wire.NodeID, t *wire.StoreSight, now time.Time) {
+	s := &n.store
+	if old, known := s.heard[t.By]; t.By == n.set.ID || known && (t.Inc < old.inc || t.Inc == old.inc && t.No <= old.no) {
+		return
+	}
+	s.heard[t.By] = reading{t.Inc, t.No}
+	if at := now.Add(-time.Duration(t.AgeMS) * time.Millisecond); at.After(s.at) {
+		s.latest, s.at = *t, at
+	}
+	if t.BackMS == 0 {
+		return
+	}
+	if back := now.Add(-time.Duration(t.BackMS-1) * time.Millisecond); back.Sub(s.back) > backFor {
+		s.back = back
+		n.out = append(n.out, StoreBack{From: from, At: back})
 	}
-	return uint32(now.Sub(n.sight).Milliseconds()) + 1
 }
 
 // heardDelta takes a peer's news of the store's content: it is applied when it
--- a/internal/process/content.go
+++ b/internal/process/content.go
@@ -23,14 +23,18 @@
 }
 
 // TakeListing takes content, or changes, from the source. whole says that what
-// is not listed is gone.
-func (s *Steerer) TakeListing(l Listing, whole bool) {
+// is not listed is gone; back that the source had been away, so that entries may
+// have lapsed.
+func (s *Steerer) TakeListing(l Listing, whole, back bool) {
 	s.do(func(now time.Time) {
-		s.take(l, whole, now)
+		s.take(l, whole, back, now)
 	})
 }
 
-func (s *Steerer) take(l Listing, whole bool, now time.Time) {
+func (s *Steerer) take(l Listing, whole, back bool, now time.Time) {
+	if back {
+		s.view.StoreReturned(now)
+	}
 	before, revision, asOf := s.number(), s.view.Revision, s.view.AsOf
 	var list []routing.Instance
 	for _, c := range l.Changes {
@@ -58,7 +62,7 @@
 	} else {
 		s.node.Step(dispatch.Seen{AsOf: s.view.AsOf}, now)
 	}
-	s.node.Step(dispatch.Sighted{Delta: deltaOf(l, whole, asOf)}, now)
+	s.node.Step(dispatch.Sighted{Delta: deltaOf(l, whole, asOf), Back: back}, now)
 	if after := s.number(); after != before {
 		s.log.Info().Uint64("version", after).Uint64("before", before).Uint64("revision", s.view.TableRev).Msg("table-accepted")
 	}
@@ -110,6 +114,11 @@
 		s.OnTable(s.view.Table.Limits)
 	}
 	s.table.Store(s.view.Table)
+	usable := make(map[string]bool, len(list))
+	for _, i := range list {
+		usable[i.ID] = !i.Draining
+	}
+	s.usable.Store(&usable)
 	s.content.Store(&content{Revision: s.view.Revision, AsOf: s.view.AsOf, TableRev: s.view.TableRev, TableRaw: s.view.TableRaw, Instances: list})
 	s.judgeReady(now)
 }
--- a/internal/process/follow.go
+++ b/internal/process/follow.go
@@ -12,8 +12,9 @@
 // Timing of reading the source.
 const (
 	// followWait is how long one watch waits. It bounds how long a watch that was
-	// cut without a word goes unnoticed; longer ones save calls.
-	followWait = 2500 * time.Millisecond
+	// cut without a word goes unnoticed, and how old the fleet's knowledge of the
+	// store gets; longer ones save calls. internal/dispatch's sightEvery rests on it.
+	followWait = time.Second
 	// gather is the pause after each answer, so that changes in quick succession
 	// cost one call. It is small beside the 2 s within which routers must follow.
 	gather = 150 * time.Millisecond
@@ -21,6 +22,9 @@
 	// well within the time in which a router must follow a store that is back.
 	followPause   = 100 * time.Millisecond
 	followLongest = 400 * time.Millisecond
+	// pausePerRouter is a router's part in the pause of those that look only because
+	// nobody could read the source lately: 40 tries a second in any fleet.
+	pausePerRouter = 25 * time.Millisecond
 	// notWanted is how often a router that does not watch looks whether it should.
 	notWanted = 150 * time.Millisecond
 	// outage is how long the source must have failed for its return to be one.
@@ -72,7 +76,7 @@
 		}
 		f.failed(ctx, err)
 		sleep(ctx, pause)
-		pause = min(2*pause, followLongest)
+		pause = min(2*pause, max(followLongest, f.st.WatchPause()))
 	}
 }
 
@@ -82,8 +86,7 @@
 	if err != nil {
 		return 0, err
 	}
-	f.worked(l.AsOf)
-	f.st.TakeListing(l, true)
+	f.st.TakeListing(l, true, f.worked(l.AsOf))
 	return l.AsOf, nil
 }
 
@@ -98,8 +101,7 @@
 	if err != nil {
 		return after, err
 	}
-	f.worked(l.AsOf)
-	f.st.TakeListing(l, false)
+	f.st.TakeListing(l, false, f.worked(l.AsOf))
 	return max(after, l.AsOf), nil
 }
 
@@ -109,21 +111,21 @@
 		return
 	}
 	f.fails.Inc(1)
+	f.st.SourceFailed()
 	if f.lost.IsZero() {
 		f.lost = time.Now()
 		f.log.Warn().Err(err).Msg("source-lost")
 	}
 }
 
-// worked notes the end of an outage: entries that lapsed in it may come back.
-func (f *follower) worked(asOf uint64) {
+// worked notes the end of an outage. It reports whether it was long enough for
+// entries to have lapsed in it.
+func (f *follower) worked(asOf uint64) (back bool) {
 	if f.lost.IsZero() {
-		return
+		return false
 	}
 	away := time.Since(f.lost)
 	f.lost = time.Time{}
 	f.log.Info().Int64("away_ms", away.Milliseconds()).Uint64("revision", asOf).Msg("source-regained")
-	if away >= outage {
-		f.st.SourceReturned()
-	}
+	return away >= outage
 }
--- a/internal/process/steer.go
+++ b/internal/process/steer.go
@@ -47,6 +47,10 @@
 	ticks   int
 	strain  strainMeter
 	turned  turnedWork
+
+	strained   bool                            // control goroutine only
+	usable     atomic.Pointer[map[string]bool] // instances that may be sent work
+	watchPause atomic.Int64                    // nanoseconds
 }
 
 // Status is what operators see of the control state.
@@ -142,6 +146,11 @@
 	}
 	s.node.Tick(now)
 	s.ticks++
+	if on := s.Excess() > 0; on != s.strained {
+		s.strained = on
+		s.node.Step(dispatch.Strained{On: on}, now)
+		s.log.Info().Bool("on", on).Float64("excess", s.Excess()).Msg("short-of-processor")
+	}
 	if s.ticks%turnedTicks == 0 {
 		if work := s.turned.take(); len(work) > 0 {
 			s.node.Step(dispatch.Turned{Work: work}, now)
@@ -149,6 +158,7 @@
 	}
 	if s.ticks%watchTicks == 0 {
 		s.watches.Store(s.node.Watches(now))
+		s.watchPause.Store(int64(s.pauseOf(now)))
 		engines := s.node.Scheduled(now)
 		s.engines.Store(&engines)
 	}
@@ -161,6 +171,15 @@
 	}
 }
 
+// pauseOf is the longest pause between two tries of a source that fails. Routers
+// that look only because nobody else could share one rate between them.
+func (s *Steerer) pauseOf(now time.Time) time.Duration {
+	if s.node.IsWatcher(now) {
+		return followLongest
+	}
+	return max(followLongest, time.Duration(len(s.node.Routers()))*pausePerRouter)
+}
+
 func (s *Steerer) number() uint64 {
 	if s.view.Table == nil {
 		return 0
@@ -193,6 +212,9 @@
 			go s.fetch(o)
 		case dispatch.Apply:
 			s.apply(o)
+		case dispatch.StoreBack:
+			s.view.StoreReturned(o.At)
+			s.log.Info().Str("peer", string(o.From)).Int64("age_ms", s.now().Sub(o.At).Milliseconds()).Msg("source-back-at-peer")
 		case dispatch.Gone:
 			s.ups.Forget(o.Instance.Address)
 			s.log.Info().Str("upstream", o.Instance.ID).Str("address", o.Instance.Address).Uint64("revision", s.view.Revision).Msg("upstream-gone")
@@ -202,11 +224,18 @@
 	}
 }
 
-// SourceReturned says that the source answers again after an outage.
-func (s *Steerer) SourceReturned() {
-	s.do(func(now time.Time) { s.view.StoreReturned(now) })
+// SourceFailed says that the source did not answer.
+func (s *Steerer) SourceFailed() { s.Step(dispatch.Unsighted{}) }
+
+// Usable implements forward.Control.
+func (s *Steerer) Usable(instance string) bool {
+	m := s.usable.Load()
+	return m == nil || (*m)[instance]
 }
 
+// WatchPause is the longest pause between two tries of a source that fails.
+func (s *Steerer) WatchPause() time.Duration { return time.Duration(s.watchPause.Load()) }
+
 // peerWait is how long a router that has its table waits to hear another router
 // before it counts as ready: a fleet of one hears nobody.
 const peerWait = time.Second
--- a/internal/request/forward/control.go
+++ b/internal/request/forward/control.go
@@ -27,6 +27,8 @@
 	Excess() float64
 	// TurnedAway says that work was refused for that reason, without Submit.
 	TurnedAway(w dispatch.TurnedWork)
+	// Usable reports whether an instance may be sent work, by what is known now.
+	Usable(instance string) bool
 	// Leaving reports whether a planned stop has begun.
 	Leaving() bool
 }
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -40,6 +40,7 @@
 	leave atomic.Bool
 	full  atomic.Bool // excess of nine in ten
 	away  []dispatch.TurnedWork
+	left  map[string]bool // instances that have left
 }
 
 func (c *fakeControl) Table() *routing.Table { return c.table }
@@ -52,6 +53,8 @@
 	return 0
 }
 
+func (c *fakeControl) Usable(id string) bool { return !c.left[id] }
+
 func (c *fakeControl) TurnedAway(w dispatch.TurnedWork) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -475,3 +478,27 @@
 		assert.GreaterOrEqual(t, p.input, 0)
 	})
 }
+
+// Seen on ghadiyal-grown trouble-1 (DRAIN): a request spent a third of a second in
+// a busy router between its placing and its sending, and the upstream's leaving
+// became known meanwhile.
+func TestUpstreamThatLeftBeforeTheSendGetsNothing(t *testing.T) {
+	a, gotA := script(t, okHello)
+	b, gotB := script(t, okHello)
+	r := newRig(t, a, b)
+	r.ctl.left = map[string]bool{"i-0": true}
+	res, body, err := r.do(t, "POST", "/once/x", "body")
+	require.NoError(t, err)
+	assert.Equal(t, 200, res.StatusCode)
+	assert.Equal(t, "hello", body)
+	assert.Empty(t, gotA())
+	assert.Len(t, gotB(), 1)
+	assert.Equal(t, []uint8{wire.NoteUnused, wire.NoteDone}, r.ctl.noted())
+
+	gone := newRig(t, a, a, a, a, a)
+	gone.ctl.left = map[string]bool{"i-0": true, "i-1": true, "i-2": true, "i-3": true, "i-4": true}
+	res, _, err = gone.do(t, "POST", "/once/x", "body")
+	require.NoError(t, err)
+	assert.Equal(t, 503, res.StatusCode, "nothing was sent: the refusal is true")
+	assert.Empty(t, gotA())
+}
--- a/internal/request/forward/run.go
+++ b/internal/request/forward/run.go
@@ -22,11 +22,17 @@
 	ctx      context.Context // ends at the deadline or with the caller
 	ticket   *Ticket
 	attempts int
-	ran      bool  // an attempt may have run
-	last     int64 // position of the last event passed on, or the caller's own
-	begun    bool  // the answer's headers are sent
+
+	withdrawn int   // placements whose upstream had left before the request was sent
+	ran       bool  // an attempt may have run
+	last      int64 // position of the last event passed on, or the caller's own
+	begun     bool  // the answer's headers are sent
 }
 
+// maxWithdrawn bounds the placements of one request whose upstream has left before
+// it was sent.
+const maxWithdrawn = 3
+
 // step is what follows an attempt.
 type step uint8
 
@@ -102,9 +108,9 @@
 	ctx, span := r.s.tracer.Start(r.ctx, "upstream", trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String("upstream", p.Instance.ID), attribute.String("place", p.Instance.Place)))
 	defer span.End()
-	ctx, stop := context.WithCancel(ctx)
-	defer stop()
-	silence := newWatchdog(stop, r.firstLimit(p))
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	silence := newWatchdog(func() { stop(conn.ErrSilence) }, r.firstLimit(p))
 	defer silence.stop()
 	began := time.Now()
 	x, err := r.s.ups.Send(ctx, p.Instance.Address, r.message(p), r.isOwn)
@@ -159,7 +165,8 @@
 	if r.begun && r.last > 0 {
 		h.Set(headerLastEvent, strconv.FormatInt(r.last, 10))
 	}
-	return &conn.Message{Method: r.r.Method, Target: r.r.RequestURI, Host: r.r.Host, Header: h, Body: r.body}
+	return &conn.Message{Method: r.r.Method, Target: r.r.RequestURI, Host: r.r.Host, Header: h, Body: r.body,
+		Wanted: func() bool { return r.s.ctl.Usable(p.Instance.ID) }}
 }
 
 // isOwn tells the own answer from late ones to former requests.
@@ -177,6 +184,13 @@
 		r.giveUp("no-answer-in-time", p.Instance.ID, err)
 		return stepDone
 	}
+	if conn.IsWithdrawn(err) && r.withdrawn < maxWithdrawn {
+		r.withdrawn++
+		r.attempts--
+		r.logAttempt(p, "upstream-left-before-send", nil)
+		r.s.ctl.Again(r.ticket, wire.NoteUnused)
+		return stepAgain
+	}
 	note := wire.NoteFailed
 	r.logAttempt(p, "attempt-failed", err)
 	if sent && !r.route.MayRepeat() || r.attempts >= r.route.MaxAttempts {
--- a/internal/request/forward/server.go
+++ b/internal/request/forward/server.go
@@ -39,6 +39,9 @@
 func NewServer(ctl Control, ups *conn.Exchanges, names Dialect, most int, reg metrics.Registry, log zerolog.Logger) *Server {
 	s := &Server{ctl: ctl, ups: ups, names: names, most: int64(most), door: newDoor(), count: newCounters(reg), lines: newReqLog(log), tracer: otel.Tracer("silverswitch")}
 	ups.Opened = func() { s.count.opened.Inc(1) }
+	ups.Fell = func(addr string, dropped int) {
+		log.Info().Str("address", addr).Int("closed", dropped).Msg("kept-connection-silent")
+	}
 	return s
 }
 
@@ -69,6 +72,7 @@
 	ctx, span := s.tracer.Start(ctx, "entry", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
 	v := &visit{s: s, w: w, r: r.WithContext(ctx), id: r.Header.Get(s.names.RequestID), arrived: time.Now()}
+	v.boundWrites(v.arrived.Add(refusalWrite))
 	defer s.open.Add(-1)
 	full := s.open.Add(1) > s.most
 	if f := v.admit(); f != nil {
@@ -163,8 +167,23 @@
 	return raw, err
 }
 
+const (
+	// refusalWrite is how long writing an answer may take that is known at once.
+	refusalWrite = 5 * time.Second
+	// answerWrite is how long after a request's deadline the rest of its answer may
+	// take to be written.
+	answerWrite = 2 * time.Second
+)
+
+// boundWrites bounds the writes to the caller, so that a caller's connection that
+// has gone silent holds nothing for ever. It must be set anew for each request.
+func (v *visit) boundWrites(until time.Time) {
+	_ = http.NewResponseController(v.w).SetWriteDeadline(until) // not supported by test recorders
+}
+
 // run asks where the request runs and carries it through its attempts.
 func (v *visit) run() {
+	v.boundWrites(v.deadline.Add(answerWrite))
 	ctx, stop := context.WithDeadline(v.r.Context(), v.deadline)
 	defer stop()
 	t := v.s.ctl.Submit(dispatch.Request{
