--- a/internal/conn/exchange.go
+++ b/internal/conn/exchange.go
@@ -50,6 +50,8 @@
 	// Wanted is asked once the connection is there, before the first byte is
 	// written; nil is yes.
 	Wanted func() bool
+	// Began is told of the exchange before the first byte is written; may be nil.
+	Began func(*Exchange)
 }
 
 // Exchange is one request and its answer. Close it when done.
@@ -77,6 +79,9 @@
 	}
 	x := &Exchange{pool: p, c: c, written: make(chan error, 1)}
 	x.release = context.AfterFunc(ctx, func() { c.Close() })
+	if m.Began != nil {
+		m.Began(x)
+	}
 	x.write(m)
 	if err := x.readHead(m.Method, own); err != nil {
 		x.Close(false)
@@ -160,6 +165,13 @@
 	x.pool.put(x.c, x.Response.Header)
 }
 
+// Waiting reports whether bytes of the upstream have arrived that were not read yet:
+// then it is not the upstream that is silent. Any goroutine may ask.
+func (x *Exchange) Waiting() bool {
+	n, _, known := peek(x.c.Conn)
+	return known && n > 0
+}
+
 // wrote reports whether the request has gone out whole.
 func (x *Exchange) wrote() bool {
 	select {
--- a/internal/conn/exchange_test.go
+++ b/internal/conn/exchange_test.go
@@ -251,3 +251,29 @@
 	assert.Equal(t, 1, opened, "the connection is kept")
 	assert.Len(t, got, 1)
 }
+
+func TestBytesThatWaitAreSeen(t *testing.T) {
+	more := make(chan bool)
+	addr := serveRaw(t, func(c net.Conn) {
+		buf := make([]byte, 4096)
+		_, _ = c.Read(buf)
+		_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\na"))
+		<-more
+		_, _ = c.Write([]byte("bc"))
+	})
+	p := NewExchanges()
+	defer p.Close()
+	var x *Exchange
+	m := &Message{Method: "GET", Target: "/", Host: "h", Header: http.Header{}, Began: func(e *Exchange) { x = e }}
+	got, err := p.Send(context.Background(), addr, m, anyAnswer)
+	require.NoError(t, err)
+	require.Same(t, x, got)
+	one := make([]byte, 1)
+	_, err = io.ReadFull(got.Response.Body, one)
+	require.NoError(t, err)
+	assert.False(t, x.Waiting(), "everything that came was read")
+	more <- true
+	assert.Eventually(t, x.Waiting, 10*time.Second, time.Millisecond)
+	got.Close(false)
+	assert.False(t, x.Waiting())
+}
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -440,10 +441,13 @@
 	a, got := script(t, okHello)
 	r := newRig(t, a)
 	r.ctl.full.Store(true)
-	refused := 0
+	refused, atDoor := 0, 0
 	for range 20 {
-		res, _, err := r.do(t, "POST", "/once/x", "body")
+		res, body, err := r.do(t, "POST", "/once/x", "body")
 		require.NoError(t, err)
+		if body == "router-overloaded\n" {
+			atDoor++
+		}
 		if res.StatusCode == 503 {
 			refused++
 			assert.NotEmpty(t, res.Header.Get("Retry-After"))
@@ -452,7 +456,7 @@
 	assert.GreaterOrEqual(t, refused, 12)
 	assert.LessOrEqual(t, len(got()), 20-refused)
 	r.ctl.mu.Lock()
-	assert.Len(t, r.ctl.away, refused, "each counts as asked for")
+	assert.Len(t, r.ctl.away, atDoor, "each counts as asked for")
 	r.ctl.mu.Unlock()
 	full := newRigOf(t, 0, a)
 	res, _, err := full.do(t, "POST", "/once/x", "body")
@@ -502,3 +506,31 @@
 	assert.Equal(t, 503, res.StatusCode, "nothing was sent: the refusal is true")
 	assert.Empty(t, gotA())
 }
+
+// Seen on ghadiyal-grown trouble-3 (LOST, 54): a router short of processor did not
+// get to read its streams for a second, took the upstreams for silent, and cut
+// streams whose events lay in its own sockets.
+func TestWatchdogLooksAgainWhileBytesWait(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
+		if err == nil {
+			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + strings.Repeat("x", 50_000)))
+		}
+	}()
+	var fired atomic.Int64
+	w := newWatchdog(func() { fired.Add(1) }, 0)
+	defer w.stop()
+	ups := conn.NewExchanges()
+	defer ups.Close()
+	x, err := ups.Send(context.Background(), l.Addr().String(), &conn.Message{Method: "GET", Target: "/", Host: "h", Header: http.Header{}, Began: w.watch},
+		func(*http.Response) bool { return true })
+	require.NoError(t, err)
+	require.Eventually(t, x.Waiting, 10*time.Second, time.Millisecond)
+	w.look()
+	assert.Zero(t, fired.Load(), "its bytes wait here")
+	_, _ = io.CopyN(io.Discard, x.Response.Body, 50_000)
+	assert.Eventually(t, func() bool { return fired.Load() == 1 }, 10*time.Second, 10*time.Millisecond, "read, and then silent")
+}
--- a/internal/request/forward/run.go
+++ b/internal/request/forward/run.go
@@ -113,7 +113,9 @@
 	silence := newWatchdog(func() { stop(conn.ErrSilence) }, r.firstLimit(p))
 	defer silence.stop()
 	began := time.Now()
-	x, err := r.s.ups.Send(ctx, p.Instance.Address, r.message(p), r.isOwn)
+	m := r.message(p)
+	m.Began = silence.watch
+	x, err := r.s.ups.Send(ctx, p.Instance.Address, m, r.isOwn)
 	if err != nil {
 		return r.sendFailed(p, err)
 	}
