Plain services of large fleets are placed by one router; kept connections are modelled; metrics for the deploy file; edge limits tested

When every upstream of a service rested after failures, everything was refused; now one is tried. Settings take figures that are fractions, and a deployment that does not state bounds keeps the defaults.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -472,3 +472,46 @@
 	require.True(t, refused)
 	assert.Equal(t, ReasonBudget, r.Reason)
 }
+
+// Seen on ghadiyal-grown trouble-1: every upstream of a plain service fails almost
+// half of its requests, so all rest at times; refusing everything meanwhile serves
+// nobody.
+func TestWhenAllRestOneIsTried(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	id := f.order[0]
+	for _, service := range []string{counter, engines} {
+		for _, u := range f.nodes[id].pools[serviceID(service)].order {
+			u.rest.failed(f.now)
+			u.rest.failed(f.now)
+			require.True(t, u.rest.resting(f.now))
+		}
+	}
+	f.arrive(id, 1, counter, "a", 0)
+	f.placed(id, 1)
+	f.arrive(id, 2, engines, "a", 100)
+	f.placed(id, 2)
+	f.nodes[id].pools[serviceID(counter)].order[1].rest = rest{}
+	f.arrive(id, 3, counter, "a", 0)
+	assert.Equal(t, f.nodes[id].pools[serviceID(counter)].order[1].inst.ID, f.placed(id, 3).Instance.ID, "those that do not rest go first")
+}
+
+// In a large fleet routers hear of each other's use of a plain service too late to
+// choose alone.
+func TestLargeFleetPlacesPlainWorkAtOneRouter(t *testing.T) {
+	f := newFleet(t, plainAlone+4, 2)
+	by := map[wire.NodeID]bool{}
+	load := map[string]int{}
+	for i, id := range f.order {
+		f.arrive(id, uint64(i), counter, "a", 0)
+		p := f.placed(id, uint64(i))
+		by[p.By] = true
+		load[p.Instance.ID]++
+	}
+	assert.Len(t, by, 1)
+	assert.InDelta(t, load["c0"], load["c1"], 2)
+	small := newFleet(t, 4, 2)
+	for i, id := range small.order {
+		small.arrive(id, uint64(i), counter, "a", 0)
+		assert.Equal(t, id, small.placed(id, uint64(i)).By)
+	}
+}
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -43,6 +43,7 @@
 	slow   float64   // own times against the pool's, 1 is normal
 	seen   time.Time
 	rest   rest
+	conns  conns
 }
 
 // runKey names a request placed anywhere in the fleet.
@@ -151,6 +152,7 @@
 	if len(u.queue) == 0 {
 		u.since = now
 	}
+	u.conns.take(r.key.node, now)
 	u.queue = append(u.queue, r)
 	u.queued += r.work
 	u.output += r.output
@@ -210,6 +212,9 @@
 		n.runs--
 		n.tokens -= r.tokens
 	})
+	if whole {
+		u.conns.put(r.key.node, now)
+	}
 	if whole || r.first || u.cache == nil {
 		return
 	}
--- a/internal/dispatch/flight.go
+++ b/internal/dispatch/flight.go
@@ -21,6 +21,12 @@
 	sent   time.Time // of the last ask
 }
 
+// plainAlone is the largest fleet whose routers choose among a plain service's
+// upstreams by themselves: they hear of each other's use every 200 ms there. In a
+// larger one that is too old for upstreams of a few slots, and its scheduler is
+// asked as for engines.
+const plainAlone = 12
+
 // arrive decides, or asks the service's scheduler to.
 func (n *Node) arrive(r Request, now time.Time) {
 	f := &flight{req: r, pool: serviceID(r.Service)}
@@ -38,7 +44,7 @@
 		return
 	}
 	to := n.set.ID
-	if p.engine != nil {
+	if p.engine != nil || len(n.members.Live(false)) > plainAlone {
 		to = n.schedulerOf(p.id, now)
 	}
 	if to == n.set.ID {
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -15,6 +15,7 @@
 const (
 	otherPlaceMS = 8.0  // an engine in another place: bytes between places are priced
 	moveMS       = 10.0 // a fetch is priced, and keeps the same parts twice
+	newConnMS    = 8.0  // the router keeps no connection to the engine: a new one is priced like a small move
 	plainPlaceMS = 6.0  // a plain upstream in another place
 	plainRunMS   = 10.0 // each request the own router has at a plain upstream
 	// plainOtherMS is the same for requests that other routers state.
@@ -93,9 +94,11 @@
 	return gone
 }
 
-// takes reports whether an upstream may be given this work at all.
-func (u *upstream) takes(a *wire.WorkAsk, now time.Time) bool {
-	if u.inst.Draining || u.rest.resting(now) {
+// takes reports whether an upstream may be given this work at all. One that rests
+// after failures is passed over, unless rested says that all that could take it do:
+// a try there is better than a refusal.
+func (u *upstream) takes(a *wire.WorkAsk, rested bool, now time.Time) bool {
+	if u.inst.Draining || u.rest.resting(now) && !rested {
 		return false
 	}
 	for _, id := range a.Avoid {
@@ -117,17 +120,25 @@
 }
 
 // choose returns the best upstream, or nil when none takes work.
-func (p *pool) choose(a *wire.WorkAsk, now time.Time) *choice {
+func (p *pool) choose(from wire.NodeID, a *wire.WorkAsk, now time.Time) *choice {
+	if c := p.chooseOf(from, a, false, now); c != nil {
+		return c
+	}
+	return p.chooseOf(from, a, true, now)
+}
+
+// chooseOf is choose among those that do not rest, or among all.
+func (p *pool) chooseOf(from wire.NodeID, a *wire.WorkAsk, rested bool, now time.Time) *choice {
 	if p.engine == nil {
-		return p.choosePlain(a, now)
+		return p.choosePlain(a, rested, now)
 	}
 	holder, held := p.holder(a, now)
 	var best choice
 	for _, u := range p.order {
-		if !u.takes(a, now) || u.running() >= p.engine.Slots || u.memory()+ownTokens(int(a.Input), int(a.Output), a.Parts) > int(memoryUsable*float64(p.engine.MemoryTokens)) {
+		if !u.takes(a, rested, now) || u.running() >= p.engine.Slots || u.memory()+ownTokens(int(a.Input), int(a.Output), a.Parts) > int(memoryUsable*float64(p.engine.MemoryTokens)) {
 			continue
 		}
-		c := p.at(u, a, holder, held, now)
+		c := p.at(u, from, a, holder, held, now)
 		if best.up == nil || c.cost < best.cost {
 			best = c
 		}
@@ -154,7 +165,7 @@
 }
 
 // at works out what a request would meet at an engine.
-func (p *pool) at(u *upstream, a *wire.WorkAsk, holder *upstream, held int, now time.Time) choice {
+func (p *pool) at(u *upstream, from wire.NodeID, a *wire.WorkAsk, holder *upstream, held int, now time.Time) choice {
 	u.settle(now)
 	kept := u.cache.prefix(a.Parts, false)
 	c := choice{up: u, waitMS: u.backlog(p.rate, now)}
@@ -171,6 +182,9 @@
 	if u.place != a.Place {
 		c.cost += otherPlaceMS
 	}
+	if !u.conns.kept(from, now) {
+		c.cost += newConnMS
+	}
 	c.cost += p.crowd(u)
 	return c
 }
@@ -180,10 +194,10 @@
 	return 0.3 * float64(u.running())
 }
 
-func (p *pool) choosePlain(a *wire.WorkAsk, now time.Time) *choice {
+func (p *pool) choosePlain(a *wire.WorkAsk, rested bool, now time.Time) *choice {
 	var best *choice
 	for _, u := range p.order {
-		if !u.takes(a, now) {
+		if !u.takes(a, rested, now) {
 			continue
 		}
 		u.settle(now)
@@ -216,7 +230,7 @@
 		p.meter.ask(a.Org, tokens, now)
 	}
 	over := uint32(100 * min(p.meter.over(a.Org, now), mostOver))
-	c := p.choose(a, now)
+	c := p.choose(from, a, now)
 	if c == nil {
 		return verdict{after: p.comeBack(a, p.shortest(now), 0), why: p.whyNone(), over: over}
 	}
--- /dev/null
+++ b/internal/process/edge_test.go
@@ -0,0 +1,98 @@
+package process
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/silverswitch/silverswitch/internal/routing"
+)
+
+// limitedEdge serves "ok" under limits that a test can wait for.
+func limitedEdge(t *testing.T, l routing.Limits) string {
+	t.Helper()
+	ok := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "ok") })
+	e, err := newEdge("127.0.0.1:0", ok, 0, zerolog.Nop())
+	require.NoError(t, err)
+	t.Cleanup(e.close)
+	e.use(l)
+	return e.listener.Addr().String()
+}
+
+func dialEdge(t *testing.T, addr string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	require.NoError(t, c.SetDeadline(time.Now().Add(20*time.Second)))
+	return c, bufio.NewReader(c)
+}
+
+func askEdge(t *testing.T, c net.Conn, br *bufio.Reader, header string) (int, error) {
+	t.Helper()
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n"+header+"\r\n")
+	require.NoError(t, err)
+	res, err := http.ReadResponse(br, nil)
+	if err != nil {
+		return 0, err
+	}
+	defer res.Body.Close()
+	_, err = io.Copy(io.Discard, res.Body)
+	return res.StatusCode, err
+}
+
+var wide = routing.Limits{HeaderBytes: 2 << 10, HeaderTime: time.Minute, IdleTime: time.Minute}
+
+func TestLargeHeaderIsRefused(t *testing.T) {
+	addr := limitedEdge(t, wide)
+	c, br := dialEdge(t, addr)
+	code, err := askEdge(t, c, br, "X-Some: "+strings.Repeat("x", 1<<10)+"\r\n")
+	require.NoError(t, err)
+	assert.Equal(t, 200, code)
+	code, err = askEdge(t, c, br, "X-Some: "+strings.Repeat("x", 16<<10)+"\r\n")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusRequestHeaderFieldsTooLarge, code)
+	c, br = dialEdge(t, addr)
+	code, err = askEdge(t, c, br, "")
+	require.NoError(t, err, "others are not harmed")
+	assert.Equal(t, 200, code)
+}
+
+func TestSlowHeaderEndsItsConnectionAlone(t *testing.T) {
+	l := wide
+	l.HeaderTime = 150 * time.Millisecond
+	addr := limitedEdge(t, l)
+	slow, slowReader := dialEdge(t, addr)
+	_, err := io.WriteString(slow, "GET / HTTP/1.1\r\nHos")
+	require.NoError(t, err)
+	c, br := dialEdge(t, addr)
+	code, err := askEdge(t, c, br, "")
+	require.NoError(t, err)
+	assert.Equal(t, 200, code)
+	raw, err := io.ReadAll(slowReader)
+	require.NoError(t, err, "closed by the router")
+	assert.Regexp(t, "^HTTP/1.1 4", string(raw), "nothing was read whole, so nothing ran")
+}
+
+func TestIdleConnectionsAreClosed(t *testing.T) {
+	l := wide
+	l.IdleTime = 150 * time.Millisecond
+	addr := limitedEdge(t, l)
+	c, br := dialEdge(t, addr)
+	for range 2 { // used again before the limit
+		code, err := askEdge(t, c, br, "")
+		require.NoError(t, err)
+		assert.Equal(t, 200, code)
+	}
+	_, err := br.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+}
--- a/internal/process/routed.go
+++ b/internal/process/routed.go
@@ -34,6 +34,7 @@
 	edge     *edge
 	operator *http.Server
 	ready    *http.Server
+	figures  *http.Server
 	flush    func(context.Context) error
 	stop     context.CancelFunc
 }
@@ -144,6 +145,13 @@
 	if d.operator, err = serveOn(d.set.Operator, "[router] operator_address", d.operatorRoutes(reg)); err != nil {
 		return err
 	}
+	if d.set.Metrics != "" {
+		r := http.NewServeMux()
+		r.HandleFunc("/metrics", d.metrics(reg))
+		if d.figures, err = serveOn(d.set.Metrics, "[metrics] address", r); err != nil {
+			return err
+		}
+	}
 	if d.set.Ready == "" {
 		return nil
 	}
@@ -184,11 +192,15 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(d.st.Status()) // the operator may be gone
 	})
-	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+	r.HandleFunc("/metrics", d.metrics(reg))
+	return r
+}
+
+func (d *Routed) metrics(reg metrics.Registry) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		writeRegistry(w, reg, decisionLines(d.st.Status()))
-	})
-	return r
+	}
 }
 
 // decisionLines are the control state's totals for the metrics page.
@@ -262,7 +274,7 @@
 		d.edge.close()
 	}
 	d.stop()
-	for _, s := range []*http.Server{d.operator, d.ready} {
+	for _, s := range []*http.Server{d.operator, d.ready, d.figures} {
 		if s != nil {
 			s.Close()
 		}
--- a/internal/process/settings.go
+++ b/internal/process/settings.go
@@ -34,6 +34,7 @@
 	Secret   string        // [fleet] secret
 	Platform string        // [platform] url
 	Kind     string        // [platform] kind: values or store
+	Metrics  string        // [metrics] address, "" for none beside the operators'
 	Ready    string        // [ready] address, "" for none
 	ReadyAt  string        // [ready] path
 	Retry    dispatch.RetryRules
@@ -90,6 +91,10 @@
 ; store: routes, services and upstreams, for the routed interface.
 kind = values
 
+[metrics]
+; A listener for metrics alone, beside the operators'; empty for none.
+address =
+
 [ready]
 ; A listener for readiness alone; empty for none.
 address =
@@ -270,17 +275,22 @@
 		ready.Fault("path", s.ReadyAt, "a path that begins with a slash")
 	}
 	ready.Done()
+	figures := r.section("metrics")
+	if figures.TextOr("address", "") != "" {
+		s.Metrics = figures.Address("address")
+	}
+	figures.Done()
 	retry := r.section("retry")
 	def := dispatch.DefaultRetryRules
 	s.Retry = dispatch.RetryRules{
 		Ratio:  retry.Number("ratio", def.Ratio, 0, 10),
 		Window: retry.Duration("window", def.Window, 100*time.Millisecond, maxPeriod),
-		Slack:  retry.Integer("slack", def.Slack, 0, 1_000_000),
+		Slack:  int(retry.Number("slack", float64(def.Slack), 0, 1_000_000)),
 	}
 	retry.Done()
 	machine := r.section("machine")
-	s.MemoryMB = machine.Integer("memory_mb", 0, 0, 16<<20)
-	s.Files = machine.Integer("descriptors", 0, 0, 1<<30)
+	s.MemoryMB = int(machine.Number("memory_mb", 0, 0, 16<<20))
+	s.Files = int(machine.Number("descriptors", 0, 0, 1<<30))
 	s.Cores = machine.Number("cores", 0, 0, 1024)
 	machine.Done()
 }
