A load tool before modelled engines over HTTP: silverswitch load, make load

cmd/standin -kind routed serves a store and engines that take their time from internal/engine; silverswitch load sends streams at a rate and shows what callers see.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build deploy demo lint test bench fuzz model guards capacity soak soak-guards
+.PHONY: build deploy demo lint test bench fuzz model guards capacity load soak soak-guards
 
 build:
 	go build ./...
@@ -43,6 +43,10 @@
 guards:
 	go run ./cmd/guards
 
+# Streams at a rate through real routers, before modelled engines.
+load:
+	./demo/load.sh
+
 # The real processes under faults, with fresh seeds: make soak SEEDS=50 FROM=1000.
 SEEDS ?= 20
 FROM ?= 1000
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -12,7 +12,7 @@
 )
 
 func main() {
-	kind := flag.String("kind", "", "engine, plain or platform")
+	kind := flag.String("kind", "", "engine, plain, platform, or routed: a store and modelled engines")
 	listen := flag.String("listen", "127.0.0.1:0", "`address`")
 	first := flag.Duration("first", 20*time.Millisecond, "engine: time to the first token")
 	gap := flag.Duration("gap", 5*time.Millisecond, "engine: time between tokens")
@@ -20,6 +20,7 @@
 	cut := flag.Int("cut", 0, "engine: cut each stream once before this event")
 	delay := flag.Duration("delay", 2*time.Millisecond, "plain: time a call takes")
 	breakOn := flag.String("break", "", "plain: `path` on which the connection breaks after the call has run")
+	engines := flag.Int("engines", 4, "routed: number of engines")
 	flag.Parse()
 	var h http.Handler
 	switch *kind {
@@ -29,8 +30,10 @@
 		h = (&standin.Plain{Delay: *delay, BreakOn: *breakOn}).Handler()
 	case "platform":
 		h = standin.NewPlatform().Handler()
+	case "routed":
+		h = routed(*engines)
 	default:
-		fmt.Fprintf(os.Stderr, "-kind = %q: allowed: engine, plain, platform\n", *kind)
+		fmt.Fprintf(os.Stderr, "-kind = %q: allowed: engine, plain, platform, routed\n", *kind)
 		os.Exit(2)
 	}
 	server := &http.Server{Addr: *listen, Handler: h, ReadHeaderTimeout: 10 * time.Second}
--- /dev/null
+++ b/cmd/standin/routed.go
@@ -0,0 +1,38 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+
+	"github.com/silverswitch/silverswitch/internal/engine"
+	"github.com/silverswitch/silverswitch/platform/fake"
+)
+
+// routed is the platform of the routed interface on loopback: a store, and engines
+// that take their time from the model. It publishes one route to them, for host
+// load.example and path /generate/, and two organisations with the keys "key-a" and
+// "key-b".
+func routed(engines int) http.Handler {
+	s := fake.NewStore()
+	fig := engine.DefaultFigures
+	fleet := fake.NewEngines()
+	for i := range engines {
+		server := httptest.NewUnstartedServer(nil)
+		id, address := fmt.Sprintf("e-%d", i), server.Listener.Addr().String()
+		server.Config.Handler = fleet.Add(id, address, fig)
+		server.Start()
+		s.Put("servers/"+id, map[string]any{"service": "model", "address": address, "zone": "z1", "slots": fig.Slots, "state": "ready"})
+	}
+	// What an engine reads in a second, less the steps between: the figure that the
+	// users state for 18 engines.
+	perSecond := 390_000 / 18 * engines
+	s.Put("op/config", strings.Join([]string{
+		`{"version":1,"routes":[{"name":"generate","host":"load.example","prefix":"/generate/","kind":"streaming","timeout_ms":6000,"target_latency_ms":600,"target_gap_ms":200,"service":"model","max_attempts":2,"resumable":false}],`,
+		fmt.Sprintf(`"services":[{"name":"model","engine":{"slots":%d,"kv_capacity_tokens":%d,"kv_token_bytes":327680,"stride":%d}}],`, fig.Slots, fig.MemoryTokens, fig.EventTokens),
+		fmt.Sprintf(`"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000,"tokens_per_s":%d},`, perSecond),
+		`"tenants":[{"name":"a","api_keys":["key-a"]},{"name":"b","api_keys":["key-b"]}]}`,
+	}, ""))
+	return s.Config.Handler
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -38,10 +38,13 @@
 type Request struct {
 	ID     uint64
 	Parts  []Part
-	Output int // tokens it will make
-	Source *Engine
+	Output int    // tokens it will make
+	Source Keeper // an engine to fetch kept parts from, or nil
 }
 
+// Keeper tells how many tokens of a prompt an engine keeps, from its first part on.
+type Keeper interface{ Prefix(parts []Part) int }
+
 // Event is one thing that a request did.
 type Event struct {
 	ID   uint64
@@ -55,7 +58,8 @@
 // The kinds of events.
 const (
 	First EventKind = iota // the first event of its stream
-	Done                   // it has ended
+	More                   // another event
+	Done                   // it has ended, with its last event
 )
 
 // Engine is one engine. One goroutine owns it.
@@ -107,7 +111,7 @@
 
 // fetch copies what the source keeps of the prompt beyond the own parts.
 func (e *Engine) fetch(x *run, now time.Time) {
-	if x.req.Source == nil || x.req.Source == e {
+	if x.req.Source == nil || x.req.Source == Keeper(e) {
 		return
 	}
 	own, there := e.Prefix(x.req.Parts), x.req.Source.Prefix(x.req.Parts)
@@ -241,8 +245,11 @@
 	var out []Event
 	for _, x := range made {
 		x.made++
-		if x.made == min(e.fig.EventTokens, x.req.Output) {
+		switch {
+		case x.made == min(e.fig.EventTokens, x.req.Output):
 			out = append(out, Event{x.req.ID, e.now, First})
+		case x.made%e.fig.EventTokens == 0 && x.made < x.req.Output:
+			out = append(out, Event{x.req.ID, e.now, More})
 		}
 		if x.made >= x.req.Output {
 			out = append(out, Event{x.req.ID, e.now, Done})
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -105,3 +105,13 @@
 	w, r := e.Load()
 	assert.Zero(t, w+r-1, "the second still makes its last token")
 }
+
+func TestEventsComeInTheirOrder(t *testing.T) {
+	e := New(DefaultFigures, start)
+	e.Add(Request{ID: 1, Parts: []Part{{1, 100}}, Output: 10}, start)
+	var kinds []EventKind
+	for _, ev := range e.Advance(start.Add(time.Second)) {
+		kinds = append(kinds, ev.Kind)
+	}
+	assert.Equal(t, []EventKind{First, More, More, Done}, kinds, "events of three tokens, and the last one")
+}
--- a/internal/lab/tokens/tokens.go
+++ b/internal/lab/tokens/tokens.go
@@ -295,7 +295,7 @@
 
 // countAgain counts shared parts that will be read though some engine has read them
 // lately.
-func (w *world) countAgain(c *call, e, source *engine.Engine) {
+func (w *world) countAgain(c *call, e *engine.Engine, source engine.Keeper) {
 	have := e.Prefix(c.parts)
 	if source != nil {
 		have = max(have, source.Prefix(c.parts))
@@ -349,6 +349,9 @@
 				continue
 			}
 			n := w.nodes[c.router]
+			if ev.Kind == engine.More {
+				continue
+			}
 			if ev.Kind == engine.First {
 				w.first(c, ev.At)
 				if n != nil {
