--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -26,21 +26,17 @@
 // the fleet keeps to the rule without a word between routers, also in a cut.
 type retryBudget struct {
 	rules    RetryRules
+	steps    steps
 	requests [budgetSteps + 1]int
 	repeats  [budgetSteps + 1]int
-	step     int64
 }
 
-func newRetryBudget(rules RetryRules) *retryBudget { return &retryBudget{rules: rules} }
+func newRetryBudget(rules RetryRules) *retryBudget {
+	return &retryBudget{rules: rules, steps: steps{length: rules.Window / budgetSteps, kept: budgetSteps + 1}}
+}
 
 func (b *retryBudget) advance(now time.Time) int {
-	step := now.UnixNano() / int64(b.rules.Window/budgetSteps)
-	for gone := min(step-b.step, budgetSteps+1); gone > 0; gone-- {
-		i := (step - gone + 1) % (budgetSteps + 1)
-		b.requests[i], b.repeats[i] = 0, 0
-	}
-	b.step = step
-	return int(step % (budgetSteps + 1))
+	return b.steps.advance(now, func(i int) { b.requests[i], b.repeats[i] = 0, 0 })
 }
 
 func (b *retryBudget) request(now time.Time) { b.requests[b.advance(now)]++ }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -515,3 +515,43 @@
 		assert.Equal(t, id, small.placed(id, uint64(i)).By)
 	}
 }
+
+// Where routes of one service differ in priority, the more urgent ones are served
+// more often when there is not room for all.
+func TestUrgentRequestsWaitLongerThanOthers(t *testing.T) {
+	one := 1
+	b := routing.Builder{Number: 2, Services: []*routing.Service{{Name: engines, Engine: &routing.Engine{Slots: 64, MemoryTokens: 200_000}}, {Name: counter}}}
+	for i, priority := range []int{0, 2} {
+		b.Routes = append(b.Routes, &routing.Route{Name: fmt.Sprint(i), Host: "h", Prefix: fmt.Sprintf("/%d/", i), Priority: priority, Timeout: time.Second, Split: []routing.Part{{Service: engines, Weight: 1}}})
+	}
+	b.AddOrganisation(&routing.Organisation{Name: "own", Priority: &one}, nil)
+	tab, err := b.Build()
+	require.NoError(t, err)
+	u := urgencyOf(tab, engines)
+	assert.Equal(t, urgency{0, 1, 2}, u)
+	assert.Equal(t, urgency{1}, urgencyOf(tab, counter))
+	assert.Equal(t, []int{0, 1, 2, 2}, []int{u.rank(0), u.rank(1), u.rank(2), u.rank(9)})
+	assert.Zero(t, urgency(nil).rank(3))
+	p := newPool(b.Services[0], 0)
+	p.urgency = u
+	limit := func(priority uint8) float64 {
+		return p.waitLimit(&wire.WorkAsk{Org: 1, AimMS: 600, LeftMS: 6000, Priority: priority}, &choice{}, start)
+	}
+	assert.Greater(t, limit(0), limit(1))
+	assert.Greater(t, limit(1), limit(2))
+	p.urgency = urgency{2}
+	assert.InDelta(t, limit(0), limit(2), 0.01, "one priority alone changes nothing")
+}
+
+// An organisation whose last key was taken away leaves the deployment closed.
+func TestTableWithoutAnyKeyLetsNobodyIn(t *testing.T) {
+	var b routing.Builder
+	b.AddOrganisation(&routing.Organisation{Name: "a"}, nil)
+	tab, err := b.Build()
+	require.NoError(t, err)
+	assert.True(t, tab.HasKeys())
+	assert.Nil(t, tab.ByKey(""))
+	open, err := (&routing.Builder{}).Build()
+	require.NoError(t, err)
+	assert.False(t, open.HasKeys())
+}
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -270,6 +270,7 @@
 			n.pools[id] = p
 		}
 		p.aim = strictest(c.Table, s.Name)
+		p.urgency = urgencyOf(c.Table, s.Name)
 		for _, u := range p.setInstances(by[s.Name]) {
 			n.out = append(n.out, Gone{Instance: u.inst})
 		}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -37,6 +37,11 @@
 	// largeOwn is the part of the aim beyond which a prompt's own reading makes it
 	// late in any case; such prompts take their turn behind half the wait.
 	largeOwn = 1.0
+	// lessUrgent is the part of the wait that each further rank of priority is
+	// allowed: where routes or organisations of one service differ, the more urgent are
+	// served more often when there is not room for all. The users price the reverse
+	// from 5 in 100 on.
+	lessUrgent = 0.7
 	// mostOver bounds how far over its share an organisation is told to be.
 	mostOver = 1000
 )
@@ -53,6 +58,7 @@
 	rate    float64
 	aim     float64 // the strictest target of the routes to it, in milliseconds, 0 when unknown
 	meter   *meter
+	urgency urgency
 	without Without
 }
 
@@ -289,14 +295,15 @@
 		aim = min(aim, p.aim)
 	}
 	part := waitUnder
+	urgency := math.Pow(lessUrgent, float64(p.urgency.rank(int(a.Priority))))
 	if over := p.meter.over(a.Org, now); over >= 1 && !p.without.Shares {
 		part = waitAtShare / over
 	}
 	room := aim - baseMS - c.ownMS
 	if c.ownMS > largeOwn*aim {
-		return part * aim / 2
+		return urgency * part * aim / 2
 	}
-	return min(part*aim, max(room, part*aim/4))
+	return urgency * min(part*aim, max(room, part*aim/4))
 }
 
 func (p *pool) whyNone() Reason {
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -20,7 +20,7 @@
 type meter struct {
 	capacity float64 // tokens in a window, 0 when unknown
 	orgs     map[version.ID]*tally
-	step     int64
+	steps    steps
 	shares   map[version.ID]float64
 	dirty    bool
 }
@@ -33,26 +33,26 @@
 		capacity: tokensPerSecond * shareStep.Seconds() * shareSteps,
 		orgs:     map[version.ID]*tally{},
 		shares:   map[version.ID]float64{},
+		steps:    steps{length: shareStep, kept: shareSteps},
 	}
 }
 
 // advance empties the steps that have left the window.
 func (m *meter) advance(now time.Time) int {
-	step := now.UnixNano() / int64(shareStep)
-	if step != m.step {
-		m.dirty = true
-	}
-	for gone := min(step-m.step, shareSteps); gone > 0; gone-- {
-		i := int((step - gone + 1) % shareSteps)
-		for id, u := range m.orgs {
-			u.asked[i], u.got[i] = 0, 0
-			if total(&u.asked) == 0 {
-				delete(m.orgs, id)
-			}
+	before := m.steps.now
+	i := m.steps.advance(now, m.empty)
+	m.dirty = m.dirty || m.steps.now != before
+	return i
+}
+
+// empty forgets one step, and organisations that have asked for nothing since.
+func (m *meter) empty(i int) {
+	for id, u := range m.orgs {
+		u.asked[i], u.got[i] = 0, 0
+		if total(&u.asked) == 0 {
+			delete(m.orgs, id)
 		}
 	}
-	m.step = step
-	return int(step % shareSteps)
 }
 
 func (m *meter) of(org version.ID) *tally {
--- a/internal/lab/tokens/tokens.go
+++ b/internal/lab/tokens/tokens.go
@@ -89,7 +89,6 @@
 	tries   int
 	expect  float64 // milliseconds to the first event
 	engine  string
-	done    bool
 }
 
 type mail struct {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -107,7 +107,8 @@
 	Services map[string]*Service
 	Routes   []*Route
 	hosts    map[string][]*Route // longest prefix first
-	keys     map[[32]byte]*Organisation
+	orgs     []*Organisation
+	keys     map[[32]byte]*Organisation // nil where no organisation is published
 }
 
 // Builder collects a table's content. Keys are hashed at once.
@@ -116,6 +117,7 @@
 	Limits   Limits
 	Services []*Service
 	Routes   []*Route
+	orgs     []*Organisation
 	keys     map[[32]byte]*Organisation
 }
 
@@ -124,6 +126,7 @@
 	if b.keys == nil {
 		b.keys = map[[32]byte]*Organisation{}
 	}
+	b.orgs = append(b.orgs, o)
 	for _, k := range apiKeys {
 		b.keys[sha256.Sum256([]byte(k))] = o
 	}
@@ -137,6 +140,7 @@
 		Services: map[string]*Service{},
 		Routes:   b.Routes,
 		hosts:    map[string][]*Route{},
+		orgs:     b.orgs,
 		keys:     b.keys,
 	}
 	for _, s := range b.Services {
@@ -199,5 +203,9 @@
 // hash is compared, so timing tells nothing of its characters.
 func (t *Table) ByKey(key string) *Organisation { return t.keys[sha256.Sum256([]byte(key))] }
 
-// HasKeys reports whether requests need an API key at all.
-func (t *Table) HasKeys() bool { return len(t.keys) > 0 }
+// HasKeys reports whether requests need an API key at all: they do where
+// organisations are published, also when none of them holds a key any more.
+func (t *Table) HasKeys() bool { return t.keys != nil }
+
+// Organisations returns every organisation, with keys or without.
+func (t *Table) Organisations() []*Organisation { return t.orgs }
