The retry slack goes by demand, with an even part for everyone

0.6 of the slack evenly, 0.4 by the part of a service's requests that come in at a router, told in regular messages; the last word of others holds in a cut, so both sides together keep within what is held back. Test: TestRetrySlackFollowsDemand.

--- a/internal/core/wire/work.go
+++ b/internal/core/wire/work.go
@@ -5,17 +5,26 @@
 // Work is what routers tell each other about requests that are placed one by
 // one. Names travel as 32-bit IDs, prompt parts as 64-bit hashes; no content.
 type Work struct {
-	Beat     uint32       `cbor:"1,keyasint,omitempty"` // number of this regular message
-	Revision uint64       `cbor:"2,keyasint,omitempty"` // of the last change the sender knows of the store's content
-	Asks     []WorkAsk    `cbor:"3,keyasint,omitempty"`
-	Answers  []WorkAnswer `cbor:"4,keyasint,omitempty"`
-	Notes    []WorkNote   `cbor:"5,keyasint,omitempty"`
-	Loads    []WorkLoad   `cbor:"6,keyasint,omitempty"`  // absolute, of the sender's own requests
-	Held     []HeldPart   `cbor:"8,keyasint,omitempty"`  // prompt parts that upstreams have read
-	Sight    *StoreSight  `cbor:"9,keyasint,omitempty"`  // the latest one that the sender knows of
-	Delta    *StoreDelta  `cbor:"10,keyasint,omitempty"` // a change of the store's content
-	Unasked  []Unasked    `cbor:"11,keyasint,omitempty"` // since the last time
-	Blind    bool         `cbor:"12,keyasint,omitempty"` // the store does not answer the sender
+	Beat     uint32          `cbor:"1,keyasint,omitempty"` // number of this regular message
+	Revision uint64          `cbor:"2,keyasint,omitempty"` // of the last change the sender knows of the store's content
+	Asks     []WorkAsk       `cbor:"3,keyasint,omitempty"`
+	Answers  []WorkAnswer    `cbor:"4,keyasint,omitempty"`
+	Notes    []WorkNote      `cbor:"5,keyasint,omitempty"`
+	Loads    []WorkLoad      `cbor:"6,keyasint,omitempty"`  // absolute, of the sender's own requests
+	Held     []HeldPart      `cbor:"8,keyasint,omitempty"`  // prompt parts that upstreams have read
+	Sight    *StoreSight     `cbor:"9,keyasint,omitempty"`  // the latest one that the sender knows of
+	Delta    *StoreDelta     `cbor:"10,keyasint,omitempty"` // a change of the store's content
+	Unasked  []Unasked       `cbor:"11,keyasint,omitempty"` // since the last time
+	Demand   []ServiceDemand `cbor:"13,keyasint,omitempty"` // of the sender's callers
+	Blind    bool            `cbor:"12,keyasint,omitempty"` // the store does not answer the sender
+}
+
+// ServiceDemand is the sender's requests for a service in the window in which the
+// retry budget is counted.
+type ServiceDemand struct {
+	_        struct{} `cbor:",toarray"`
+	Service  version.ID
+	Requests uint32
 }
 
 // StoreSight is one reading of the platform's store by some router. It is passed on
--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -1,6 +1,11 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/silverswitch/silverswitch/internal/core/wire"
+	"github.com/silverswitch/silverswitch/internal/version"
+)
 
 // RetryRules bound repeated sends to a service, for the whole fleet: in any
 // Window at most Ratio x the requests for it + Slack.
@@ -16,14 +21,21 @@
 const (
 	// budgetSafe is the part of the budget that is used, so that windows which
 	// routers count a little differently stay within it together.
-	budgetSafe     = 0.8
+	budgetSafe = 0.8
+	// evenSlack is the part of the slack that is shared evenly between all routers
+	// known: it is there for a router that needs it all of a sudden. The rest goes by
+	// demand. While the fleet is cut each side keeps the last word of the other's
+	// demand, so both together may take that rest twice at the very most, when both
+	// sides' loads have grown many times; what budgetSafe keeps back covers it from
+	// twice the usual load on.
+	evenSlack      = 0.6
 	budgetSteps    = 20
 	budgetComeBack = 500 * time.Millisecond
 )
 
-// retryBudget is this router's part of a service's budget: its part of the slack
-// by the size of the fleet, and the ratio of the requests that came in here. So
-// the fleet keeps to the rule without a word between routers, also in a cut.
+// retryBudget is this router's part of a service's budget: the ratio of the
+// requests that came in here, and of the slack an even part and one by demand. So
+// the fleet keeps to the rule without asking each other, also in a cut.
 type retryBudget struct {
 	rules    RetryRules
 	steps    steps
@@ -41,18 +53,64 @@
 
 func (b *retryBudget) request(now time.Time) { b.requests[b.advance(now)]++ }
 
-// take spends one repeat, or returns false.
-func (b *retryBudget) take(routers int, now time.Time) bool {
+// asked returns the requests in the window.
+func (b *retryBudget) asked(now time.Time) int {
+	b.advance(now)
+	sum := 0
+	for _, n := range b.requests {
+		sum += n
+	}
+	return sum
+}
+
+// take spends one repeat, or returns false. routers is the size of the fleet, and
+// part what of all requests for the service came in here.
+func (b *retryBudget) take(routers int, part float64, now time.Time) bool {
 	i := b.advance(now)
-	requests, repeats := 0, 0
-	for s := range b.requests {
-		requests += b.requests[s]
-		repeats += b.repeats[s]
+	repeats := 0
+	for _, n := range b.repeats {
+		repeats += n
 	}
-	allowed := budgetSafe * (b.rules.Ratio*float64(requests) + float64(b.rules.Slack)/float64(routers))
-	if float64(repeats+1) > allowed {
+	slack := float64(b.rules.Slack) * (evenSlack/float64(routers) + (1-evenSlack)*part)
+	if float64(repeats+1) > budgetSafe*(b.rules.Ratio*float64(b.asked(now))+slack) {
 		return false
 	}
 	b.repeats[i]++
 	return true
 }
+
+// demands is what other routers said last of their requests in the window.
+type demands map[wire.NodeID]map[version.ID]uint32
+
+// demandOf returns the part of all requests for a service that came in here, by
+// what is known of the others, reachable or not.
+func (n *Node) demandOf(service version.ID, now time.Time) float64 {
+	own := float64(n.budget(service).asked(now))
+	if own == 0 {
+		return 0
+	}
+	all := own
+	for _, by := range n.demands {
+		all += float64(by[service])
+	}
+	return own / all
+}
+
+// ownDemand is what this router tells of its requests.
+func (n *Node) ownDemand(now time.Time) []wire.ServiceDemand {
+	var out []wire.ServiceDemand
+	for id, b := range n.budgets {
+		if asked := b.asked(now); asked > 0 {
+			out = append(out, wire.ServiceDemand{Service: id, Requests: uint32(asked)})
+		}
+	}
+	return out
+}
+
+func (n *Node) heardDemand(from wire.NodeID, told []wire.ServiceDemand) {
+	by := map[version.ID]uint32{}
+	for _, d := range told {
+		by[d.Service] = d.Requests
+	}
+	n.demands[from] = by
+}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -297,7 +297,7 @@
 		for _, b := range budgets[:2] { // all traffic enters by two of six
 			b.request(now)
 			requests++
-			if b.take(routers, now) {
+			if b.take(routers, 0.5, now) { // each has half of the requests
 				spent++
 			}
 		}
@@ -555,3 +555,43 @@
 	require.NoError(t, err)
 	assert.False(t, open.HasKeys())
 }
+
+// The slack goes where the requests are, and a router that is cut off from the
+// others keeps to its part.
+func TestRetrySlackFollowsDemand(t *testing.T) {
+	f := newFleet(t, 4, 2)
+	rules := RetryRules{Ratio: 0, Window: 10 * time.Second, Slack: 100}
+	service := serviceID(engines)
+	for _, id := range f.order {
+		f.nodes[id].set.Retry = rules
+	}
+	busy, quiet := f.order[0], f.order[1]
+	for range 90 {
+		f.nodes[busy].budget(service).request(f.now)
+	}
+	for range 10 {
+		f.nodes[quiet].budget(service).request(f.now)
+	}
+	f.run(time.Second) // they tell each other
+	spend := func(id wire.NodeID) (n int) {
+		for f.nodes[id].budget(service).take(f.nodes[id].fleetSize(), f.nodes[id].demandOf(service, f.now), f.now) {
+			n++
+		}
+		return n
+	}
+	assert.InDelta(t, 0.9, f.nodes[busy].demandOf(service, f.now), 0.01)
+	assert.Zero(t, f.nodes[f.order[2]].demandOf(service, f.now))
+	f.cut[busy] = true
+	f.run(5 * time.Second)
+	assert.InDelta(t, 0.9, f.nodes[busy].demandOf(service, f.now), 0.01, "the others' last word holds in a cut")
+	total := 0
+	var each []int
+	for _, id := range f.order {
+		n := spend(id)
+		each = append(each, n)
+		total += n
+	}
+	assert.LessOrEqual(t, total, 100)
+	assert.Greater(t, each[0], 2*each[1], "%v", each)
+	assert.GreaterOrEqual(t, each[2], 11, "an even part is there for everyone")
+}
--- a/internal/dispatch/flight.go
+++ b/internal/dispatch/flight.go
@@ -165,7 +165,7 @@
 	}
 	f.avoid = append(f.avoid, f.placed)
 	n.tell(f, wire.WorkNote{No: f.req.ID, Event: in.Event}, now)
-	if in.Event != wire.NoteUnused && !n.budget(f.pool).take(n.fleetSize(), now) {
+	if in.Event != wire.NoteUnused && !n.budget(f.pool).take(n.fleetSize(), n.demandOf(f.pool, now), now) {
 		n.refuse(f, verdict{why: ReasonBudget, after: budgetComeBack}, n.set.ID)
 		return
 	}
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -92,6 +92,7 @@
 	ahead   map[wire.NodeID]ahead
 	read    []wire.HeldPart // since the last regular message
 	unasked unaskedWork
+	demands demands
 	notes   map[wire.NodeID][]wire.WorkNote
 	noteDue time.Time
 	beat    uint32
@@ -141,6 +142,7 @@
 		rnd:      rnd,
 		box:      map[wire.NodeID]*wire.Datagram{},
 		unasked:  newUnaskedWork(),
+		demands:  demands{},
 	}
 }
 
@@ -328,6 +330,11 @@
 			n.forgetRouter(m.ID, now)
 		}
 	}
+	for id := range n.demands {
+		if n.members.Get(id) == nil {
+			delete(n.demands, id)
+		}
+	}
 }
 
 func (n *Node) forgetRouter(id wire.NodeID, now time.Time) {
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -157,14 +157,14 @@
 	live := n.members.Live(true)
 	n.beatDue = now.Add(beatPeriod(len(live)))
 	n.beat++
-	loads := n.ownLoads()
+	loads, demand := n.ownLoads(), n.ownDemand(now)
 	n.applyLoads(n.set.ID, loads)
 	for _, id := range live {
 		if id == n.set.ID {
 			continue
 		}
 		w := n.work(id)
-		w.Beat, w.Revision, w.Loads = n.beat, n.cat.Revision, loads
+		w.Beat, w.Revision, w.Loads, w.Demand = n.beat, n.cat.Revision, loads, demand
 		if n.isHeir(id, now) {
 			w.Held = n.read
 		}
@@ -206,6 +206,7 @@
 func (n *Node) heardBeat(from wire.NodeID, w *wire.Work, now time.Time) {
 	n.applyLoads(from, w.Loads)
 	n.heardBlind(from, w.Blind, now)
+	n.heardDemand(from, w.Demand)
 	for _, p := range n.pools {
 		if p.engine == nil {
 			continue
