--- a/internal/conn/exchange.go
+++ b/internal/conn/exchange.go
@@ -165,6 +165,10 @@
 	x.pool.put(x.c, x.Response.Header)
 }
 
+// FellSilent says that the upstream stopped in the midst of its answer: what is kept
+// on the same path is doubted.
+func (x *Exchange) FellSilent() { x.pool.fellSilent(x.c.addr, time.Now()) }
+
 // Waiting reports whether bytes of the upstream have arrived that were not read yet:
 // then it is not the upstream that is silent. Any goroutine may ask.
 func (x *Exchange) Waiting() bool {
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -335,6 +335,11 @@
 			delete(n.demands, id)
 		}
 	}
+	for id := range n.store.heard {
+		if n.members.Get(id) == nil {
+			delete(n.store.heard, id)
+		}
+	}
 }
 
 func (n *Node) forgetRouter(id wire.NodeID, now time.Time) {
--- a/internal/request/forward/answer.go
+++ b/internal/request/forward/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -26,6 +27,7 @@
 	x       *conn.Exchange
 	began   time.Time
 	silence *watchdog
+	attempt context.Context // ends with the silence of the upstream too
 	whole   bool
 	noted   bool
 
@@ -79,6 +81,9 @@
 // broken follows an answer that cannot be passed on; the request may have run.
 func (a *answer) broken(err error) step {
 	a.ran = true
+	if errors.Is(context.Cause(a.attempt), conn.ErrSilence) {
+		a.x.FellSilent()
+	}
 	if a.ctx.Err() != nil {
 		a.s.ctl.End(a.ticket, endNote(a.r.Context().Err() == nil))
 		a.giveUp("no-whole-answer-in-time", a.place.Instance.ID, err)
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -534,3 +534,23 @@
 	_, _ = io.CopyN(io.Discard, x.Response.Body, 50_000)
 	assert.Eventually(t, func() bool { return fired.Load() == 1 }, 10*time.Second, 10*time.Millisecond, "read, and then silent")
 }
+
+// A stream that falls silent midway is resumed elsewhere, and what is kept on its
+// path is given up.
+func TestStreamThatFallsSilentCastsDoubtOnItsPath(t *testing.T) {
+	event := func(i int) string { return fmt.Sprintf("id: %d\ndata: x\n\n", i) }
+	head := okHead + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	chunk := func(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+	silent, _ := script(t, head+chunk(event(1)))
+	rest, got := script(t, head+chunk(event(2))+"0\r\n\r\n")
+	r := newRig(t, silent, rest)
+	var fell atomic.Int64
+	r.ex.Fell = func(string, int) { fell.Add(1) }
+	res, body, err := r.do(t, "POST", "/stream/x", "body")
+	require.NoError(t, err)
+	assert.Equal(t, 200, res.StatusCode)
+	assert.Equal(t, event(1)+event(2), body)
+	require.Len(t, got(), 1)
+	assert.Equal(t, "1", got()[0].Header.Get("Last-Event-Id"))
+	assert.Equal(t, int64(1), fell.Load())
+}
--- a/internal/request/forward/run.go
+++ b/internal/request/forward/run.go
@@ -119,7 +119,7 @@
 	if err != nil {
 		return r.sendFailed(p, err)
 	}
-	a := &answer{run: r, place: p, x: x, began: began, silence: silence}
+	a := &answer{run: r, place: p, x: x, began: began, silence: silence, attempt: ctx}
 	return a.deliver()
 }
 
