An idle engine takes whoever is over its share

Found by reading: with prices counted as wait, an organisation four times over its share was refused at an engine with nothing to read, if it stood in another place and kept parts were to be fetched. Test: TestIdleEngineTakesWhoeverIsOverItsShare, which fails without the condition.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -595,3 +595,21 @@
 	assert.Greater(t, each[0], 2*each[1], "%v", each)
 	assert.GreaterOrEqual(t, each[2], 11, "an even part is there for everyone")
 }
+
+// However far an organisation is over its share, it is served while an engine has
+// nothing to read, whatever that costs.
+func TestIdleEngineTakesWhoeverIsOverItsShare(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	id := f.order[0]
+	p := f.nodes[id].pools[serviceID(engines)]
+	p.meter.ask(version.IDOf("other"), 390_000*4, f.now)
+	p.meter.ask(version.IDOf("flood"), 390_000*40, f.now)
+	p.meter.grant(version.IDOf("flood"), 390_000*20, f.now)
+	require.Greater(t, p.meter.over(version.IDOf("flood"), f.now), 5.0)
+	f.nodes[id].place = version.IDOf("elsewhere") // and it keeps no connection there
+	f.arrive(id, 1, engines, "flood", 3000)
+	f.placed(id, 1)
+	f.arrive(id, 2, engines, "flood", 3000)
+	_, refused := f.got[id][2].(Refuse)
+	assert.True(t, refused, "behind the first one it would wait")
+}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -254,7 +254,7 @@
 	if p.engine != nil {
 		limit := p.waitLimit(a, c, now)
 		wait := c.waitMS
-		if over >= overShare {
+		if over >= overShare && wait > 0 { // an engine with nothing before it takes everyone
 			wait += overPrice * c.price
 		}
 		// One that has been sent before is work half done, or an answer half given.
