--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/silverswitch/silverswitch/internal/standin"
+	"github.com/silverswitch/silverswitch/platform/fake"
 )
 
 func main() {
@@ -31,7 +32,7 @@
 	case "platform":
 		h = standin.NewPlatform().Handler()
 	case "routed":
-		h = routed(*engines)
+		h = fake.Routed(*engines)
 	default:
 		fmt.Fprintf(os.Stderr, "-kind = %q: allowed: engine, plain, platform, routed\n", *kind)
 		os.Exit(2)
