Samples of reading are sums over busy time

Cause: prompts of one step of a batch are read together; their first events come at once. Taken one by one, with outliers weighing less, reading seemed a quarter faster than it is and waits behind long prompts 40 ms too short. Change: a sample is the time in which an engine read, 100 ms or more, with all prompts read in it; runs are forgotten in the order of their keys.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -38,6 +38,7 @@
 	why    Reason
 	wait   float64 // of a refusal: expected at the best upstream, in milliseconds
 	limit  float64 // of a refusal: allowed
+	ownMS  float64 // of a refusal: expected beyond the wait
 	over   uint32  // hundredths of its share that the organisation has had
 }
 
@@ -61,7 +62,7 @@
 		}
 		// One that has been sent before is work half done, or an answer half given.
 		if wait > limit && len(a.Avoid) == 0 && !p.without.Refusals {
-			return verdict{after: p.comeBack(a, c.waitMS, limit), why: ReasonCapacity, wait: c.waitMS, limit: limit, over: told}
+			return verdict{after: p.comeBack(a, c.waitMS, limit), why: ReasonCapacity, wait: c.waitMS, limit: limit, ownMS: p.learner.Model().Base + c.ownMS, over: told}
 		}
 		p.meter.grant(a.Org, tokens, now)
 	}
--- a/internal/dispatch/flight.go
+++ b/internal/dispatch/flight.go
@@ -111,7 +111,7 @@
 func (n *Node) refuse(f *flight, v verdict, by wire.NodeID) {
 	delete(n.flights, f.req.ID)
 	n.Counts.Refused++
-	n.out = append(n.out, Refuse{ID: f.req.ID, Reason: v.why, After: v.after, By: by, WaitMS: int(v.wait), LimitMS: int(v.limit), Revision: n.cat.Revision})
+	n.out = append(n.out, Refuse{ID: f.req.ID, Reason: v.why, After: v.after, By: by, WaitMS: int(v.wait), LimitMS: int(v.limit), OwnMS: int(v.ownMS), Over: v.over, Revision: n.cat.Revision})
 }
 
 // waiting returns the requests without a place, in the order in which they came, so
--- a/internal/dispatch/io.go
+++ b/internal/dispatch/io.go
@@ -177,6 +177,8 @@
 
 	WaitMS   int    // expected behind others at the best upstream
 	LimitMS  int    // that was allowed
+	OwnMS    int    // expected from the end of the wait to the first event
+	Over     uint32 // hundredths of its share that the organisation has had
 	Revision uint64 // of the store's content it was decided on here
 }
 
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -87,7 +87,7 @@
 	v := p.decide(from, a, now)
 	if v.choice == nil {
 		w.Answers = append(w.Answers, wire.WorkAnswer{No: a.No, Try: a.Try, AfterMS: uint32(v.after.Milliseconds()), Why: uint8(v.why),
-			WaitMS: uint32(v.wait), LimitMS: uint32(v.limit), Over: v.over})
+			WaitMS: uint32(v.wait), LimitMS: uint32(v.limit), OwnMS: uint32(v.ownMS), Over: v.over})
 		return
 	}
 	e := p.expectation(v.choice)
@@ -113,7 +113,7 @@
 	}
 	n.unasked.heardOver(f.pool, version.IDOf(f.req.Org), a.Over, now)
 	if a.Upstream == 0 {
-		n.refuse(f, verdict{why: Reason(a.Why), after: time.Duration(a.AfterMS) * time.Millisecond, wait: float64(a.WaitMS), limit: float64(a.LimitMS)}, from)
+		n.refuse(f, verdict{why: Reason(a.Why), after: time.Duration(a.AfterMS) * time.Millisecond, wait: float64(a.WaitMS), limit: float64(a.LimitMS), ownMS: float64(a.OwnMS), over: a.Over}, from)
 		return
 	}
 	p := n.pools[f.pool]
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 	"time"
 
@@ -275,11 +277,7 @@
 
 // lost forgets everything a router had placed: it is gone.
 func (p *pool) lost(id wire.NodeID, now time.Time) {
-	for k := range p.runs {
-		if k.node == id {
-			p.forget(k, false, now)
-		}
-	}
+	p.forgetAll(func(r *run) bool { return r.key.node == id }, now)
 	for _, u := range p.ups {
 		if u.nodes[id] != nil {
 			u.change(id, func(n *nodeUse) { n.load = wire.WorkLoad{} })
@@ -289,9 +287,20 @@
 
 // expire forgets runs whose end was not heard.
 func (p *pool) expire(now time.Time) {
+	p.forgetAll(func(r *run) bool { return now.After(r.until) }, now)
+}
+
+// forgetAll forgets runs in the order of their keys, so that the same inputs give the
+// same decisions.
+func (p *pool) forgetAll(which func(*run) bool, now time.Time) {
+	var keys []runKey
 	for k, r := range p.runs {
-		if now.After(r.until) {
-			p.forget(k, false, now)
+		if which(r) {
+			keys = append(keys, k)
 		}
 	}
+	slices.SortFunc(keys, func(a, b runKey) int { return cmp.Or(cmp.Compare(a.node, b.node), cmp.Compare(a.no, b.no)) })
+	for _, k := range keys {
+		p.forget(k, false, now)
+	}
 }
--- a/internal/dispatch/prefill/learn.go
+++ b/internal/dispatch/prefill/learn.go
@@ -30,21 +30,18 @@
 	maxSample = 60_000.0 // milliseconds; a longer time is a fault, not a speed
 )
 
-// Sample is one time that was seen.
+// Sample is a time in which an engine read prompts, one after the other.
 type Sample struct {
-	Prompt Prompt
+	Prompt Prompt // the sum of what was read
 	MS     float64
-	// Whole says that the engine had nothing else to read, so that MS is the whole time
-	// to the first event; otherwise it is the time since the first event before.
-	Whole bool
+	// Whole is how many of the prompts found the engine with nothing to read, so that MS
+	// holds the whole time to their first event. Of the others it holds the time since the
+	// first event before.
+	Whole float64
 }
 
 func (s Sample) row() [terms]float64 {
-	whole := 0.0
-	if s.Whole {
-		whole = 1
-	}
-	return [terms]float64{whole, s.Prompt.Tokens, s.Prompt.Pairs, s.Prompt.Fetched}
+	return [terms]float64{s.Whole, s.Prompt.Tokens, s.Prompt.Pairs, s.Prompt.Fetched}
 }
 
 // The figures of a model in the order of the equations.
@@ -202,11 +199,7 @@
 func (l *Learner) reweigh(weights []float64, m Model) {
 	off := make([]float64, len(l.samples))
 	for i, s := range l.samples {
-		want := m.Read(s.Prompt)
-		if s.Whole {
-			want += m.Base
-		}
-		off[i] = math.Abs(s.MS - want)
+		off[i] = math.Abs(s.MS - m.of(s))
 	}
 	sorted := slices.Sorted(slices.Values(off))
 	limit := outlier * max(1, stat.Quantile(0.5, stat.Empirical, sorted, nil))
--- a/internal/dispatch/prefill/model.go
+++ b/internal/dispatch/prefill/model.go
@@ -54,6 +54,9 @@
 	return m.PerToken*p.Tokens + m.PerPair*p.Pairs + m.PerFetched*p.Fetched
 }
 
+// of returns the time that a sample should have taken.
+func (m Model) of(s Sample) float64 { return s.Whole*m.Base + m.Read(s.Prompt) }
+
 // usable reports whether a model, learned or told by a peer, can be reckoned with.
 func (m Model) usable() bool {
 	const most = 1e5
--- a/internal/dispatch/prefill/prefill_test.go
+++ b/internal/dispatch/prefill/prefill_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -35,10 +36,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		truth, l := anyModel(t), NewLearner()
 		for i, p := range prompts(t, 150) {
-			s := Sample{Prompt: p, Whole: rapid.Bool().Draw(t, "whole"), MS: truth.Read(p)}
-			if s.Whole {
-				s.MS += truth.Base
-			}
+			s := Sample{Prompt: p, Whole: float64(rapid.IntRange(0, 1).Draw(t, "whole"))}
+			s.MS = truth.of(s)
 			s.MS *= rapid.Float64Range(0.9, 1.1).Draw(t, "noise")
 			if i%20 == 7 {
 				s.MS *= 10
@@ -56,7 +55,7 @@
 func TestNonsenseIsNotLearned(t *testing.T) {
 	l := NewLearner()
 	for _, ms := range []float64{-1, math.NaN(), math.Inf(1), math.Inf(-1), maxSample + 1} {
-		assert.False(t, l.Add(Sample{Prompt: PromptOf(10, 0, 10), MS: ms, Whole: true}), "%v", ms)
+		assert.False(t, l.Add(Sample{Prompt: PromptOf(10, 0, 10), MS: ms, Whole: 1}), "%v", ms)
 	}
 	assert.False(t, l.Add(Sample{Prompt: Prompt{Tokens: math.NaN()}, MS: 1}))
 	assert.Zero(t, l.Seen())
@@ -65,7 +64,7 @@
 	l.Inherit(Model{PerToken: -1}, 100)
 	assert.Equal(t, Prior, l.Model())
 	for range 200 {
-		l.Add(Sample{MS: 0, Whole: true}) // answers before anything was read
+		l.Add(Sample{MS: 0, Whole: 1}) // answers before anything was read
 	}
 	assert.True(t, l.Model().usable())
 }
@@ -128,8 +127,7 @@
 		e := q.Add(p, now)
 		got := m.Base + 3*m.Read(p)
 		now = now.Add(duration(got))
-		_, ok := q.First(e, got, m, now)
-		assert.True(t, ok)
+		q.First(e, got, m, now)
 	}
 	assert.InDelta(t, 2.6, q.Slow(m, now), 0.4)
 	assert.InDelta(t, 1, q.Slow(m, now.Add(time.Minute)), 0.1)
@@ -149,3 +147,37 @@
 	_, ok := q.First(b, 5, m, start)
 	assert.False(t, ok, "it is no longer there")
 }
+
+// First events come at the ends of steps of a batch, several at once: reading must not
+// seem faster for it.
+func TestStepsOfABatchDoNotBendTheRate(t *testing.T) {
+	const step = 20 * time.Millisecond
+	m := Model{Base: 50, PerToken: 0.0114}
+	q, l := Queue{}, NewLearner()
+	rnd := rand.New(rand.NewPCG(1, 2))
+	free := start
+	type first struct {
+		e   *Entry
+		got float64
+		at  time.Time
+	}
+	var due []first
+	for i := range 4000 {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		for len(due) > 0 && !due[0].at.After(now) {
+			if s, ok := q.First(due[0].e, due[0].got, l.Model(), now); ok {
+				l.Add(s)
+			}
+			due = due[1:]
+		}
+		p := PromptOf(int(math.Exp(6+rnd.NormFloat64())), 0, 1)
+		p.Pairs = 0
+		if now.After(free) {
+			free = now
+		}
+		free = free.Add(duration(m.Read(p)))
+		at := free.Add(duration(m.Base)).Truncate(step).Add(step)
+		due = append(due, first{q.Add(p, now), millis(at.Sub(now)), at})
+	}
+	assert.InDelta(t, m.PerToken, l.Model().PerToken, 0.1*m.PerToken, "%+v", l.Model())
+}
--- a/internal/dispatch/prefill/queue.go
+++ b/internal/dispatch/prefill/queue.go
@@ -16,6 +16,7 @@
 	entries []*Entry
 	begin   time.Time // the head has been read from then on at the earliest
 	last    time.Time // of the latest first event
+	busy    Sample    // what was read since the engine last had nothing to read
 	slow    slowness
 
 	// What follows from the entries, for a model.
@@ -85,21 +86,14 @@
 }
 
 // First takes a prompt out: its first event came so many milliseconds after it was
-// placed. It returns a sample for the learner, if the order of events allows one.
+// placed. It returns a sample for the learner when there is one.
 func (q *Queue) First(e *Entry, gotMS float64, m Model, now time.Time) (Sample, bool) {
 	i := slices.Index(q.entries, e)
 	if i < 0 {
 		return Sample{}, false
 	}
-	at := e.placed.Add(duration(min(gotMS, maxSample)))
-	s := Sample{Prompt: e.prompt, MS: gotMS, Whole: !q.last.After(e.placed.Add(duration(m.Base)))}
-	if !s.Whole {
-		s.MS = millis(at.Sub(q.last))
-	}
-	inOrder := i == 0 && s.MS >= 0
-	if inOrder {
-		q.slow.add(s, m, now)
-	}
+	at := e.placed.Add(duration(min(max(gotMS, 0), maxSample)))
+	out, ok := q.observe(e, at, gotMS, m, now)
 	if i == 0 {
 		q.begin = at.Add(-duration(m.Base))
 	}
@@ -107,9 +101,44 @@
 		q.last = at
 	}
 	q.remove(i)
-	return s, inOrder
+	return out, ok
 }
 
+// observe adds a first event to the time in which the engine has been reading. It
+// returns that time as a sample when it is long enough, or when the engine had nothing
+// to read in between.
+//
+// Prompts of one step of the batch are read together, so that their first events come
+// at once, 20 ms after those before. Taken one by one, with outliers weighing less,
+// such times made reading seem a quarter faster than it is, and waits behind long
+// prompts 40 ms too short.
+func (q *Queue) observe(e *Entry, at time.Time, gotMS float64, m Model, now time.Time) (Sample, bool) {
+	idle := !q.last.After(e.placed.Add(duration(m.Base)))
+	var out Sample
+	if idle {
+		out, q.busy = q.busy, Sample{}
+		q.busy.Whole = 1
+		q.busy.MS = gotMS
+	} else {
+		q.busy.MS += max(0, millis(at.Sub(q.last)))
+	}
+	q.busy.Prompt.add(e.prompt)
+	if q.busy.MS >= enoughMS {
+		if out.MS == 0 {
+			out, q.busy = q.busy, Sample{}
+		}
+	}
+	if out.MS <= 0 {
+		return Sample{}, false
+	}
+	q.slow.add(out, m, now)
+	return out, true
+}
+
+// enoughMS is the time in which an engine read that makes one sample: several steps of a
+// batch.
+const enoughMS = 100.0
+
 // Drop takes a prompt out that has ended without a first event; if it was being read,
 // the next one is from now on.
 func (q *Queue) Drop(e *Entry, now time.Time) {
--- a/internal/dispatch/prefill/slow.go
+++ b/internal/dispatch/prefill/slow.go
@@ -28,12 +28,8 @@
 func (s *slowness) add(sample Sample, m Model, now time.Time) {
 	s.fade(now)
 	s.scale(slowKeep)
-	want := m.Read(sample.Prompt)
-	if sample.Whole {
-		want += m.Base
-		s.whole++
-	}
-	s.seen += min(sample.MS, mostSlow*max(want, noiseMS))
+	s.whole += sample.Whole
+	s.seen += min(sample.MS, mostSlow*max(m.of(sample), noiseMS))
 	s.prompt.add(sample.Prompt)
 	s.at = now
 }
@@ -54,6 +50,6 @@
 
 func (s *slowness) factor(m Model, now time.Time) float64 {
 	s.fade(now)
-	want := s.whole*m.Base + m.Read(s.prompt)
+	want := m.of(Sample{Prompt: s.prompt, Whole: s.whole})
 	return min(max((s.seen+slowPrior)/(want+slowPrior), leastSlow), mostSlow)
 }
--- a/internal/request/forward/count.go
+++ b/internal/request/forward/count.go
@@ -41,7 +41,7 @@
 		e.AnErr("cause", f.err)
 	}
 	if d := f.refusal; d != nil {
-		e.Str("by", string(d.By)).Int("wait_ms", d.WaitMS).Int("limit_ms", d.LimitMS).Uint64("revision", d.Revision)
+		e.Str("by", string(d.By)).Int("wait_ms", d.WaitMS).Int("limit_ms", d.LimitMS).Int("own_ms", d.OwnMS).Uint32("share_percent", d.Over).Uint64("revision", d.Revision)
 	}
 	if f.after > 0 {
 		e.Int64("come_back_ms", f.after.Milliseconds())
@@ -66,7 +66,7 @@
 
 // placeFields are what a decision rested on.
 func placeFields(e *zerolog.Event, p *dispatch.Place) {
-	e.Str("by", string(p.By)).Int("wait_ms", p.WaitMS).Int("work", p.Work).Uint64("revision", p.Revision)
+	e.Str("by", string(p.By)).Int("wait_ms", p.WaitMS).Int("own_ms", p.OwnMS).Int("work", p.Work).Uint64("revision", p.Revision)
 	if p.Source != "" {
 		e.Str("source", p.Source)
 	}
