Learned models are told by all who know them

Cause: a router that has just started may be the scheduler at once; the one before stopped telling what it had learned when it lost the role. Change: every router tells the heirs what it has learned or inherited.

--- a/internal/core/wire/work.go
+++ b/internal/core/wire/work.go
@@ -17,11 +17,11 @@
 	Unasked  []Unasked       `cbor:"11,keyasint,omitempty"` // since the last time
 	Demand   []ServiceDemand `cbor:"13,keyasint,omitempty"` // of the sender's callers
 	Blind    bool            `cbor:"12,keyasint,omitempty"` // the store does not answer the sender
-	Models   []PrefillModel  `cbor:"14,keyasint,omitempty"` // of the services that the sender schedules
+	Models   []PrefillModel  `cbor:"14,keyasint,omitempty"` // told to those who may schedule
 }
 
-// PrefillModel is what the scheduler of a service has learned of its engines' times to
-// a first event, for those who may follow it: see package prefill.
+// PrefillModel is what the sender has learned, or inherited, of the times to a first
+// event of a service's engines: see package prefill.
 type PrefillModel struct {
 	_          struct{} `cbor:",toarray"`
 	Service    version.ID
--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"github.com/silverswitch/silverswitch/internal/core/wire"
+	"github.com/silverswitch/silverswitch/internal/dispatch/prefill"
 )
 
 // What the scheduler has learned of its engines is known to the router that follows it.
@@ -33,3 +34,19 @@
 	told := f.nodes[f.nodes[heir].schedulerOf(serviceID(engines), f.now)].pools[serviceID(engines)].learner.Model()
 	assert.InDelta(t, learned.Base, told.Base, 0.1)
 }
+
+// A router that has just started may be the scheduler at once: it knows its engines
+// with the first messages of the others.
+func TestRestartedSchedulerLearnsFromItsPeers(t *testing.T) {
+	f := newFleet(t, 3, 2)
+	id := f.scheduler()
+	heir := f.other()
+	learned := prefill.Model{Base: 200, PerToken: 0.005, PerPair: 0.1, PerFetched: 0.001}
+	f.nodes[heir].pools[serviceID(engines)].learner.Inherit(learned, 500)
+	n := New(Settings{ID: id, Inc: 2, Place: "p", Seeds: []wire.NodeID{heir}, Retry: DefaultRetryRules}, f.now)
+	n.Step(Catalogue{Table: table(t, 390_000), Instances: instances(2), Revision: 5, AsOf: 9}, f.now)
+	f.nodes[id] = n
+	f.run(2 * beatEvery)
+	assert.Equal(t, id, f.scheduler())
+	assert.InDelta(t, 200, n.pools[serviceID(engines)].learner.Model().Base, 0.1)
+}
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -159,7 +159,7 @@
 	n.beatDue = now.Add(beatPeriod(len(live)))
 	n.beat++
 	loads, demand, heirs := n.ownLoads(), n.ownDemand(now), n.heirs(now)
-	models := n.ownModels(now)
+	models := n.ownModels()
 	n.applyLoads(n.set.ID, loads)
 	for _, id := range live {
 		if id == n.set.ID {
@@ -224,11 +224,13 @@
 	n.compare(from, w.Revision, now)
 }
 
-// ownModels is what this router has learned of the engines that it schedules.
-func (n *Node) ownModels(now time.Time) []wire.PrefillModel {
+// ownModels is what this router has learned of engines, or inherited. It is told also
+// after the scheduler's role has gone to another: a router that has just started may
+// take the role at once, knowing nothing.
+func (n *Node) ownModels() []wire.PrefillModel {
 	var out []wire.PrefillModel
 	for _, p := range n.pools {
-		if p.engine == nil || p.learner.Seen() == 0 || n.schedulerOf(p.id, now) != n.set.ID {
+		if p.engine == nil || p.learner.Seen() == 0 {
 			continue
 		}
 		m := p.learner.Model()
@@ -237,7 +239,7 @@
 	return out
 }
 
-// heardModels inherits what a scheduler has learned, where it has seen more.
+// heardModels inherits what others have learned, where they have seen more.
 func (n *Node) heardModels(models []wire.PrefillModel) {
 	for _, m := range models {
 		if p := n.pools[m.Service]; p != nil && p.engine != nil {
