The usual time of a plain service is learned

Cause: slowness of plain upstreams was counted against a fixed 60 ms. An upstream that took three times its usual 15 ms seemed as fast as the others. Change: each router learns the usual time from all answers, in small steps whatever the answer.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -293,3 +293,31 @@
 		assert.Equal(t, id, small.placed(id, uint64(i)).By)
 	}
 }
+
+// One of two plain upstreams turns three times slower than its service, which answers
+// in 15 ms: it gets the smaller part.
+func TestSlowPlainUpstreamGetsLess(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	id := f.order[0]
+	got := map[string]int{}
+	var open []uint64
+	for no := uint64(1); no <= 300; no++ {
+		f.arrive(id, no, counter, "a", 0)
+		p := f.placed(id, no)
+		if no > 200 {
+			got[p.Instance.ID]++
+		}
+		after := 15 * time.Millisecond
+		if p.Instance.ID == "c0" && no > 100 {
+			after *= 3
+		}
+		open = append(open, no)
+		f.nodes[id].Step(First{ID: no, After: after}, f.now)
+		if len(open) > 4 { // four at a time
+			f.nodes[id].Step(End{ID: open[0], Event: wire.NoteDone}, f.now)
+			open = open[1:]
+		}
+		f.run(TickEvery)
+	}
+	assert.Greater(t, float64(got["c1"]), 1.4*float64(got["c0"]), "%v", got)
+}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sort"
 	"time"
@@ -35,6 +36,7 @@
 	runs    map[runKey]*run
 	learner *prefill.Learner // of the engines' times to the first event
 	aim     float64          // the strictest target of the routes to it, in milliseconds, 0 when unknown
+	usual   usualTime        // of a plain service
 	meter   *meter
 	urgency urgency
 	without Without
@@ -48,6 +50,7 @@
 		ups:     map[version.ID]*upstream{},
 		runs:    map[runKey]*run{},
 		learner: prefill.NewLearner(),
+		usual:   firstUsual,
 		meter:   newMeter(tokensPerSecond),
 	}
 }
@@ -249,7 +252,7 @@
 	r.up.rest.worked(now)
 	if p.engine == nil {
 		r.up.read(r, now)
-		r.up.observe(gotMS, plainExpectMS, now)
+		r.up.observe(gotMS, p.usual.learn(gotMS), now)
 		return
 	}
 	if s, ok := r.up.queue.First(r.entry, gotMS, p.learner.Model(), now); ok {
@@ -262,9 +265,26 @@
 	r.up.fit(now)
 }
 
-// plainExpectMS is the time of an answer of a plain service against which an
-// upstream's slowness is counted; only ratios between upstreams matter.
-const plainExpectMS = 60.0
+// usualTime is the time of a plain service's answers, in milliseconds, against which an
+// upstream's slowness is counted. It is learned: against a fixed time of 60 ms, an
+// upstream that took three times its usual 15 ms seemed as fast as all others.
+type usualTime float64
+
+const (
+	firstUsual  usualTime = 60.0
+	leastUsual  usualTime = 0.1
+	usualWeight           = 0.05 // of one answer
+	// mostStep is the ratio of an answer to the usual time beyond which it counts no
+	// more: answers that hang say nothing of the usual.
+	mostStep = 3.0
+)
+
+// learn takes one answer's time and returns the usual time after it.
+func (u *usualTime) learn(gotMS float64) float64 {
+	ratio := min(max(gotMS/float64(*u), 1/mostStep), mostStep)
+	*u = max(*u*usualTime(math.Pow(ratio, usualWeight)), leastUsual)
+	return float64(*u)
+}
 
 func (p *pool) forget(k runKey, whole bool, now time.Time) {
 	r := p.runs[k]
