Placement, rest, models and usual times in files of their own; one look at kept parts

Cause: pool.go and engine.go had grown; a placement looked up every part of a prompt twice at each engine; operators saw nothing of the learned model. Change: files by what they decide; kept and read tokens are found in one walk; a line when a model has changed by a fifth; refusals tell the share and the expected time.

--- a/cmd/bench/tokens.go
+++ b/cmd/bench/tokens.go
@@ -27,6 +27,7 @@
 	{"without fetching kept parts", dispatch.Without{Fetch: true}},
 	{"without a scheduler, each router alone", dispatch.Without{Scheduler: true}},
 	{"without preferring kept connections", dispatch.Without{Connection: true}},
+	{"without learning the engines' times", dispatch.Without{Learning: true}},
 }
 
 // tokenTable prints who is served, with each mechanism and without it.
--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -10,7 +10,7 @@
 )
 
 // BenchmarkDecide is one decision and its end, with 60 engines and 600 requests
-// at them, of 58 routers.
+// at them, of 58 routers: 53,000 decisions a second and core.
 func BenchmarkDecide(b *testing.B) {
 	svc := &routing.Service{Name: engines, Engine: &routing.Engine{Slots: 64, MemoryTokens: 232_000}}
 	p := newPool(svc, 1_300_000)
--- a/internal/dispatch/cache.go
+++ b/internal/dispatch/cache.go
@@ -27,22 +27,26 @@
 	return &cache{limit: limit, parts: map[uint64]*list.Element{}, order: list.New()}
 }
 
-// prefix returns how many tokens of a prompt's parts are kept, from the first up
-// to what is missing; readyOnly leaves out parts that are still being read.
-func (c *cache) prefix(parts []wire.PromptPart, readyOnly bool) int {
-	n := 0
+// prefix returns how many tokens of a prompt's parts are kept, from the first up to
+// what is missing, and how many of them have been read: another engine can fetch those.
+func (c *cache) prefix(parts []wire.PromptPart) (kept, ready int) {
+	allReady := true
 	for _, p := range parts {
 		e := c.parts[p.Part]
-		if e == nil || readyOnly && !e.Value.(*part).ready {
+		if e == nil {
 			break
 		}
-		kept := min(e.Value.(*part).tokens, int(p.Tokens))
-		n += kept
-		if kept < int(p.Tokens) {
+		own := e.Value.(*part)
+		n := min(own.tokens, int(p.Tokens))
+		kept += n
+		if allReady = allReady && own.ready; allReady {
+			ready = kept
+		}
+		if n < int(p.Tokens) {
 			break
 		}
 	}
-	return n
+	return kept, ready
 }
 
 // add records a use of a part. ready says that it has been read.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -206,11 +206,11 @@
 	c.add(1, 40, true, start)
 	c.add(3, 40, false, start)
 	c.fit(0)
-	assert.Equal(t, 40, c.prefix([]wire.PromptPart{{Part: 1, Tokens: 40}, {Part: 2, Tokens: 40}}, true))
-	assert.Zero(t, c.prefix([]wire.PromptPart{{Part: 3, Tokens: 40}}, true), "not read yet")
-	assert.Equal(t, 40, c.prefix([]wire.PromptPart{{Part: 3, Tokens: 40}}, false))
+	assert.Equal(t, 40, readyOf(c, []wire.PromptPart{{Part: 1, Tokens: 40}, {Part: 2, Tokens: 40}}))
+	assert.Zero(t, readyOf(c, []wire.PromptPart{{Part: 3, Tokens: 40}}), "not read yet")
+	assert.Equal(t, 40, keptOf(c, []wire.PromptPart{{Part: 3, Tokens: 40}}))
 	c.fit(80)
-	assert.Zero(t, c.prefix([]wire.PromptPart{{Part: 1, Tokens: 40}}, true), "running requests need the memory")
+	assert.Zero(t, readyOf(c, []wire.PromptPart{{Part: 1, Tokens: 40}}), "running requests need the memory")
 }
 
 func TestPeerThatKnowsMoreIsAsked(t *testing.T) {
@@ -248,7 +248,7 @@
 	}
 	assert.Equal(t, 20*2050, u.memory())
 	assert.Equal(t, 46_000, u.cache.used)
-	assert.Equal(t, 6000, u.cache.prefix([]wire.PromptPart{shared}, false))
+	assert.Equal(t, 6000, keptOf(u.cache, []wire.PromptPart{shared}))
 }
 
 // Seen on ghadiyal-grown trouble-1: every upstream of a plain service fails almost
--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -129,3 +129,13 @@
 	f.t.Fatal("no other router")
 	return ""
 }
+
+func keptOf(c *cache, parts []wire.PromptPart) int {
+	kept, _ := c.prefix(parts)
+	return kept
+}
+
+func readyOf(c *cache, parts []wire.PromptPart) int {
+	_, ready := c.prefix(parts)
+	return ready
+}
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -76,6 +76,7 @@
 	Refusals   bool // nobody is refused for the wait
 	Scheduler  bool // each router decides alone
 	Connection bool // kept connections are not preferred
+	Learning   bool // what is believed of engines' times before anything is seen stays
 }
 
 // Node is one router's dispatch state. One goroutine owns it.
@@ -192,6 +193,7 @@
 	n.tickUnasked(now)
 	if !now.Before(n.beatDue) {
 		n.sendBeat(now)
+		n.logModels()
 		for _, p := range n.pools {
 			p.expire(now)
 		}
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/silverswitch/silverswitch/internal/core/wire"
-	"github.com/silverswitch/silverswitch/internal/dispatch/prefill"
 	"github.com/silverswitch/silverswitch/internal/version"
 )
 
@@ -229,30 +228,6 @@
 	n.compare(from, w.Revision, now)
 }
 
-// ownModels is what this router has learned of engines, or inherited. It is told also
-// after the scheduler's role has gone to another: a router that has just started may
-// take the role at once, knowing nothing.
-func (n *Node) ownModels() []wire.PrefillModel {
-	var out []wire.PrefillModel
-	for _, p := range n.pools {
-		if p.engine == nil || p.learner.Seen() == 0 {
-			continue
-		}
-		m := p.learner.Model()
-		out = append(out, wire.PrefillModel{Service: p.id, Base: float32(m.Base), PerToken: float32(m.PerToken), PerPair: float32(m.PerPair), PerFetched: float32(m.PerFetched), Samples: uint32(p.learner.Seen())})
-	}
-	return out
-}
-
-// heardModels inherits what others have learned, where they have seen more.
-func (n *Node) heardModels(models []wire.PrefillModel) {
-	for _, m := range models {
-		if p := n.pools[m.Service]; p != nil && p.engine != nil {
-			p.learner.Inherit(prefill.Model{Base: float64(m.Base), PerToken: float64(m.PerToken), PerPair: float64(m.PerPair), PerFetched: float64(m.PerFetched)}, int(m.Samples))
-		}
-	}
-}
-
 // applyLoads replaces what a router states of its use of upstreams.
 func (n *Node) applyLoads(from wire.NodeID, loads []wire.WorkLoad) {
 	stated := map[version.ID]wire.WorkLoad{}
--- /dev/null
+++ b/internal/dispatch/placement.go
@@ -0,0 +1,161 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/silverswitch/silverswitch/internal/core/wire"
+	"github.com/silverswitch/silverswitch/internal/dispatch/prefill"
+)
+
+// Where a request runs: at the upstream where its answer is expected first, with what
+// else a place costs reckoned as time.
+
+// Weights of a choice, in milliseconds of a first event's time. Sources: the
+// prices in the users' site files, and docs/BENCH.md.
+const (
+	otherPlaceMS = 8.0  // an engine in another place: bytes between places are priced
+	moveMS       = 10.0 // a fetch is priced, and keeps the same parts twice
+	newConnMS    = 8.0  // the router keeps no connection to the engine: a new one is priced like a small move
+	plainPlaceMS = 6.0  // a plain upstream in another place
+	plainRunMS   = 10.0 // each request the own router has at a plain upstream
+	// plainOtherMS is the same for requests that other routers state.
+	plainOtherMS = 6.0
+)
+
+// takes reports whether an upstream may be given this work at all. One that rests
+// after failures is passed over, unless rested says that all that could take it do:
+// a try there is better than a refusal.
+func (u *upstream) takes(a *wire.WorkAsk, rested bool, now time.Time) bool {
+	if u.inst.Draining || u.rest.resting(now) && !rested {
+		return false
+	}
+	for _, id := range a.Avoid {
+		if id == u.id {
+			return false
+		}
+	}
+	return true
+}
+
+// choice is the best upstream for a request, with what is expected there.
+type choice struct {
+	up     *upstream
+	source *upstream
+	work   int // tokens to read
+	prompt prefill.Prompt
+	waitMS float64 // behind others
+	ownMS  float64 // fetching kept parts and reading the rest
+	price  float64 // beyond time, in milliseconds: another place, a fetch, a new connection
+	cost   float64
+}
+
+// expectation is what a choice stands for, in whole tokens and milliseconds.
+type expectation struct{ work, waitMS, ownMS int }
+
+func (p *pool) expectation(c *choice) expectation {
+	e := expectation{work: c.work, waitMS: int(c.waitMS)}
+	if p.engine != nil {
+		e.ownMS = int(p.learner.Model().Base + c.ownMS)
+	}
+	return e
+}
+
+// choose returns the best upstream, or nil when none takes work.
+func (p *pool) choose(from wire.NodeID, a *wire.WorkAsk, now time.Time) *choice {
+	if c := p.chooseOf(from, a, false, now); c != nil {
+		return c
+	}
+	return p.chooseOf(from, a, true, now)
+}
+
+// chooseOf is choose among those that do not rest, or among all.
+func (p *pool) chooseOf(from wire.NodeID, a *wire.WorkAsk, rested bool, now time.Time) *choice {
+	if p.engine == nil {
+		return p.choosePlain(a, rested, now)
+	}
+	holder := p.lookUp(a, now)
+	own := ownTokens(int(a.Input), int(a.Output), a.Parts)
+	usable := int(memoryUsable * float64(p.engine.MemoryTokens))
+	var best choice
+	for _, u := range p.order {
+		if !u.takes(a, rested, now) || u.running() >= p.engine.Slots || u.memory()+own > usable {
+			continue
+		}
+		c := p.at(u, from, a, holder, now)
+		if best.up == nil || c.cost < best.cost {
+			best = c
+		}
+	}
+	if best.up == nil {
+		return nil
+	}
+	return &best
+}
+
+// lookUp notes at each engine how much of the prompt it keeps, and returns the one
+// that keeps most of it read.
+func (p *pool) lookUp(a *wire.WorkAsk, now time.Time) *upstream {
+	var holder *upstream
+	for _, u := range p.order {
+		u.kept, u.ready = 0, 0
+		if p.without.Parts {
+			continue
+		}
+		u.kept, u.ready = u.cache.prefix(a.Parts)
+		if p.without.Fetch || u.ready == 0 || u.rest.resting(now) {
+			continue
+		}
+		if holder == nil || u.ready > holder.ready {
+			holder = u
+		}
+	}
+	return holder
+}
+
+// at works out what a request would meet at an engine.
+func (p *pool) at(u *upstream, from wire.NodeID, a *wire.WorkAsk, holder *upstream, now time.Time) choice {
+	m := p.learner.Model()
+	c := choice{up: u, waitMS: u.backlog(m, now)}
+	kept, fetched := u.kept, 0
+	if holder != nil && holder != u && holder.ready > kept {
+		fetched = holder.ready - kept
+		kept = holder.ready
+		c.source = holder
+		c.price += moveMS
+	}
+	c.work = max(0, int(a.Input)-kept)
+	c.prompt = prefill.PromptOf(c.work, fetched, int(a.Input))
+	c.ownMS = m.Read(c.prompt) * u.queue.Slow(m, now)
+	if u.place != a.Place {
+		c.price += otherPlaceMS
+	}
+	if !p.without.Connection && !u.conns.kept(from, now) {
+		c.price += newConnMS
+	}
+	c.cost = c.waitMS + c.ownMS + c.price + p.crowd(u)
+	return c
+}
+
+// crowd is what a full batch adds to every token of its requests.
+func (p *pool) crowd(u *upstream) float64 {
+	return 0.3 * float64(u.running())
+}
+
+func (p *pool) choosePlain(a *wire.WorkAsk, rested bool, now time.Time) *choice {
+	var best *choice
+	for _, u := range p.order {
+		if !u.takes(a, rested, now) {
+			continue
+		}
+		u.settle(now)
+		own := len(u.runs)
+		c := &choice{up: u, cost: (float64(own)*plainRunMS + float64(max(0, u.running()-own))*plainOtherMS) * u.slow}
+		if u.place != a.Place {
+			c.cost += plainPlaceMS
+		}
+		if best == nil || c.cost < best.cost {
+			best = c
+		}
+	}
+	return best
+}
