--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/silverswitch/silverswitch/internal/core/wire"
 	"github.com/silverswitch/silverswitch/internal/dispatch/prefill"
+	"github.com/silverswitch/silverswitch/internal/version"
 )
 
 // What the scheduler has learned of its engines is known to the router that follows it.
@@ -50,3 +51,40 @@
 	assert.Equal(t, id, f.scheduler())
 	assert.InDelta(t, 200, n.pools[serviceID(engines)].learner.Model().Base, 0.1)
 }
+
+// A table without targets, sizes or a stated capacity still has a defined decision: nobody
+// is over a share, and a quarter of the time that is left stands for the target.
+func TestTableThatStatesNothingIsDecidedOn(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	id := f.order[0]
+	f.nodes[id].Step(Catalogue{Table: table(t, 0), Instances: instances(2), Revision: 6, AsOf: 10}, f.now)
+	for no := uint64(1); no <= 40; no++ {
+		f.nodes[id].Step(Arrive{Request: Request{ID: no, Service: engines, Org: "a", Deadline: f.now.Add(time.Second)}}, f.now)
+		f.deliver()
+		f.placed(id, no)
+	}
+	p := f.nodes[id].pools[serviceID(engines)]
+	assert.Zero(t, p.meter.over(version.IDOf("a"), f.now))
+	f.nodes[id].Step(Arrive{Request: Request{ID: 50, Service: engines, Org: "a", Input: 1 << 30, Output: 1 << 30, Deadline: f.now}}, f.now)
+	f.deliver()
+	_, refused := f.got[id][50].(Refuse)
+	assert.True(t, refused, "larger than any engine")
+}
+
+// An engine whose first events come after an hour, or before they were asked for, is
+// not believed, and decisions go on.
+func TestNonsenseTimesAreNotBelieved(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	id := f.order[0]
+	learner := f.nodes[id].pools[serviceID(engines)].learner
+	for no := uint64(1); no <= 60; no++ {
+		f.arrive(id, no, engines, "a", 100)
+		f.nodes[id].Step(First{ID: no, After: map[bool]time.Duration{true: time.Hour, false: -time.Hour}[no%2 == 0]}, f.now)
+		f.nodes[id].Step(End{ID: no, Event: wire.NoteDone}, f.now)
+		f.run(3 * time.Second)
+	}
+	m := learner.Model()
+	assert.True(t, m.Base >= 0 && m.Base < 60_000 && m.PerToken >= 0, "%+v", m)
+	f.arrive(id, 100, engines, "a", 100)
+	f.placed(id, 100)
+}
