An event of the emulator comes with its first token

Cause: first events came when they were full; the measured engines send them with the first token (10 ms for 120 tokens at steps of 5.5 ms, 50 ms with 47 before reading). Change: an event is sent as its first token is made; counts are as before. Result: engine, stand-in and token tests pass; TestEventsComeInTheirOrder expects again what it did.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -254,9 +254,9 @@
 	for _, x := range made {
 		x.made++
 		switch {
-		case x.made == 1: // the first event does not wait until it is full
+		case x.made == 1: // an event comes with its first token
 			out = append(out, Event{x.req.ID, e.now, First})
-		case x.made%e.fig.EventTokens == 0 && x.made < x.req.Output:
+		case (x.made-1)%e.fig.EventTokens == 0 && x.made < x.req.Output:
 			out = append(out, Event{x.req.ID, e.now, More})
 		}
 		if x.made >= x.req.Output {
