Loads are worked out once a message; sums by the library; comments without history

Ruled out: merging the list of unread runs with the queue of prompts, since kept parts are looked up by run there. Change: placers, floats.Sum, comments. Behaviour as before.

--- a/cmd/silverswitchd/process_test.go
+++ b/cmd/silverswitchd/process_test.go
@@ -421,7 +421,7 @@
 	assert.Contains(t, string(out), "plaec")
 }
 
-// Seen on a grown day (hup): the hang-up signal ended the process with code 129.
+// The hang-up signal ended the process with code 129.
 func TestHangUpSignalReloadsAndEndsNothing(t *testing.T) {
 	f := newFleet(t, 1, 2, time.Millisecond)
 	r := f.routers[0]
--- a/internal/core/member/member_test.go
+++ b/internal/core/member/member_test.go
@@ -130,7 +130,7 @@
 	assert.LessOrEqual(t, len(m.Piggyback(peer)), maxPiggyback)
 }
 
-// Seen on the platform: routers that started a moment before their seeds stayed
+// Routers that started a moment before their seeds stayed
 // alone for seconds, each its own scheduler.
 func TestGreetingIsRepeatedUntilSomeoneIsHeard(t *testing.T) {
 	now := t0
@@ -149,7 +149,7 @@
 	assert.LessOrEqual(t, pings(900*time.Millisecond), 3, "and not for ever")
 }
 
-// Seen on the platform when all routers start at once: each knew the few that its
+// When all routers start at once: each knew the few that its
 // seeds had met by then, and for seconds they disagreed on who schedules.
 func TestRoutersThatStartTogetherSoonKnowEachOther(t *testing.T) {
 	const routers = 40
--- a/internal/dispatch/admission_test.go
+++ b/internal/dispatch/admission_test.go
@@ -93,7 +93,7 @@
 	assert.InDelta(t, 0.6*patient, p.waitLimit(a, &choice{}, 0), 1)
 }
 
-// Seen on a grown day (LOST): a stream whose upstream broke was refused another
+// A stream whose upstream broke was refused another
 // for the wait there, and cut.
 func TestBegunRequestsAreNotRefusedForTheWait(t *testing.T) {
 	f := newFleet(t, 1, 2)
@@ -111,7 +111,7 @@
 	assert.True(t, refused, "a new request would wait too long")
 }
 
-// Seen in a hunt on ghadiyal (FAIR): two organisations were both so far over their
+// Two organisations were both so far over their
 // shares that they might wait equally long, and the one that sent more got most.
 func TestOfTwoFarOverTheFartherWaitsLess(t *testing.T) {
 	p := newPool(&routing.Service{Name: "s", Engine: &routing.Engine{Slots: 64, MemoryTokens: 200_000}}, 1000)
--- a/internal/dispatch/busy.go
+++ b/internal/dispatch/busy.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"gonum.org/v1/gonum/floats"
+)
 
 // Steps of the window in which the reading that was placed is counted.
 const (
@@ -29,10 +33,6 @@
 // part returns the part of the time of so many engines that is taken.
 func (b *busyMeter) part(engines int, now time.Time) float64 {
 	b.advance(now)
-	sum := 0.0
-	for _, ms := range b.ms {
-		sum += ms
-	}
 	window := float64((busySteps * busyStep).Milliseconds())
-	return sum / window / float64(max(1, engines))
+	return floats.Sum(b.ms[:]) / window / float64(max(1, engines))
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -251,7 +251,7 @@
 	assert.Equal(t, 6000, keptOf(u.cache, []wire.PromptPart{shared}))
 }
 
-// Seen on ghadiyal-grown trouble-1: every upstream of a plain service fails almost
+// Every upstream of a plain service fails almost
 // half of its requests, so all rest at times; refusing everything meanwhile serves
 // nobody.
 func TestWhenAllRestOneIsTried(t *testing.T) {
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -159,12 +159,16 @@
 	n.beat++
 	demand, heirs, models := n.ownDemand(now), n.heirs(now), n.ownModels()
 	n.applyLoads(n.set.ID, n.loadsFor(n.set.ID))
+	all, placed := n.loadsFor(""), n.placers()
 	for _, id := range live {
 		if id == n.set.ID {
 			continue
 		}
 		w := n.work(id)
-		w.Beat, w.Revision, w.Loads, w.Demand = n.beat, n.cat.Revision, n.loadsFor(id), demand
+		w.Beat, w.Revision, w.Loads, w.Demand = n.beat, n.cat.Revision, all, demand
+		if placed[id] {
+			w.Loads = n.loadsFor(id)
+		}
 		if heirs[id] {
 			w.Held, w.Models = n.read, models
 		}
@@ -178,6 +182,18 @@
 	return max(beatEvery, time.Duration(routers)*beatPerRouter)
 }
 
+// placers returns the routers that placed something that runs now: the loads of all
+// others are the same.
+func (n *Node) placers() map[wire.NodeID]bool {
+	out := map[wire.NodeID]bool{}
+	for _, f := range n.flights {
+		if f.placed != 0 && !f.orphan {
+			out[f.by] = true
+		}
+	}
+	return out
+}
+
 // loadsFor is this router's use of upstreams, less what the receiver placed: that one
 // knows it better. A load is up to 200 ms old. Counted against what was placed, prompts
 // that had been read meanwhile seemed to wait, 50 to 100 ms of reading at each of nine
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -4,6 +4,8 @@
 	"sort"
 	"time"
 
+	"gonum.org/v1/gonum/floats"
+
 	"github.com/silverswitch/silverswitch/internal/version"
 )
 
@@ -83,13 +85,7 @@
 	m.of(org).got[i] += tokens
 }
 
-func total(steps *[shareSteps]float64) float64 {
-	sum := 0.0
-	for _, x := range steps {
-		sum += x
-	}
-	return sum
-}
+func total(steps *[shareSteps]float64) float64 { return floats.Sum(steps[:]) }
 
 // over returns how far an organisation is over its share: what it got, over its
 // max-min share of the capacity. Below 1 it is under its share.
--- a/internal/dispatch/unasked_test.go
+++ b/internal/dispatch/unasked_test.go
@@ -9,7 +9,7 @@
 	"github.com/silverswitch/silverswitch/internal/version"
 )
 
-// Seen on ghadiyal-grown scale-1 (FAIR): one organisation's callers came in at a
+// One organisation's callers came in at a
 // small router, which refused most of them at its door. The scheduler did not know
 // of those, took the organisation for one that asked for little, and gave what was
 // left to another one.
@@ -28,7 +28,7 @@
 	f.run(2 * unaskedEvery) // plain and unknown services have no shares
 }
 
-// Seen on ghadiyal-grown scale-1 (FAIR): a router that is late itself takes its
+// A router that is late itself takes its
 // scheduler for silent, decides by its own model, and places two thirds of a
 // flood beyond the organisation's share; the scheduler never heard of it.
 func TestLateRouterPlacesNothingBeyondTheShare(t *testing.T) {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -9,8 +9,7 @@
 	"time"
 )
 
-// Figures describe an engine. Source of the defaults: the users' sheets and site
-// files (kobundo-kyu, card-llm).
+// Figures describe an engine. Source of the defaults: an operator's sheet.
 type Figures struct {
 	Slots        int     // requests that run at once
 	MemoryTokens int     // for running requests and kept parts together
@@ -26,7 +25,7 @@
 	PairsMS      float64 // for a million pairs of a read token and one before it
 }
 
-// DefaultFigures are those of kobundo-kyu's engines.
+// DefaultFigures are those of engines that read 39 tokens a millisecond.
 var DefaultFigures = Figures{Slots: 64, MemoryTokens: 232_000, StepMS: 5.47, StepPerRunMS: 0.0121, ContextPerK: 0.023,
 	ReadPerMS: 38.7, Chunk: 1024, EventTokens: 3, MovePerMS: 420, MoveSetupMS: 1.7}
 
--- a/internal/lab/tokens/callers.go
+++ b/internal/lab/tokens/callers.go
@@ -113,7 +113,7 @@
 // Standard returns the scenarios that are compared, without and with trouble.
 func Standard(d time.Duration) map[string]Scenario {
 	return map[string]Scenario{
-		"quiet":  {For: d, Load: 0.66}, // the load of kobundo-kyu's day quiet-1
+		"quiet":  {For: d, Load: 0.66}, // two thirds of the usual
 		"calm":   {For: d, Load: 1},
 		"busy":   {For: d, Load: 1.4},
 		"flood":  {For: d, Load: 1, Flood: 8},
--- a/internal/lab/tokens/tokens.go
+++ b/internal/lab/tokens/tokens.go
@@ -18,7 +18,7 @@
 	"github.com/silverswitch/silverswitch/internal/routing"
 )
 
-// Sizes and rates of the world. Source: the users' sheet of kobundo-kyu.
+// Sizes and rates of the world. Source: an operator's sheet.
 const (
 	Routers     = 6
 	Engines     = 18
--- a/internal/process/crowd_test.go
+++ b/internal/process/crowd_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/assert"
 )
 
-// Seen on a grown day: a router ran out of descriptors over idle connections of
+// A router ran out of descriptors over idle connections of
 // callers that open one for each request, and accepted nobody for seconds.
 func TestIdleConnectionsMakeRoom(t *testing.T) {
 	c := newCrowd(reservedFiles + 10) // asks to close above 3, closes idle ones above 6
--- a/internal/process/strain_test.go
+++ b/internal/process/strain_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/assert"
 )
 
-// Seen on ghadiyal-grown scale-1 (FAIR): a router of a fifth of a core that took a
+// A router of a fifth of a core that took a
 // thousand requests a second used all it had, at waits of one to three
 // milliseconds, and refused nobody.
 func TestUseOfTheProcessorRefusesBeforeWaitsGrow(t *testing.T) {
--- a/internal/request/forward/door_test.go
+++ b/internal/request/forward/door_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/assert"
 )
 
-// Seen on a grown day (FAIR): one organisation's flood overloaded a router, and
+// One organisation's flood overloaded a router, and
 // the router refused everyone there alike.
 func TestFloodIsRefusedBeforeOthers(t *testing.T) {
 	d := newDoor()
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -155,7 +155,7 @@
 	assert.Equal(t, "2", got()[0].Header.Get("Last-Event-Id"))
 }
 
-// Seen on trouble-1 of kobundo-kyu (ORDER): the upstream that was to resume a
+// The upstream that was to resume a
 // stream answered 500, and its answer's end was passed on as the stream's.
 func TestStreamThatCannotBeResumedIsCut(t *testing.T) {
 	for name, second := range map[string]string{
@@ -224,7 +224,7 @@
 	<-ended
 }
 
-// Seen on a grown day: a small router that got most of its place's callers took
+// A small router that got most of its place's callers took
 // them all, and answered none in time.
 func TestOverloadedRouterRefusesAtOnce(t *testing.T) {
 	a, got := script(t, okHello)
@@ -263,7 +263,7 @@
 	assert.Equal(t, prompt{}, bad)
 }
 
-// Seen on ghadiyal-grown trouble-1 (DRAIN): a request spent a third of a second in
+// A request spent a third of a second in
 // a busy router between its placing and its sending, and the upstream's leaving
 // became known meanwhile.
 func TestUpstreamThatLeftBeforeTheSendGetsNothing(t *testing.T) {
--- a/internal/request/forward/watchdog_test.go
+++ b/internal/request/forward/watchdog_test.go
@@ -17,7 +17,7 @@
 	"github.com/silverswitch/silverswitch/internal/conn"
 )
 
-// Seen on ghadiyal-grown trouble-3 (LOST, 54): a router short of processor did not
+// A router short of processor did not
 // get to read its streams for a second, took the upstreams for silent, and cut
 // streams whose events lay in its own sockets.
 func TestWatchdogLooksAgainWhileBytesWait(t *testing.T) {
