Sight: shares, engines' waits and decisions alone, once a second

The logs of a broken play could not tell whether shares were wrong at the scheduler, were passed by, or whether waits were misjudged. No change of logic.

--- a/internal/dispatch/flight.go
+++ b/internal/dispatch/flight.go
@@ -163,7 +163,8 @@
 		return
 	}
 	f.try++ // an answer that still comes is to an ask that is over
-	if len(f.avoid) == 0 && n.unasked.hadShare(orgAt{p.id, version.IDOf(f.req.Org)}, now) {
+	if k := (orgAt{p.id, version.IDOf(f.req.Org)}); len(f.avoid) == 0 && n.unasked.hadShare(k, now) {
+		n.reports.countAlone(k, 0, false)
 		n.refuse(f, verdict{why: ReasonCapacity, after: minComeBack}, n.set.ID)
 		return
 	}
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -94,6 +94,7 @@
 	read    []wire.HeldPart // since the last regular message
 	unasked unaskedWork
 	demands demands
+	reports reports
 	notes   map[wire.NodeID][]wire.WorkNote
 	noteDue time.Time
 	beat    uint32
@@ -119,7 +120,7 @@
 
 // Counts are totals since the start.
 type Counts struct {
-	Placed, Refused, Asked, AskedAgain, OwnDecision, AnswersLate, Woke uint64
+	Placed, Refused, Asked, AskedAgain, OwnDecision, OwnPlaced, AnswersLate, Woke uint64
 }
 
 // New returns a node that has heard nobody.
@@ -142,6 +143,7 @@
 		rnd:      rnd,
 		unasked:  newUnaskedWork(),
 		demands:  demands{},
+		reports:  newReports(),
 	}
 }
 
@@ -191,6 +193,7 @@
 	n.tickFlights(now)
 	n.tickFetch(now)
 	n.tickUnasked(now)
+	n.tickReports(now)
 	if !now.Before(n.beatDue) {
 		n.sendBeat(now)
 		n.logModels()
@@ -259,6 +262,7 @@
 	if c.Table == nil {
 		return
 	}
+	n.reports.setNames(c)
 	by := map[string][]routing.Instance{}
 	for _, i := range c.Instances {
 		by[i.Service] = append(by[i.Service], i)
--- a/internal/dispatch/prefill/queue.go
+++ b/internal/dispatch/prefill/queue.go
@@ -45,8 +45,17 @@
 		return max(0, millis(q.begin.Sub(now)))
 	}
 	q.reckon(m, now)
+	return max(0, millis(q.free.Sub(now))) + q.Overdue(m, now)
+}
+
+// Overdue returns for how many milliseconds the head's first event has been missing.
+func (q *Queue) Overdue(m Model, now time.Time) float64 {
+	if len(q.entries) == 0 {
+		return 0
+	}
+	q.reckon(m, now)
 	overdue := millis(now.Sub(q.head)) - overdueBase*m.Base - noiseMS
-	return max(0, millis(q.free.Sub(now))) + min(max(0, overdue), mostOverdue)
+	return min(max(0, overdue), mostOverdue)
 }
 
 const (
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -87,14 +87,19 @@
 
 func total(steps *[shareSteps]float64) float64 { return floats.Sum(steps[:]) }
 
-// over returns how far an organisation is over its share: what it got, over its
-// max-min share of the capacity. Below 1 it is under its share.
-func (m *meter) over(org version.ID, now time.Time) float64 {
+// refresh cuts the shares anew when what they rest on has changed.
+func (m *meter) refresh(now time.Time) {
 	m.advance(now)
 	if m.dirty {
 		m.cut()
 		m.dirty = false
 	}
+}
+
+// over returns how far an organisation is over its share: what it got, over its
+// max-min share of the capacity. Below 1 it is under its share.
+func (m *meter) over(org version.ID, now time.Time) float64 {
+	m.refresh(now)
 	share := m.shares[org]
 	if share <= 0 {
 		return 0
--- a/internal/dispatch/unasked.go
+++ b/internal/dispatch/unasked.go
@@ -67,7 +67,9 @@
 // turned takes what was refused at the door.
 func (n *Node) turned(in Turned) {
 	for _, t := range in.Work {
-		n.unasked.add(orgAt{serviceID(t.Service), version.IDOf(t.Org)}, t.Tokens, 0)
+		k := orgAt{serviceID(t.Service), version.IDOf(t.Org)}
+		n.unasked.add(k, t.Tokens, 0)
+		n.reports.countTurned(k, t.Tokens)
 	}
 }
 
@@ -85,7 +87,12 @@
 	if placed {
 		got = tokens
 	}
-	n.unasked.add(orgAt{p.id, a.Org}, wanted, got)
+	k := orgAt{p.id, a.Org}
+	n.unasked.add(k, wanted, got)
+	n.reports.countAlone(k, tokens, placed)
+	if placed {
+		n.Counts.OwnPlaced++
+	}
 }
 
 // tickUnasked tells the schedulers.
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -126,7 +126,12 @@
 // milliseconds. What routers state was decided by the scheduler before, or by the
 // routers themselves.
 func (u *upstream) backlog(m prefill.Model, now time.Time) float64 {
-	return u.queue.Wait(m, now) + float64(u.total.unread)*m.PerToken*u.queue.Slow(m, now)
+	return u.queue.Wait(m, now) + u.stated(m, now)
+}
+
+// stated is the part of the backlog that routers state beyond what was placed here.
+func (u *upstream) stated(m prefill.Model, now time.Time) float64 {
+	return float64(u.total.unread) * m.PerToken * u.queue.Slow(m, now)
 }
 
 // placeRun adds a run at the end of the queue.
--- /dev/null
+++ b/internal/process/report.go
@@ -0,0 +1,26 @@
+package process
+
+import (
+	"github.com/rs/zerolog"
+
+	"github.com/silverswitch/silverswitch/internal/dispatch"
+)
+
+// logReport writes the line of one of the node's reports.
+func logReport(log zerolog.Logger, o dispatch.Output) {
+	switch o := o.(type) {
+	case dispatch.ShareReport:
+		log.Info().Str("service", o.Service).Str("organisation", o.Org).Int("asked", o.Asked).Int("got", o.Got).Int("share", o.Share).Msg("organisation-share")
+	case dispatch.EngineReport:
+		log.Info().Str("service", o.Service).Int("engines", o.Engines).Int("busy_percent", o.BusyPercent).
+			Dict("least", waitFields(o.Least)).Dict("median", waitFields(o.Median)).Msg("engines-believed")
+	case dispatch.AloneReport:
+		log.Info().Str("service", o.Service).Str("organisation", o.Org).Int("placed", o.Placed).Int("refused", o.Refused).
+			Int("placed_tokens", o.PlacedTokens).Int("turned_tokens", o.TurnedTokens).
+			Uint32("share_percent", o.Share).Int("share_age_ms", o.ShareAgeMS).Msg("decided-alone")
+	}
+}
+
+func waitFields(w dispatch.WaitParts) *zerolog.Event {
+	return zerolog.Dict().Int("wait_ms", w.WaitMS).Int("overdue_ms", w.OverdueMS).Int("stated_ms", w.StatedMS).Int("unread", w.Unread).Float64("slow", w.Slow)
+}
--- a/internal/process/routed.go
+++ b/internal/process/routed.go
@@ -211,7 +211,7 @@
 	lines := map[string]string{}
 	for name, n := range map[string]uint64{
 		"placed": s.Counts.Placed, "refused": s.Counts.Refused, "asked": s.Counts.Asked, "asked_again": s.Counts.AskedAgain,
-		"own_decisions": s.Counts.OwnDecision, "answers_late": s.Counts.AnswersLate, "pauses": s.Counts.Woke,
+		"own_decisions": s.Counts.OwnDecision, "own_placed": s.Counts.OwnPlaced, "answers_late": s.Counts.AnswersLate, "pauses": s.Counts.Woke,
 		"table_version": s.Version, "store_revision": s.Revision, "routers": uint64(len(s.Routers)),
 	} {
 		lines[promName("dispatch."+name)] = fmt.Sprint(n)
--- a/internal/process/steer.go
+++ b/internal/process/steer.go
@@ -137,6 +137,9 @@
 // door; shares are counted in steps of 250 ms.
 const turnedTicks = 20
 
+// strainTicks is how many ticks lie between two lines on the processor while it is short.
+const strainTicks = 50
+
 // watchTicks is how many ticks lie between two judgements of who watches.
 const watchTicks = 10
 
@@ -151,6 +154,9 @@
 		s.node.Step(dispatch.Strained{On: on}, now)
 		s.log.Info().Bool("on", on).Float64("excess", s.Excess()).Msg("short-of-processor")
 	}
+	if s.strained && s.ticks%strainTicks == 0 {
+		s.log.Info().Float64("use", s.strain.use()).Int64("lag_us", s.strain.lag.lag().Microseconds()).Float64("excess", s.Excess()).Msg("processor-use")
+	}
 	if s.ticks%turnedTicks == 0 {
 		if work := s.turned.take(); len(work) > 0 {
 			s.node.Step(dispatch.Turned{Work: work}, now)
@@ -218,6 +224,8 @@
 		case dispatch.Gone:
 			s.ups.Forget(o.Instance.Address)
 			s.log.Info().Str("upstream", o.Instance.ID).Str("address", o.Instance.Address).Uint64("revision", s.view.Revision).Msg("upstream-gone")
+		case dispatch.ShareReport, dispatch.EngineReport, dispatch.AloneReport:
+			logReport(s.log, o)
 		case dispatch.Event:
 			s.log.Info().Str("peer", string(o.Router)).Uint64("value", o.Value).Str("detail", o.Detail).Msg(o.Name)
 		}
--- a/internal/process/strain.go
+++ b/internal/process/strain.go
@@ -43,6 +43,7 @@
 	cores float64 // 0 when the settings do not say
 	lag   lagMeter
 	busy  float64       // part refused for the use of the processor
+	used  atomic.Uint64 // bits of the part of the processor used in the last period
 	part  atomic.Uint64 // bits of the part of arrivals to refuse
 }
 
@@ -64,6 +65,7 @@
 
 // take judges one period: the part of the processor used, and the wait for it.
 func (s *strainMeter) take(use float64, lag time.Duration) {
+	s.used.Store(math.Float64bits(use))
 	switch {
 	case use >= busyFrom && lag >= busyLag:
 		s.busy = min(shedMost, s.busy+shedStep)
@@ -76,6 +78,9 @@
 	s.part.Store(math.Float64bits(max(s.busy, shedPart(lag))))
 }
 
+// use returns the part of the processor that was used in the last period.
+func (s *strainMeter) use() float64 { return math.Float64frombits(s.used.Load()) }
+
 // excess returns the part of all arrivals to refuse.
 func (s *strainMeter) excess() float64 { return math.Float64frombits(s.part.Load()) }
 
