A flood at a late router breaks shares: a test that fails

Change: the emulator of the routed interface has a router that reads, sends and tells late for three seconds of four, two organisations that flood, one of them there, and the users' measure of fairness second by second. Red until the mend.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build deploy demo lint test bench fuzz model guards capacity load soak soak-guards
+.PHONY: build deploy demo lint known-red test bench fuzz model guards capacity load soak soak-guards
 
 build:
 	go build ./...
@@ -16,8 +16,16 @@
 	sh -c "$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)"
 	test -x target/silverswitchd
 
-test: lint
-	go test -race -count=1 -timeout 5m ./...
+# Tests that fail for a fault that is known and open: one line each in KNOWN-RED.txt, the
+# test's name first. They are passed over and printed; any other failure fails the run.
+KNOWN_RED = $(shell sed -n 's/^\(Test[A-Za-z0-9_]*\) .*/\1/p' KNOWN-RED.txt | paste -sd'|' -)
+
+known-red:
+	@test "$$(grep -c . KNOWN-RED.txt)" -le 3 || { echo 'KNOWN-RED.txt: more than three lines'; exit 1; }
+	@sed 's/^/known red, not run: /' KNOWN-RED.txt
+
+test: lint known-red
+	go test -race -count=1 -timeout 5m $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...
 
 bench:
 	go run ./cmd/bench
--- a/internal/lab/tokens/callers.go
+++ b/internal/lab/tokens/callers.go
@@ -32,10 +32,9 @@
 		total += x
 	}
 	out := make([]float64, len(weights))
-	at := w.now.Sub(begin) - warmUp
 	for i, x := range weights {
 		out[i] = x / total
-		if w.Flood > 0 && i == floodOrg && at > w.For/3 && at < 2*w.For/3 {
+		if w.Flood > 0 && w.floods() && (i == floodOrg || w.Late && i == promptOrg) {
 			out[i] *= w.Flood
 		}
 	}
@@ -106,6 +105,10 @@
 	w.next++
 	c.req.ID = w.next
 	c.router = live[at]
+	if id, fixed := w.entry(c); fixed {
+		c.router = id
+	}
+	w.countAsked(c)
 	w.calls[c.req.ID] = c
 	w.nodes[c.router].Step(dispatch.Arrive{Request: c.req}, w.now)
 }
@@ -118,5 +121,6 @@
 		"busy":   {For: d, Load: 1.4},
 		"flood":  {For: d, Load: 1, Flood: 8},
 		"killed": {For: d, Load: 1, Kill: true},
+		"late":   {For: d, Load: 1, Routers: 24, Flood: 50, Late: true},
 	}
 }
--- a/internal/lab/tokens/tokens.go
+++ b/internal/lab/tokens/tokens.go
@@ -6,6 +6,7 @@
 package tokens
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -59,6 +60,8 @@
 	Load    float64 // times the rates of the sheet
 	Flood   float64 // times its usual that one organisation sends in the middle third
 	Kill    bool    // the scheduler's router dies in the middle
+	Routers int     // 0 is Routers
+	Late    bool    // two organisations flood, one of them by a router short of processor
 	Without dispatch.Without
 	Engine  engine.Figures // of every engine; the zero value is engine.DefaultFigures
 }
@@ -75,6 +78,7 @@
 	Control                        float64 // bytes a second a router sends
 	Predicted, Seen                [3]float64
 	Ratio                          [3]float64 // seen over predicted, request by request, once learned
+	Fair                           float64    // see fair.go: 1 and more is fair
 }
 
 // Quantiles of Predicted and Seen times to the first event, in milliseconds.
@@ -87,6 +91,7 @@
 	req     dispatch.Request
 	parts   []engine.Part
 	arrived time.Time
+	placed  time.Time
 	sent    time.Time
 	tries   int
 	expect  float64 // milliseconds to the first event
@@ -114,6 +119,8 @@
 	next    uint64
 	bytes   int
 	windows []window
+	fair    fairness
+	delayed []delayed
 	reading int // engine milliseconds with prompts unread
 	lastUse map[uint64]time.Time
 	res     Result
@@ -135,10 +142,19 @@
 
 // Run plays a scenario.
 func (s Scenario) Run() (Result, error) {
+	w, err := s.play()
+	if err != nil {
+		return Result{}, err
+	}
+	return w.result(), nil
+}
+
+// play returns the world at the end of a scenario.
+func (s Scenario) play() (*world, error) {
 	w := &world{Scenario: s, rnd: rand.New(rand.NewPCG(s.Seed, 7)), now: begin, nodes: map[wire.NodeID]*dispatch.Node{}, engines: map[string]*engine.Engine{},
 		calls: map[uint64]*call{}, lastUse: map[uint64]time.Time{}}
 	if err := w.boot(); err != nil {
-		return Result{}, err
+		return nil, err
 	}
 	for w.now.Before(begin.Add(warmUp)) {
 		w.step(false)
@@ -149,11 +165,11 @@
 		w.step(true)
 	}
 	w.res.Busy = float64(w.reading) / float64(s.For.Milliseconds()) / Engines
-	w.res.Control = float64(w.bytes-sent) / s.For.Seconds() / Routers
+	w.res.Control = float64(w.bytes-sent) / s.For.Seconds() / float64(w.routers())
 	for end := w.now.Add(tail); w.now.Before(end); {
 		w.step(false)
 	}
-	return w.result(), nil
+	return w, nil
 }
 
 const (
@@ -190,7 +206,7 @@
 		w.engines[id] = engine.New(f, begin)
 		w.ids = append(w.ids, id)
 	}
-	for i := range Routers {
+	for i := range w.routers() {
 		id := wire.NodeID(fmt.Sprintf("10.1.0.%d:1", i))
 		n := dispatch.New(dispatch.Settings{ID: id, Inc: 1, Place: placeName(i), Seeds: []wire.NodeID{"10.1.0.0:1"}, Retry: dispatch.DefaultRetryRules, Seed: uint64(i), Without: w.Without}, begin)
 		n.Step(dispatch.Catalogue{Table: table, Instances: list, Revision: 5, AsOf: 9}, begin)
@@ -200,6 +216,8 @@
 	return nil
 }
 
+func (s *Scenario) routers() int { return cmp.Or(s.Routers, Routers) }
+
 func placeName(i int) string { return fmt.Sprintf("p%d", i%places) }
 
 // step moves the world on by one millisecond.
@@ -210,6 +228,7 @@
 		w.middle()
 	}
 	w.comeBack()
+	w.catchUp()
 	w.advanceEngines()
 	w.deliver()
 	tick := w.now.Sub(begin)%dispatch.TickEvery == 0
@@ -250,7 +269,10 @@
 			o.Datagram.From = id
 			w.mail = append(w.mail, mail{w.now.Add(hop), o.To, o.Datagram})
 		case dispatch.Place:
-			w.place(o)
+			if c := w.calls[o.ID]; c != nil {
+				c.placed = w.now
+			}
+			w.soon(id, lateSend, func() { w.place(o) })
 		case dispatch.Refuse:
 			w.refused(o)
 		}
@@ -262,8 +284,8 @@
 	for _, m := range w.mail {
 		if m.at.After(w.now) {
 			later = append(later, m)
-		} else if n := w.nodes[m.to]; n != nil {
-			n.Step(dispatch.Receive{Datagram: m.d}, w.now)
+		} else if w.nodes[m.to] != nil {
+			w.tell(m.to, dispatch.Receive{Datagram: m.d})
 		}
 	}
 	w.mail = later
@@ -323,6 +345,7 @@
 		return
 	}
 	delete(w.calls, o.ID)
+	w.second(c.org, w.now).waited = true
 	if c.tries++; c.tries > 1 {
 		w.res.Refused++
 		return
@@ -355,26 +378,22 @@
 			if c == nil || c.engine != id {
 				continue
 			}
-			n := w.nodes[c.router]
 			if ev.Kind == engine.More {
 				continue
 			}
 			if ev.Kind == engine.First {
 				w.first(c, ev.At)
-				if n != nil {
-					n.Step(dispatch.First{ID: ev.ID, After: ev.At.Sub(c.sent)}, w.now)
-				}
+				w.tell(c.router, dispatch.First{ID: ev.ID, After: ev.At.Sub(c.placed)})
 				continue
 			}
 			delete(w.calls, ev.ID)
-			if n != nil {
-				n.Step(dispatch.End{ID: ev.ID, Event: wire.NoteDone}, w.now)
-			}
+			w.tell(c.router, dispatch.End{ID: ev.ID, Event: wire.NoteDone})
 		}
 	}
 }
 
 func (w *world) first(c *call, at time.Time) {
+	w.countBegun(c, at)
 	w.pred = append(w.pred, c.expect)
 	took := float64(at.Sub(c.sent).Microseconds()) / 1000
 	w.seen = append(w.seen, took)
@@ -391,6 +410,7 @@
 
 func (w *world) result() Result {
 	w.owed()
+	w.res.Fair = w.fair.least(int(w.For / time.Second))
 	for _, e := range w.engines {
 		w.res.Fetched += e.Fetched
 	}
