--- a/internal/dispatch/late_test.go
+++ b/internal/dispatch/late_test.go
@@ -167,7 +167,8 @@
 // A router that did not get to read took nine schedulers for silent in 0.6 s.
 func TestRouterThatHearsNobodyBlamesOne(t *testing.T) {
 	f := newFleet(t, 6, 4)
-	id := f.other()
+	ranked := f.nodes[f.order[0]].ranked(serviceID(engines), f.now)
+	id := ranked[len(ranked)-1]
 	f.cut[id] = true
 	for no := uint64(1); no <= 20; no++ {
 		f.arrive(id, no, engines, "a", 100)
