--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -69,8 +69,9 @@
 		return verdict{after: p.comeBack(a, p.shortest(now), 0), why: p.whyNone(), over: told}
 	}
 	if p.engine != nil {
-		if wait, limit := p.waits(c, over), p.waitLimit(a, c, over); (wait > limit || p.tooBusy(over, now) || p.leads(a.Org, over, now)) && p.mayRefuse(a) {
-			return verdict{after: p.comeBack(a, c.waitMS, limit), why: ReasonCapacity, wait: c.waitMS, limit: limit, ownMS: p.learner.Model().Base + c.ownMS, over: told}
+		limit := p.waitLimit(a, c, over)
+		if why := p.whyRefuse(a, c, over, limit, now); why != ReasonNone && p.mayRefuse(a) {
+			return verdict{after: p.comeBack(a, c.waitMS, limit), why: why, wait: c.waitMS, limit: limit, ownMS: p.learner.Model().Base + c.ownMS, over: told}
 		}
 		p.meter.grant(a.Org, tokens, now)
 		p.busy.add(c.ownMS, now)
@@ -79,6 +80,17 @@
 	return verdict{choice: c, over: told}
 }
 
+// whyRefuse returns why a request should not have its best place, or ReasonNone.
+func (p *pool) whyRefuse(a *wire.WorkAsk, c *choice, over, limit float64, now time.Time) Reason {
+	switch {
+	case p.waits(c, over) > limit:
+		return ReasonCapacity
+	case p.tooBusy(over, now) || p.leads(a.Org, over, now):
+		return ReasonShare
+	}
+	return ReasonNone
+}
+
 // waits is the wait that counts against the limit: for an organisation over its share
 // with what else the place costs, but an engine with nothing before it takes everyone.
 func (p *pool) waits(c *choice, over float64) float64 {
--- a/internal/dispatch/booked.go
+++ b/internal/dispatch/booked.go
@@ -11,6 +11,10 @@
 // that a hand-over forgets no window: a scheduler that knows nothing takes every
 // organisation for one that has had nothing.
 
+// bookedEvery is how often heirs are told: what they do not know yet is a quarter of the
+// window at most.
+const bookedEvery = time.Second
+
 // booked sums what a meter took since it was told last, and what each heir told itself.
 type booked struct {
 	sums map[version.ID]unaskedSum
@@ -53,6 +57,10 @@
 
 // tickBooked tells the heirs of the services that this router schedules.
 func (n *Node) tickBooked(now time.Time) {
+	if now.Before(n.bookedDue) {
+		return
+	}
+	n.bookedDue = now.Add(bookedEvery)
 	for _, p := range n.pools {
 		if p.engine == nil {
 			continue
--- a/internal/dispatch/flight.go
+++ b/internal/dispatch/flight.go
@@ -266,7 +266,7 @@
 
 // tell brings news of a run to the router that placed it.
 func (n *Node) tell(f *flight, note wire.WorkNote, now time.Time) {
-	if unbegun := note.Event == wire.NoteUnused || note.Event == wire.NoteFailed && !f.first; unbegun {
+	if !f.first && (note.Event == wire.NoteUnused || note.Event == wire.NoteFailed) {
 		n.takeBackHere(f, now)
 	}
 	if f.by == n.set.ID {
--- a/internal/dispatch/io.go
+++ b/internal/dispatch/io.go
@@ -17,11 +17,16 @@
 	ReasonNoUpstream        // the service has no upstream
 	ReasonCapacity          // its upstreams are busy beyond what the aim allows
 	ReasonBudget            // the retry budget is spent
+	ReasonShare             // the organisation has had its share, and others go first
 )
 
 // String returns the reason as logs and answers show it.
 func (r Reason) String() string {
-	return [...]string{"none", "no-upstream", "no-capacity-in-time", "retry-budget-spent"}[r&3]
+	names := [...]string{"none", "no-upstream", "no-capacity-in-time", "retry-budget-spent", "share-used"}
+	if int(r) >= len(names) {
+		return "unknown" // of a router of another release
+	}
+	return names[r]
 }
 
 // Request is what the decision needs to know of a caller's request. No content.
--- a/internal/dispatch/late.go
+++ b/internal/dispatch/late.go
@@ -17,14 +17,20 @@
 	workOffEvery = 50 * time.Millisecond
 )
 
+// lateness is what this router says of itself.
+type lateness struct {
+	told  bool
+	until time.Time
+}
+
 // tickLate keeps what this router says of itself. One that reads answers as late as others
 // give up on them is late too, whatever its processor seems to have left.
 func (n *Node) tickLate(now time.Time) {
 	if n.late || n.trip.mean >= askGiveUp {
-		n.lateTold = now.Add(lateLasts)
+		n.lateness.until = now.Add(lateLasts)
 	}
-	n.tellsLate = now.Before(n.lateTold)
-	n.setLate(n.set.ID, n.tellsLate)
+	n.lateness.told = now.Before(n.lateness.until)
+	n.setLate(n.set.ID, n.lateness.told)
 }
 
 // tickStated works off what routers state.
@@ -49,3 +55,24 @@
 		p.setLate(id, late)
 	}
 }
+
+// setLate takes a router's word on whether it is short of processor. Its requests leave
+// it late, and what it tells of them is late: neither is the engines' doing. Load pattern:
+// a flood at one small router, whose first events came 0.7 to 2.7 s after they were made;
+// the median engine seemed 100 to 700 ms behind, and organisations under their shares were
+// refused everywhere while engines had nothing to read.
+func (p *pool) setLate(id wire.NodeID, late bool) {
+	if p.late[id] == late {
+		return
+	}
+	if !late {
+		delete(p.late, id)
+		return
+	}
+	p.late[id] = true
+	for k, r := range p.runs {
+		if k.node == id && r.entry != nil {
+			r.entry.Doubt()
+		}
+	}
+}
--- a/internal/dispatch/late_test.go
+++ b/internal/dispatch/late_test.go
@@ -101,6 +101,28 @@
 	assert.False(t, m.leads(2, later), "who has stopped asking holds nobody back")
 }
 
+// A refusal for the share is told from one for the wait.
+func TestRefusalForTheShareSaysSo(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	id := f.order[0]
+	p := f.nodes[id].pools[serviceID(engines)]
+	for range shareSteps {
+		f.run(shareStep)
+		p.meter.ask(version.IDOf("waits"), window, f.now)
+		p.meter.ask(version.IDOf("flood"), window, f.now)
+		p.meter.grant(version.IDOf("waits"), 60_000, f.now)
+		p.meter.grant(version.IDOf("flood"), 120_000, f.now)
+	}
+	f.arrive(id, 1, engines, "flood", 3000)
+	r, refused := f.got[id][1].(Refuse)
+	require.True(t, refused)
+	assert.Equal(t, ReasonShare, r.Reason)
+	assert.Equal(t, "share-used", r.Reason.String())
+	assert.Equal(t, "unknown", Reason(200).String())
+	f.arrive(id, 2, engines, "waits", 3000)
+	f.placed(id, 2)
+}
+
 // Whoever has only begun to ask for more than it gets is about to be served.
 func TestNobodyIsHeldBackForANewFlood(t *testing.T) {
 	m := newMeter(390_000)
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -112,8 +112,8 @@
 	strained  bool
 	heardAt   time.Time // any router
 	blamedAt  time.Time // a scheduler was taken for silent
-	tellsLate bool
-	lateTold  time.Time // until when this router tells others that it is late
+	lateness  lateness
+	bookedDue time.Time
 	worked    time.Time // when stated loads were last worked off
 	leaving   bool
 	rnd       *rand.Rand
@@ -207,6 +207,7 @@
 	n.tickFlights(now)
 	n.tickFetch(now)
 	n.tickUnasked(now)
+	n.tickBooked(now)
 	n.tickReports(now)
 	if !now.Before(n.beatDue) {
 		n.sendBeat(now)
@@ -380,7 +381,7 @@
 func (n *Node) work(id wire.NodeID) *wire.Work {
 	d := n.box.To(id)
 	if d.Work == nil {
-		d.Work = &wire.Work{Late: n.tellsLate}
+		d.Work = &wire.Work{Late: n.lateness.told}
 	}
 	return d.Work
 }
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -134,27 +134,6 @@
 	r.up.fit(now)
 }
 
-// setLate takes a router's word on whether it is short of processor. Its requests leave
-// it late, and what it tells of them is late: neither is the engines' doing. Load pattern:
-// a flood at one small router, whose first events came 0.7 to 2.7 s after they were made;
-// the median engine seemed 100 to 700 ms behind, and organisations under their shares were
-// refused everywhere while engines had nothing to read.
-func (p *pool) setLate(id wire.NodeID, late bool) {
-	if p.late[id] == late {
-		return
-	}
-	if !late {
-		delete(p.late, id)
-		return
-	}
-	p.late[id] = true
-	for k, r := range p.runs {
-		if k.node == id && r.entry != nil {
-			r.entry.Doubt()
-		}
-	}
-}
-
 func (p *pool) forget(k runKey, whole bool, now time.Time) {
 	r := p.runs[k]
 	if r == nil {
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"math"
 	"sort"
 	"time"
 
@@ -30,19 +29,6 @@
 	dirty    bool
 }
 
-// mostLead is how many times what another one got that asks for more an organisation may
-// have had for what is over its share. The users find two times unfair; what was placed
-// and has not begun yet, or was told late, is the rest.
-const mostLead = 1.5
-
-// goesOnSteps and goesOnOf are the steps in which an organisation has to have asked for
-// more than it got, of the latest ones, for others to be held back for it: one that asked
-// once may never return, and one that has just begun to ask is about to be served.
-const (
-	goesOnSteps = 10
-	goesOnOf    = 12
-)
-
 // tally is one organisation's tokens by step.
 type tally struct{ asked, got [shareSteps]float64 }
 
@@ -122,45 +108,6 @@
 	}
 }
 
-// leads reports whether an organisation has had so much more than the least served of
-// those that ask for more than they get, that the others go first. Load pattern: two
-// organisations flood, one by a router that cannot bring its requests as fast; what is
-// over shares all goes to the other, three and a half times as much in six seconds.
-func (m *meter) leads(org version.ID, now time.Time) bool {
-	m.refresh(now)
-	return total(&m.of(org).got) > mostLead*m.least
-}
-
-// wants reports whether an organisation has asked for more than its share and for more
-// than it got, and goes on asking.
-func (m *meter) wants(org version.ID, u *tally) bool {
-	asked := total(&u.asked)
-	return asked > m.shares[org] && asked > mostLead*total(&u.got) && m.goesOn(u)
-}
-
-// goesOn reports whether an organisation asked for more than it got in most steps of the
-// last three seconds.
-func (m *meter) goesOn(u *tally) bool {
-	asking := 0
-	for back := range int64(goesOnOf) {
-		i := (m.steps.now - back + shareSteps) % shareSteps
-		if u.asked[i] > mostLead*u.got[i] {
-			asking++
-		}
-	}
-	return asking >= goesOnSteps
-}
-
-// findLeast finds what the least served organisation got of those that ask for more.
-func (m *meter) findLeast() {
-	m.least = math.Inf(1)
-	for id, u := range m.orgs {
-		if m.wants(id, u) {
-			m.least = min(m.least, total(&u.got))
-		}
-	}
-}
-
 // over returns how far an organisation is over its share: what it got, over its
 // max-min share of the capacity. Below 1 it is under its share.
 func (m *meter) over(org version.ID, now time.Time) float64 {
--- a/internal/dispatch/unasked.go
+++ b/internal/dispatch/unasked.go
@@ -78,7 +78,6 @@
 	n.unasked.due = now.Add(unaskedEvery)
 	n.words.expire(now)
 	n.expireGivenUp(now)
-	n.tickBooked(now)
 	for k, s := range n.unasked.sums {
 		p := n.pools[k.service]
 		if p == nil || p.engine == nil {
