In the scheduler's place nothing is given beyond shares

A late router took its scheduler for silent between two spells of being short of processor; who it asked in its place, to whom all engines seem idle, placed 428 requests of the flood in a second (organisation-share: 5,258,359 tokens of 1,020,057; decided-alone of the heir: placed=428), and what was never begun of them stayed counted at the scheduler. Change: in the scheduler's place a router refuses what is over the share; what never began is taken back there too; a router that was late a moment ago blames nobody. Result: the test fails without it (Upstream of the second answer is not 0).

--- a/internal/dispatch/flight.go
+++ b/internal/dispatch/flight.go
@@ -151,7 +151,7 @@
 		switch {
 		case now.Sub(f.asked) >= n.patience(f):
 			n.silentScheduler(f, now)
-		case n.late:
+		case n.lateness.told:
 			// The answer may wait unread here.
 		case now.Sub(f.sent) >= n.trip.again():
 			n.Counts.AskedAgain++
@@ -184,11 +184,11 @@
 }
 
 // mayBlame reports whether this router can tell whose silence it is. It cannot when it is
-// late itself, nor when it has heard nobody since it last took one for silent: then it is
+// late itself, or was a moment ago, nor when it has heard nobody since it last took one for silent: then it is
 // cut off, or does not get to read. Load pattern: a flood at a small router; it took nine
 // schedulers for silent in 0.6 s, and made itself one that knew of nothing.
 func (n *Node) mayBlame(now time.Time) bool {
-	return !n.late && (n.heardAt.After(n.blamedAt) || now.Sub(n.blamedAt) >= silentFor)
+	return !n.lateness.told && (n.heardAt.After(n.blamedAt) || now.Sub(n.blamedAt) >= silentFor)
 }
 
 // blame passes a silent scheduler over for a while.
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -70,11 +70,32 @@
 		if note.Event == wire.NoteFirst {
 			n.toldRead(r.up.id, r.parts)
 		}
+		if r.told && r.neverBegan(note) {
+			n.unasked.add(orgAt{p.id, r.org}, 0, -r.cost)
+		}
 		p.note(from, note, now)
 		return
 	}
 }
 
+// decideFor decides for another router, and reports whether the scheduler is told, which
+// this router is not: the other one took it for that.
+//
+// In the scheduler's place nothing is given beyond shares: what engines have to read is
+// known to the scheduler alone, and all seem idle here. Load pattern: a late router took
+// its scheduler for silent; the one it asked instead placed 428 requests of its flood in
+// a second, of which few were begun.
+func (n *Node) decideFor(from wire.NodeID, p *pool, a *wire.WorkAsk, now time.Time) (v verdict, told bool) {
+	inPlace := p.engine != nil && n.schedulerOf(p.id, now) != n.set.ID
+	if over := p.meter.over(a.Org, now); inPlace && over >= 1 && p.mayRefuse(a) {
+		n.countUnasked(p, a, false, now)
+		return verdict{why: ReasonShare, after: minComeBack, over: hundredths(over)}, true
+	}
+	v = p.decide(from, a, now)
+	n.tellWord(from, p, a.Org, now)
+	return v, n.countUnasked(p, a, v.choice != nil, now)
+}
+
 // answer decides for another router. One ask asked twice gets the same answer.
 func (n *Node) answer(from wire.NodeID, a *wire.WorkAsk, now time.Time) {
 	w := n.work(from)
@@ -87,9 +108,7 @@
 		w.Answers = append(w.Answers, r.answer)
 		return
 	}
-	v := p.decide(from, a, now)
-	n.tellWord(from, p, a.Org, now)
-	n.countUnasked(p, a, v.choice != nil, now)
+	v, told := n.decideFor(from, p, a, now)
 	if v.choice == nil {
 		w.Answers = append(w.Answers, wire.WorkAnswer{No: a.No, Try: a.Try, AfterMS: uint32(v.after.Milliseconds()), Why: uint8(v.why),
 			WaitMS: uint32(v.wait), LimitMS: uint32(v.limit), OwnMS: uint32(v.ownMS), Over: v.over})
@@ -101,7 +120,7 @@
 		ans.Source = v.choice.source.id
 	}
 	r := p.runs[runKey{from, a.No}]
-	r.try, r.answer = a.Try, ans
+	r.try, r.answer, r.told = a.Try, ans, told
 	w.Answers = append(w.Answers, ans)
 }
 
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -94,10 +94,10 @@
 		p.forget(r.key, true, now)
 	case wire.NoteFailed:
 		r.up.rest.failed(now)
-		p.takeBack(r, now)
+		p.takeBack(r, n, now)
 		p.forget(r.key, false, now)
 	case wire.NoteUnused:
-		p.takeBack(r, now)
+		p.takeBack(r, n, now)
 		p.forget(r.key, false, now)
 	}
 }
@@ -105,12 +105,17 @@
 // takeBack returns what was counted for a run that its upstream never began: its
 // organisation got nothing for it. Engines that crash under one organisation's requests
 // would else cut its share twice.
-func (p *pool) takeBack(r *run, now time.Time) {
-	if !r.first {
+func (p *pool) takeBack(r *run, n wire.WorkNote, now time.Time) {
+	if r.neverBegan(n) {
 		p.meter.grant(r.org, -r.cost, now)
 	}
 }
 
+// neverBegan reports whether a note ends a run that has had no event.
+func (r *run) neverBegan(n wire.WorkNote) bool {
+	return !r.first && (n.Event == wire.NoteFailed || n.Event == wire.NoteUnused)
+}
+
 func (p *pool) first(r *run, gotMS float64, now time.Time) {
 	if r.first {
 		return
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -62,6 +62,7 @@
 	prompt prefill.Prompt
 	entry  *prefill.Entry
 	first  bool
+	told   bool            // another router is the scheduler, and is told of it
 	try    uint32          // of the ask that placed it
 	answer wire.WorkAnswer // to that ask
 }
--- a/internal/dispatch/word_test.go
+++ b/internal/dispatch/word_test.go
@@ -120,6 +120,38 @@
 	assert.NotEmpty(t, f.nodes[third].unasked.sums, "what it placed is told to the scheduler")
 }
 
+// Who was asked in place of the scheduler gave what seemed left over, 428 requests of one
+// flood in a second, and what was never begun of it stayed counted at the scheduler.
+func TestInTheSchedulersPlaceNothingIsGivenBeyondShares(t *testing.T) {
+	f := newFleet(t, 4, 4)
+	sched := f.nodes[f.scheduler()]
+	p := sched.pools[serviceID(engines)]
+	heir := f.nodes[sched.ranked(p.id, f.now)[1]]
+	own := heir.pools[p.id]
+	ask := func(no uint64) wire.WorkAnswer {
+		a := wire.WorkAsk{No: no, Try: 1, Service: p.id, Org: 7, Input: 4000, AimMS: 600, LeftMS: 6000}
+		heir.Step(Receive{Datagram: &wire.Datagram{From: f.scheduler(), Inc: 1, Work: &wire.Work{Asks: []wire.WorkAsk{a}}}}, f.now)
+		for _, o := range heir.Ready(f.now) {
+			if s, is := o.(Send); is && s.Datagram.Work != nil && len(s.Datagram.Work.Answers) > 0 {
+				return s.Datagram.Work.Answers[0]
+			}
+		}
+		require.Fail(t, "no answer")
+		return wire.WorkAnswer{}
+	}
+	require.NotZero(t, ask(1).Upstream)
+	heir.Step(Receive{Datagram: &wire.Datagram{From: f.scheduler(), Inc: 1, Work: &wire.Work{Notes: []wire.WorkNote{{No: 1, Event: wire.NoteUnused}}}}}, f.now)
+	sum := heir.unasked.sums[orgAt{p.id, 7}]
+	assert.InDelta(t, 0, sum.placed, 0.1, "what was placed and what came back")
+	own.meter.ask(8, 2*window, f.now)
+	own.meter.ask(7, 2*window, f.now)
+	own.meter.grant(7, window, f.now)
+	f.now = f.now.Add(shareStep)
+	refused := ask(2)
+	assert.Zero(t, refused.Upstream)
+	assert.Equal(t, uint8(ReasonShare), refused.Why)
+}
+
 // The next scheduler knows what organisations had, and does not count twice what it
 // placed and told itself.
 func TestHeirsKnowTheWindow(t *testing.T) {
