--- a/internal/request/forward/rig_test.go
+++ b/internal/request/forward/rig_test.go
@@ -101,7 +101,7 @@
 	return append([]uint8(nil), c.notes...)
 }
 
-func testTable(t *testing.T) *routing.Table {
+func testTable(t testing.TB) *routing.Table {
 	t.Helper()
 	b := routing.Builder{Number: 7, Limits: routing.Limits{BodyBytes: 1000}, Services: []*routing.Service{{Name: "s"}}}
 	split := []routing.Part{{Service: "s", Weight: 1}}
