The comparison by what was begun is taken out again

Cause: it was to hold shares where a router cannot send what is placed for it. The routers concerned, a fifth of a core under 2,600 requests a second each, hear nothing for three seconds (share_age_ms 3646): nobody can tell them of shares. Open: a router that hears nothing for seconds while it goes on accepting.

--- a/internal/dispatch/booked.go
+++ b/internal/dispatch/booked.go
@@ -81,7 +81,6 @@
 		if p := n.pools[r.Service]; p != nil && p.engine != nil {
 			p.meter.ask(r.Org, float64(r.Wanted), now)
 			p.meter.grant(r.Org, float64(r.Placed), now)
-			p.meter.begin(r.Org, float64(r.Placed), now)
 		}
 	}
 }
--- a/internal/dispatch/late_test.go
+++ b/internal/dispatch/late_test.go
@@ -89,10 +89,8 @@
 		now = now.Add(shareStep)
 		m.ask(1, window, now)
 		m.ask(2, window, now)
-		m.grant(1, 100_000, now) // of which less than half is sent
-		m.begin(1, 40_000, now)
+		m.grant(1, 40_000, now)
 		m.grant(2, 100_000, now)
-		m.begin(2, 100_000, now)
 	}
 	assert.True(t, m.leads(2, now))
 	assert.False(t, m.leads(1, now))
@@ -113,9 +111,7 @@
 		p.meter.ask(version.IDOf("waits"), window, f.now)
 		p.meter.ask(version.IDOf("flood"), window, f.now)
 		p.meter.grant(version.IDOf("waits"), 60_000, f.now)
-		p.meter.begin(version.IDOf("waits"), 60_000, f.now)
 		p.meter.grant(version.IDOf("flood"), 120_000, f.now)
-		p.meter.begin(version.IDOf("flood"), 120_000, f.now)
 	}
 	f.arrive(id, 1, engines, "flood", 3000)
 	r, refused := f.got[id][1].(Refuse)
@@ -135,7 +131,6 @@
 		now = now.Add(shareStep)
 		m.ask(2, window, now)
 		m.grant(2, 100_000, now)
-		m.begin(2, 100_000, now)
 	}
 	m.ask(1, 2*window, now)
 	assert.False(t, m.leads(2, now))
--- a/internal/dispatch/lead.go
+++ b/internal/dispatch/lead.go
@@ -8,12 +8,11 @@
 )
 
 // What is over shares goes to whoever asks, but not to one organisation alone while
-// another one waits. Organisations are compared by what was begun for them: of what is
-// placed for one at a router that is short of processor, a third and more is never sent.
+// another one waits.
 
 // mostLead is how many times what another one got that asks for more an organisation may
-// have had for what is over its share. The users find two times unfair; what is told
-// late takes the rest.
+// have had for what is over its share. The users find two times unfair; what was placed
+// and has not begun yet, or was told late, takes the rest.
 const mostLead = 1.5
 
 // wantsMore is how many times what it got an organisation asks for that counts as one that
@@ -34,14 +33,14 @@
 // over shares all goes to the other, three and a half times as much in six seconds.
 func (m *meter) leads(org version.ID, now time.Time) bool {
 	m.refresh(now)
-	return total(&m.of(org).begun) > mostLead*m.least
+	return total(&m.of(org).got) > mostLead*m.least
 }
 
 // wants reports whether an organisation has asked for more than its share and for more
 // than it got, and goes on asking.
 func (m *meter) wants(org version.ID, u *tally) bool {
 	asked := total(&u.asked)
-	return asked > m.shares[org] && asked > wantsMore*total(&u.begun) && m.goesOn(u)
+	return asked > m.shares[org] && asked > wantsMore*total(&u.got) && m.goesOn(u)
 }
 
 // goesOn reports whether an organisation asked for more than it got in most steps of the
@@ -50,7 +49,7 @@
 	asking := 0
 	for back := range int64(goesOnOf) {
 		i := (m.steps.now - back + shareSteps) % shareSteps
-		if u.asked[i] > wantsMore*u.begun[i] {
+		if u.asked[i] > wantsMore*u.got[i] {
 			asking++
 		}
 	}
@@ -62,7 +61,7 @@
 	m.least = math.Inf(1)
 	for id, u := range m.orgs {
 		if m.wants(id, u) {
-			m.least = min(m.least, total(&u.begun))
+			m.least = min(m.least, total(&u.got))
 		}
 	}
 }
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -122,7 +122,6 @@
 	}
 	r.first = true
 	r.up.rest.worked(now)
-	p.meter.begin(r.org, r.cost, now)
 	if p.engine == nil {
 		r.up.read(r, now)
 		r.up.observe(gotMS, p.usual.learn(gotMS), now)
--- a/internal/dispatch/unasked.go
+++ b/internal/dispatch/unasked.go
@@ -105,7 +105,6 @@
 	}
 	p.meter.ask(u.Org, float64(u.Wanted), now)
 	p.meter.grant(u.Org, float64(u.Placed), now)
-	p.meter.begin(u.Org, float64(u.Placed), now) // its first event is not told here
 	p.meter.booked.addOwn(from, u.Org, float64(u.Wanted), float64(u.Placed))
 	if to := n.schedulerOf(p.id, now); to != n.set.ID && to != from {
 		n.unasked.add(orgAt{p.id, u.Org}, float64(u.Wanted), float64(u.Placed))
