--- a/internal/conn/fetch.go
+++ b/internal/conn/fetch.go
@@ -15,8 +15,11 @@
 	"github.com/silverswitch/silverswitch/internal/version"
 )
 
-// MethodVersion is the JSON-RPC method that returns the version in force.
-const MethodVersion = "version.get"
+// The JSON-RPC methods.
+const (
+	MethodVersion  = "version.get"  // returns the version in force
+	MethodSnapshot = "snapshot.get" // returns the state of the services that the peer schedules
+)
 
 const (
 	fetchTimeout = 3 * time.Second
@@ -25,13 +28,21 @@
 	codeSealed   = 2 // the question was not sealed by this fleet
 )
 
-// FetchParams is the question: a nonce, and the same nonce sealed, which proves
-// that the asker has the fleet's key.
+// FetchParams is the question: a nonce, and the method with the asker's name sealed to it,
+// which proves that the asker has the fleet's key.
 type FetchParams struct {
 	Nonce []byte `json:"nonce"`
+	Asker string `json:"asker"` // peer address
 	Proof []byte `json:"proof"`
 }
 
+// proofOf is what the asker seals.
+func proofOf(method, asker string) []byte { return []byte(method + " " + asker) }
+
+// Served are the methods that a peer answers: each returns what the asker is given, or nil
+// for nothing. They are called by any goroutine.
+type Served map[string]func(asker string) []byte
+
 // FetchResult is a packed version, compressed, then sealed and bound to the question's nonce.
 type FetchResult struct {
 	Sealed []byte `json:"sealed"`
@@ -41,20 +52,19 @@
 type FetchServer struct {
 	listener net.Listener
 	sealer   *Sealer
-	packed   func() []byte
+	served   Served
 
 	mu         sync.Mutex
 	raw, small []byte // what was compressed last, and the result
 }
 
-// ServeFetch listens on the peer address over TCP. packed returns the version in
-// force, or nil; it is called by any goroutine.
-func ServeFetch(addr string, sealer *Sealer, packed func() []byte) (*FetchServer, error) {
+// ServeFetch listens on the peer address over TCP.
+func ServeFetch(addr string, sealer *Sealer, served Served) (*FetchServer, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, ErrPeer.Wrap(err, "listen on %q", addr)
 	}
-	s := &FetchServer{listener: l, sealer: sealer, packed: packed}
+	s := &FetchServer{listener: l, sealer: sealer, served: served}
 	go s.accept()
 	return s, nil
 }
@@ -80,19 +90,20 @@
 func (quiet) Printf(string, ...any) {}
 
 func (s *FetchServer) handle(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
-	if r.Method != MethodVersion || r.Params == nil {
+	get := s.served[r.Method]
+	if get == nil || r.Params == nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + r.Method}
 	}
 	var p FetchParams
 	if err := unmarshal(*r.Params, &p); err != nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 	}
-	if proof, err := s.sealer.Open(p.Proof, p.Nonce); err != nil || string(proof) != MethodVersion {
+	if proof, err := s.sealer.Open(p.Proof, p.Nonce); err != nil || !bytes.Equal(proof, proofOf(r.Method, p.Asker)) {
 		return nil, &jsonrpc2.Error{Code: codeSealed, Message: "not sealed with this fleet's key"}
 	}
-	raw := s.packed()
+	raw := get(p.Asker)
 	if raw == nil {
-		return nil, &jsonrpc2.Error{Code: codeNone, Message: "no version in force"}
+		return nil, &jsonrpc2.Error{Code: codeNone, Message: r.Method + ": there is none"}
 	}
 	return FetchResult{Sealed: s.sealer.Seal(s.compressed(raw), p.Nonce)}, nil
 }
@@ -111,8 +122,8 @@
 // Close stops listening.
 func (s *FetchServer) Close() error { return s.listener.Close() }
 
-// Fetch reads the version in force at a peer. The bytes are not yet checked.
-func Fetch(ctx context.Context, addr string, sealer *Sealer) ([]byte, error) {
+// Fetch reads what a method of a peer returns. The bytes are not yet checked.
+func Fetch(ctx context.Context, method, asker, addr string, sealer *Sealer) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
@@ -125,8 +136,8 @@
 	nonce := make([]byte, nonceBytes)
 	rand.Read(nonce)
 	var res FetchResult
-	p := FetchParams{Nonce: nonce, Proof: sealer.Seal([]byte(MethodVersion), nonce)}
-	if err := rpc.Call(ctx, MethodVersion, p, &res); err != nil {
+	p := FetchParams{Nonce: nonce, Asker: asker, Proof: sealer.Seal(proofOf(method, asker), nonce)}
+	if err := rpc.Call(ctx, method, p, &res); err != nil {
 		return nil, ErrPeer.Wrap(err, "fetch from %s", addr)
 	}
 	small, err := sealer.Open(res.Sealed, nonce)
--- a/internal/conn/seal_test.go
+++ b/internal/conn/seal_test.go
@@ -61,17 +61,19 @@
 func TestFetchNeedsTheFleetsKey(t *testing.T) {
 	addr := standin.FreeAddr()
 	packed := []byte("packed")
-	s, err := ServeFetch(addr, sealer(t, secret), func() []byte { return packed })
+	s, err := ServeFetch(addr, sealer(t, secret), Served{MethodVersion: func(string) []byte { return packed }})
 	require.NoError(t, err)
 	defer s.Close()
-	raw, err := Fetch(context.Background(), addr, sealer(t, secret))
+	raw, err := Fetch(context.Background(), MethodVersion, "asker", addr, sealer(t, secret))
 	require.NoError(t, err)
 	assert.Equal(t, "packed", string(raw))
-	_, err = Fetch(context.Background(), addr, sealer(t, "another-secret-of-a-fleet"))
+	_, err = Fetch(context.Background(), MethodVersion, "asker", addr, sealer(t, "another-secret-of-a-fleet"))
 	assert.ErrorContains(t, err, "not sealed with this fleet's key")
 	packed = nil
-	_, err = Fetch(context.Background(), addr, sealer(t, secret))
-	assert.ErrorContains(t, err, "no version in force")
+	_, err = Fetch(context.Background(), MethodVersion, "asker", addr, sealer(t, secret))
+	assert.ErrorContains(t, err, "there is none")
+	_, err = Fetch(context.Background(), MethodSnapshot, "asker", addr, sealer(t, secret))
+	assert.ErrorContains(t, err, "unknown method")
 }
 
 func FuzzOpen(f *testing.F) {
--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -85,6 +85,9 @@
 						d.From = id
 						to.Step(Receive{Datagram: d}, f.now)
 					}
+				case FetchSnapshot:
+					moved = true
+					f.handOver(id, o.From)
 				case Place:
 					f.got[id][o.ID] = o
 				case Refuse:
@@ -97,6 +100,18 @@
 	}
 }
 
+// handOver carries a snapshot between peers, as it is encoded.
+func (f *fleet) handOver(to, from wire.NodeID) {
+	if f.cut[to] || f.cut[from] || f.nodes[from] == nil {
+		return
+	}
+	raw, err := wire.EncodeSnapshot(f.nodes[from].Snapshot(to, f.now))
+	require.NoError(f.t, err)
+	s, err := wire.DecodeSnapshot(raw)
+	require.NoError(f.t, err)
+	f.nodes[to].Step(Inherit{From: from, Snapshot: s}, f.now)
+}
+
 func (f *fleet) run(d time.Duration) {
 	for end := f.now.Add(d); f.now.Before(end); {
 		f.now = f.now.Add(TickEvery)
--- a/internal/dispatch/lead.go
+++ b/internal/dispatch/lead.go
@@ -48,7 +48,7 @@
 func (m *meter) goesOn(u *tally) bool {
 	asking := 0
 	for back := range int64(goesOnOf) {
-		i := (m.steps.now - back + shareSteps) % shareSteps
+		i := m.steps.place(back)
 		if u.asked[i] > wantsMore*u.got[i] {
 			asking++
 		}
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -17,8 +17,7 @@
 		if p.engine == nil || p.learner.Seen() == 0 {
 			continue
 		}
-		m := p.learner.Model()
-		out = append(out, wire.PrefillModel{Service: p.id, Base: float32(m.Base), PerToken: float32(m.PerToken), PerPair: float32(m.PerPair), PerFetched: float32(m.PerFetched), Samples: uint32(p.learner.Seen())})
+		out = append(out, p.told())
 	}
 	return out
 }
@@ -27,7 +26,7 @@
 func (n *Node) heardModels(models []wire.PrefillModel) {
 	for _, m := range models {
 		if p := n.pools[m.Service]; p != nil && p.engine != nil {
-			p.learner.Inherit(prefill.Model{Base: float64(m.Base), PerToken: float64(m.PerToken), PerPair: float64(m.PerPair), PerFetched: float64(m.PerFetched)}, int(m.Samples))
+			p.learner.Inherit(modelOf(m), int(m.Samples))
 		}
 	}
 }
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -191,6 +191,8 @@
 		n.turned(in, now)
 	case NewSettings:
 		n.newSettings(in, now)
+	case Inherit:
+		n.inherit(in, now)
 	case Leave:
 		n.leave()
 	}
@@ -210,6 +212,7 @@
 	n.tickFetch(now)
 	n.tickUnasked(now)
 	n.tickBooked(now)
+	n.tickInherit(now)
 	n.tickReports(now)
 	n.tickBeat(now)
 }
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -31,6 +31,8 @@
 	urgency urgency
 	late    map[wire.NodeID]bool // routers that said so
 	without Without
+
+	inherited inheritance
 }
 
 func newPool(s *routing.Service, tokensPerSecond float64) *pool {
--- a/internal/dispatch/steps.go
+++ b/internal/dispatch/steps.go
@@ -10,6 +10,12 @@
 	now    int64
 }
 
+// place returns the place in the ring of the step so many steps before the present one.
+func (s *steps) place(age int64) int {
+	kept := int64(s.kept)
+	return int(((s.now-age)%kept + kept) % kept)
+}
+
 // advance moves to the step of a time and returns its place in the ring. It calls
 // empty for each place whose step has left the window.
 func (s *steps) advance(now time.Time, empty func(place int)) int {
--- a/internal/process/content.go
+++ b/internal/process/content.go
@@ -126,7 +126,7 @@
 }
 
 // Packed returns the content for peers, or nil while there is none.
-func (s *Steerer) Packed() []byte {
+func (s *Steerer) Packed(string) []byte {
 	c := s.content.Load()
 	if c == nil || len(c.TableRaw) == 0 {
 		return nil
@@ -141,7 +141,7 @@
 
 // fetch reads the content from a peer that knows more.
 func (s *Steerer) fetch(o dispatch.Fetch) {
-	raw, err := conn.Fetch(context.Background(), string(o.From), s.sealer)
+	raw, err := conn.Fetch(context.Background(), conn.MethodVersion, string(s.id), string(o.From), s.sealer)
 	if err != nil {
 		s.log.Info().Err(err).Str("peer", string(o.From)).Msg("content-fetch-failed")
 		return
--- a/internal/process/driver.go
+++ b/internal/process/driver.go
@@ -29,6 +29,7 @@
 // and the adapter through which all others ask it. It implements
 // request.Control.
 type Driver struct {
+	id     wire.NodeID
 	node   *core.Node // control goroutine only
 	place  string
 	route  *conn.Route
@@ -58,6 +59,7 @@
 func NewDriver(set core.Settings, route *conn.Route, sealer *conn.Sealer, log zerolog.Logger) *Driver {
 	now := time.Now()
 	d := &Driver{
+		id:      set.ID,
 		node:    core.New(set, now),
 		place:   set.Place,
 		route:   route,
@@ -166,7 +168,7 @@
 
 // fetch reads a version from a peer and offers it to the core.
 func (d *Driver) fetch(o core.Fetch) {
-	raw, err := conn.Fetch(context.Background(), string(o.From), d.sealer)
+	raw, err := conn.Fetch(context.Background(), conn.MethodVersion, string(d.id), string(o.From), d.sealer)
 	if err != nil {
 		d.log.Debug().Err(err).Msg("version-fetch-failed")
 		return
--- /dev/null
+++ b/internal/process/handover.go
@@ -0,0 +1,50 @@
+package process
+
+import (
+	"context"
+	"time"
+
+	"github.com/silverswitch/silverswitch/internal/conn"
+	"github.com/silverswitch/silverswitch/internal/core/wire"
+	"github.com/silverswitch/silverswitch/internal/dispatch"
+)
+
+// What a scheduler knows passes to routers that may take over by JSON-RPC between peers:
+// for hundreds of organisations and engines it is too large for a datagram.
+
+// snapshotWait is how long a peer's question for the state waits for the control goroutine.
+const snapshotWait = time.Second
+
+// PackedSnapshot returns the state of the services of which this router is an heir, or nil.
+func (s *Steerer) PackedSnapshot(asker string) []byte {
+	answer := make(chan *wire.Snapshot, 1)
+	go s.do(func(now time.Time) { answer <- s.node.Snapshot(wire.NodeID(asker), now) })
+	select {
+	case state := <-answer:
+		raw, err := wire.EncodeSnapshot(state)
+		if err != nil {
+			s.log.Error().Err(err).Msg("snapshot-not-encoded")
+			return nil
+		}
+		s.log.Info().Str("peer", asker).Int("services", len(state.Services)).Int("bytes", len(raw)).Msg("snapshot-told")
+		return raw
+	case <-time.After(snapshotWait):
+	case <-s.done:
+	}
+	return nil
+}
+
+// fetchSnapshot reads a scheduler's state from an heir.
+func (s *Steerer) fetchSnapshot(o dispatch.FetchSnapshot) {
+	raw, err := conn.Fetch(context.Background(), conn.MethodSnapshot, string(s.id), string(o.From), s.sealer)
+	if err != nil {
+		s.log.Info().Err(err).Str("peer", string(o.From)).Str("service", o.Service).Msg("snapshot-fetch-failed")
+		return
+	}
+	state, err := wire.DecodeSnapshot(raw)
+	if err != nil {
+		s.log.Warn().Err(err).Str("peer", string(o.From)).Str("service", o.Service).Msg("snapshot-unreadable")
+		return
+	}
+	s.Step(dispatch.Inherit{From: o.From, Snapshot: state})
+}
--- a/internal/process/steer.go
+++ b/internal/process/steer.go
@@ -227,6 +227,8 @@
 			}
 		case dispatch.Fetch:
 			go s.fetch(o)
+		case dispatch.FetchSnapshot:
+			go s.fetchSnapshot(o)
 		case dispatch.Apply:
 			s.apply(o)
 		case dispatch.StoreBack:
