--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -6,8 +6,6 @@
 
 import (
 	"math/rand/v2"
-	"sort"
-	"strconv"
 	"time"
 
 	"github.com/silverswitch/silverswitch/internal/core/wire"
@@ -45,11 +43,6 @@
 	clock uint32    // of this table, at the latest change
 }
 
-type rumour struct {
-	id   wire.NodeID
-	left int
-}
-
 // Table is the membership state. The control goroutine owns it.
 type Table struct {
 	self      wire.Update
@@ -179,78 +172,9 @@
 	t.Changes++
 }
 
-// Live returns the routers believed alive, self among them; with leaving set,
-// also those that are leaving. Sorted; the caller must not change it.
-//
-// The list is kept until a state changes: with 195 routers, sorting it for each request
-// and tick took a third of the processor time of a quiet fleet.
-func (t *Table) Live(leaving bool) []wire.NodeID {
-	l := &t.live[0]
-	if leaving {
-		l = &t.live[1]
-	}
-	if l.ids != nil && l.changes == t.Changes {
-		return l.ids
-	}
-	*l = liveList{ids: t.findLive(leaving), changes: t.Changes}
-	return l.ids
-}
-
-// liveList is the result of Live as of a count of changes.
-type liveList struct {
-	ids     []wire.NodeID
-	changes int
-}
-
-func (t *Table) findLive(leaving bool) []wire.NodeID {
-	ids := []wire.NodeID{}
-	if leaving || t.self.State == wire.Alive {
-		ids = append(ids, t.self.ID)
-	}
-	for id, m := range t.members {
-		if t.usable(m) && (leaving || m.State != wire.Leaving) {
-			ids = append(ids, id)
-		}
-	}
-	return sorted(ids)
-}
-
-// usable holds for a suspect that was heard before: suspicion is not death.
-func (t *Table) usable(m *Member) bool {
-	switch m.State {
-	case wire.Alive, wire.Leaving:
-		return m.Inc != 0
-	case wire.Suspect:
-		return m.Inc != 0 && !m.Heard.IsZero()
-	}
-	return false
-}
-
 // Get returns what is known of a router, or nil.
 func (t *Table) Get(id wire.NodeID) *Member { return t.members[id] }
 
-// All returns every member but self, sorted.
-func (t *Table) All() []*Member {
-	out := make([]*Member, 0, len(t.members))
-	for _, m := range t.members {
-		out = append(out, m)
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
-	return out
-}
-
-// Random returns up to n live routers other than self.
-func (t *Table) Random(n int) []wire.NodeID {
-	var ids []wire.NodeID
-	for _, id := range t.Live(true) {
-		if id != t.self.ID {
-			ids = append(ids, id)
-		}
-	}
-	t.rnd.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
-	return ids[:min(n, len(ids))]
-}
-
 // Hear takes a datagram's membership part. It returns acks and relayed pings.
 func (t *Table) Hear(d *wire.Datagram, now time.Time) []Send {
 	t.direct(d, now)
@@ -363,85 +287,6 @@
 	t.join.changed(m)
 }
 
-// spread queues an update for the next datagrams.
-func (t *Table) spread(id wire.NodeID) {
-	times := spreadTimes * len(strconv.Itoa(len(t.members)))
-	for i := range t.rumours {
-		if t.rumours[i].id == id {
-			t.rumours[i].left = times
-			return
-		}
-	}
-	t.rumours = append(t.rumours, rumour{id: id, left: times})
-}
-
-// Lacks reports whether a router's place is not known yet. Where a pool is
-// scheduled depends on places, so views that lack one would disagree for ever.
-func (t *Table) Lacks(id wire.NodeID) bool {
-	m := t.members[id]
-	return m != nil && m.Place == ""
-}
-
-// Fill puts membership's part on a datagram to a router.
-func (t *Table) Fill(d *wire.Datagram, to wire.NodeID) {
-	d.From, d.Inc, d.Refute, d.State = t.self.ID, t.self.Inc, t.self.Refute, t.self.State
-	d.Tell = t.Lacks(to)
-	if d.Ping != nil {
-		d.Join = t.joining(to)
-	}
-	if since, asked := t.join.take(to); asked {
-		d.Updates, d.Told = t.changedSince(since, to)
-		return
-	}
-	d.Updates = t.piggyback(to)
-}
-
-// piggyback returns the updates that ride on a datagram to a router. One that is held dead
-// or suspect is told so, that it may refute.
-func (t *Table) piggyback(to wire.NodeID) []wire.Update {
-	var out []wire.Update
-	if m := t.members[to]; m != nil && m.State >= wire.Suspect && m.Inc != 0 {
-		out = append(out, m.Update)
-	}
-	if t.tell[to] {
-		delete(t.tell, to)
-		out = append(out, t.self)
-	}
-	sort.SliceStable(t.rumours, func(i, j int) bool { return t.rumours[i].left > t.rumours[j].left })
-	for i := range t.rumours {
-		if len(out) >= maxPiggyback {
-			break
-		}
-		if u, ok := t.entry(t.rumours[i].id); ok && u.ID != to {
-			out = append(out, u)
-		}
-		t.rumours[i].left--
-	}
-	t.dropSpent()
-	return out
-}
-
-func (t *Table) entry(id wire.NodeID) (wire.Update, bool) {
-	if id == t.self.ID {
-		return t.self, true
-	}
-	m := t.members[id]
-	if m == nil || m.Inc == 0 {
-		return wire.Update{}, false
-	}
-	return m.Update, true
-}
-
-func (t *Table) dropSpent() {
-	kept := t.rumours[:0]
-	for _, r := range t.rumours {
-		if r.left > 0 {
-			kept = append(kept, r)
-		}
-	}
-	t.rumours = kept
-}
-
 // Suspect starts the suspicion of a router that does not answer.
 func (t *Table) Suspect(id wire.NodeID, now time.Time) {
 	m := t.members[id]
@@ -453,8 +298,3 @@
 	t.set(m, u, now)
 	t.spread(id)
 }
-
-func sorted(ids []wire.NodeID) []wire.NodeID {
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
-	return ids
-}
--- /dev/null
+++ b/internal/core/member/rumour.go
@@ -0,0 +1,92 @@
+package member
+
+import (
+	"sort"
+	"strconv"
+
+	"github.com/silverswitch/silverswitch/internal/core/wire"
+)
+
+type rumour struct {
+	id   wire.NodeID
+	left int
+}
+
+// spread queues an update for the next datagrams.
+func (t *Table) spread(id wire.NodeID) {
+	times := spreadTimes * len(strconv.Itoa(len(t.members)))
+	for i := range t.rumours {
+		if t.rumours[i].id == id {
+			t.rumours[i].left = times
+			return
+		}
+	}
+	t.rumours = append(t.rumours, rumour{id: id, left: times})
+}
+
+// Lacks reports whether a router's place is not known yet. Where a pool is
+// scheduled depends on places, so views that lack one would disagree for ever.
+func (t *Table) Lacks(id wire.NodeID) bool {
+	m := t.members[id]
+	return m != nil && m.Place == ""
+}
+
+// Fill puts membership's part on a datagram to a router.
+func (t *Table) Fill(d *wire.Datagram, to wire.NodeID) {
+	d.From, d.Inc, d.Refute, d.State = t.self.ID, t.self.Inc, t.self.Refute, t.self.State
+	d.Tell = t.Lacks(to)
+	if d.Ping != nil {
+		d.Join = t.joining(to)
+	}
+	if since, asked := t.join.take(to); asked {
+		d.Updates, d.Told = t.changedSince(since, to)
+		return
+	}
+	d.Updates = t.piggyback(to)
+}
+
+// piggyback returns the updates that ride on a datagram to a router. One that is held dead
+// or suspect is told so, that it may refute.
+func (t *Table) piggyback(to wire.NodeID) []wire.Update {
+	var out []wire.Update
+	if m := t.members[to]; m != nil && m.State >= wire.Suspect && m.Inc != 0 {
+		out = append(out, m.Update)
+	}
+	if t.tell[to] {
+		delete(t.tell, to)
+		out = append(out, t.self)
+	}
+	sort.SliceStable(t.rumours, func(i, j int) bool { return t.rumours[i].left > t.rumours[j].left })
+	for i := range t.rumours {
+		if len(out) >= maxPiggyback {
+			break
+		}
+		if u, ok := t.entry(t.rumours[i].id); ok && u.ID != to {
+			out = append(out, u)
+		}
+		t.rumours[i].left--
+	}
+	t.dropSpent()
+	return out
+}
+
+func (t *Table) entry(id wire.NodeID) (wire.Update, bool) {
+	if id == t.self.ID {
+		return t.self, true
+	}
+	m := t.members[id]
+	if m == nil || m.Inc == 0 {
+		return wire.Update{}, false
+	}
+	return m.Update, true
+}
+
+func (t *Table) dropSpent() {
+	kept := t.rumours[:0]
+	for _, r := range t.rumours {
+		if r.left > 0 {
+			kept = append(kept, r)
+		}
+	}
+	t.rumours = kept
+}
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -15,7 +15,6 @@
 
 	"github.com/silverswitch/silverswitch/internal/core/member"
 	"github.com/silverswitch/silverswitch/internal/core/wire"
-	"github.com/silverswitch/silverswitch/internal/routing"
 	"github.com/silverswitch/silverswitch/internal/version"
 )
 
@@ -245,22 +244,6 @@
 	}
 }
 
-// strictest returns the least target of the routes that lead to a service, in
-// milliseconds. Waits at engines are kept within it for all of them: what waits
-// for a patient route makes the others wait too.
-func strictest(t *routing.Table, service string) float64 {
-	least := 0.0
-	for _, r := range t.Routes {
-		for _, part := range r.Split {
-			ms := float64(r.Target.Milliseconds())
-			if part.Service == service && part.Weight > 0 && ms > 0 && (least == 0 || ms < least) {
-				least = ms
-			}
-		}
-	}
-	return least
-}
-
 func (n *Node) newSettings(in NewSettings, now time.Time) {
 	n.set.Seeds = in.Seeds
 	n.members.Meet(in.Seeds, now)
@@ -270,66 +253,6 @@
 	}
 }
 
-// catalogue takes newer content of the platform's store.
-func (n *Node) catalogue(c Catalogue) {
-	n.cat = c
-	if c.Table == nil {
-		return
-	}
-	n.reports.setNames(c)
-	by, born := map[string][]routing.Instance{}, map[string]int64{}
-	for _, i := range c.Instances {
-		by[i.Service] = append(by[i.Service], i)
-		born[i.ID] = i.Born
-	}
-	for _, s := range c.Table.Services {
-		id := serviceID(s.Name)
-		p := n.pools[id]
-		if p == nil {
-			p = newPool(s, c.Table.Limits.TokensPerSecond)
-			p.without = n.set.Without
-			n.pools[id] = p
-		}
-		p.meter.setCapacity(c.Table.Limits.TokensPerSecond)
-		p.here.setCapacity(c.Table.Limits.TokensPerSecond)
-		p.aim = strictest(c.Table, s.Name)
-		p.urgency = urgencyOf(c.Table, s.Name)
-		for _, u := range p.setInstances(by[s.Name]) {
-			n.out = append(n.out, Gone{Instance: u.inst, Restarted: born[u.inst.ID] > u.inst.Born})
-		}
-	}
-	for id, p := range n.pools {
-		if c.Table.Services[p.service] == nil {
-			delete(n.pools, id)
-		}
-	}
-}
-
-// Scheduled returns the engines that this router schedules.
-func (n *Node) Scheduled(now time.Time) []routing.Instance {
-	var out []routing.Instance
-	for _, p := range n.pools {
-		if p.engine == nil || n.schedulerOf(p.id, now) != n.set.ID {
-			continue
-		}
-		for _, u := range p.order {
-			out = append(out, u.inst)
-		}
-	}
-	return out
-}
-
-// kept corrects the model by what an engine itself says it keeps.
-func (n *Node) kept(in Kept, now time.Time) {
-	id := version.IDOf(in.Instance)
-	for _, p := range n.pools {
-		if u := p.ups[id]; u != nil && u.cache != nil {
-			u.cache.correct(in, now)
-			u.told = now
-		}
-	}
-}
-
 func (n *Node) leave() {
 	if n.leaving {
 		return
--- a/internal/dispatch/takeover_test.go
+++ b/internal/dispatch/takeover_test.go
@@ -25,10 +25,9 @@
 	next := f.nodes[f.nodes[other].ranked(p, f.now)[0]]
 	require.NotEqual(t, first, next.set.ID)
 	part := wire.PromptPart{Part: 77, Tokens: 3000}
-	u := next.pools[p].order[0]
 	flood := version.IDOf("flood")
 	f.arrive(next.set.ID, 1, engines, "flood", 3000, part)
-	u = next.pools[p].runs[runKey{next.set.ID, 1}].up
+	u := next.pools[p].runs[runKey{next.set.ID, 1}].up
 	next.pools[p].meter.ask(flood, 5_000_000, f.now)
 	next.pools[p].meter.grant(flood, 2_000_000, f.now)
 	f.cut[first] = false
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -44,25 +44,6 @@
 	onDeath []func()
 }
 
-// Job is one request and what became of it.
-type Job struct {
-	Org      *version.Organisation
-	App      string
-	Host     *Host
-	ID       uint64
-	Key      *claim.Key
-	Tokens   int
-	Arrived  time.Time
-	Began    time.Time
-	Upstream *version.Upstream
-	Starts   int
-	Running  bool
-	Ended    bool
-	Refused  entry.Reason
-	Doubt    bool
-	done     func(*Job)
-}
-
 // World is the lab's state.
 type World struct {
 	Now       time.Time
@@ -268,96 +249,6 @@
 	}
 }
 
-// start runs a job at its upstream and checks the place rule there.
-func (w *World) start(j *Job, up version.ID) {
-	u := w.Version.Upstreams[up]
-	j.Starts++
-	w.Started++
-	j.Upstream = u
-	if up == w.NoStart {
-		w.Forbidden++
-	}
-	if !j.Org.Allows(u.Place) || !j.Org.Allows(j.Host.Place) {
-		w.Strays++
-	}
-	if w.Running[up] >= u.Slots {
-		w.full[up] = append(w.full[up], j)
-		return
-	}
-	w.begin(j)
-}
-
-// begin takes a slot of the job's upstream.
-func (w *World) begin(j *Job) {
-	j.Running, j.Began = true, w.Now
-	w.Running[j.Upstream.ID]++
-	w.jobs[j] = true
-	starts := j.Starts
-	w.After(w.First+w.tokenIn(j)*time.Duration(j.Tokens), func() {
-		if j.Running && j.Starts == starts {
-			w.finish(j)
-		}
-	})
-}
-
-func (w *World) tokenIn(j *Job) time.Duration {
-	if s := w.Speed[j.Upstream.ID]; s > 0 {
-		return time.Duration(float64(w.TokenIn) / s)
-	}
-	return w.TokenIn
-}
-
-// Generated is how many tokens a running job has made so far.
-func (w *World) Generated(j *Job) float64 {
-	n := int((w.Now.Sub(j.Began) - w.First) / w.tokenIn(j))
-	return float64(min(max(n, 0), j.Tokens))
-}
-
-func (w *World) finish(j *Job) {
-	units := float64(j.Tokens)
-	w.stop(j)
-	w.Counted[j.Org.ID]++
-	app := j.Org.Applications[j.App]
-	if app.Unit == version.UnitAnswered {
-		units = app.Worth
-	}
-	gap := uint32(min(w.tokenIn(j).Milliseconds(), 75))
-	w.Step(j.Host, core.Finish{ID: j.ID, Units: units, Sample: wire.Sample{N: 1, GapMS: gap}, Answered: true})
-	w.end(j, func(*Job) {})
-}
-
-// stop takes a job off its upstream and books what it generated.
-func (w *World) stop(j *Job) {
-	if !j.Running {
-		return
-	}
-	w.Served[j.Org.ID] += w.Generated(j)
-	j.Running = false
-	up := j.Upstream.ID
-	w.Running[up]--
-	delete(w.jobs, j)
-	for len(w.full[up]) > 0 {
-		next := w.full[up][0]
-		w.full[up] = w.full[up][1:]
-		if next.Host.Up {
-			w.begin(next)
-			return
-		}
-	}
-}
-
-func (w *World) end(j *Job, set func(*Job)) {
-	if j == nil || j.Ended {
-		return
-	}
-	j.Ended = true
-	set(j)
-	delete(j.Host.jobs, j.ID)
-	if j.done != nil {
-		w.After(0, func() { j.done(j) })
-	}
-}
-
 // Service returns the tokens generated for each organisation until now, those of
 // running jobs included.
 func (w *World) Service() map[version.ID]float64 {
