A router that knows no fleet asks no engine for its parts, and spreads what it places

after most others. Change: a router that has heard no other one for less than a second schedules no engines; one that decides by itself counts up to 20 ms for an engine by its own order of them.

--- a/internal/dispatch/catalogue.go
+++ b/internal/dispatch/catalogue.go
@@ -58,9 +58,24 @@
 	}
 }
 
-// Scheduled returns the engines that this router schedules.
+// aloneFor is how long a router that has heard no other one may be one of many that start:
+// after it, it takes itself for the whole fleet.
+const aloneFor = time.Second
+
+// knowsFleet reports whether this router has heard another one, or has been alone for so
+// long that there is none.
+func (n *Node) knowsFleet(now time.Time) bool { return n.Heard() || now.Sub(n.begun) >= aloneFor }
+
+// Scheduled returns the engines that this router schedules. While it knows no fleet it
+// schedules none: asking an engine for all that it keeps delays the engine's work.
+//
+// Load pattern: 195 routers lose power, and the seeds come back last. Each took itself for
+// the scheduler for 0.4 s and asked 78 engines for all that they keep, 15,000 calls.
 func (n *Node) Scheduled(now time.Time) []routing.Instance {
 	var out []routing.Instance
+	if !n.knowsFleet(now) {
+		return nil
+	}
 	for _, p := range n.pools {
 		if p.engine == nil || n.schedulerOf(p.id, now) != n.set.ID {
 			continue
--- a/internal/dispatch/flight.go
+++ b/internal/dispatch/flight.go
@@ -97,7 +97,9 @@
 // is plain, or the scheduler does not answer.
 func (n *Node) decideHere(f *flight, p *pool, now time.Time) {
 	a := n.askOf(f, now)
+	p.alone = !n.knowsFleet(now) || n.schedulerOf(p.id, now) != n.set.ID
 	v := p.decide(n.set.ID, &a, now)
+	p.alone = false
 	f.told = n.countUnasked(p, &a, v.choice != nil, now)
 	if v.choice == nil {
 		n.refuse(f, v, n.set.ID)
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -180,9 +180,26 @@
 		c.price += newConnMS
 	}
 	c.cost = c.waitMS + c.ownMS + c.price + p.crowd(u)
+	if p.alone {
+		c.cost += spread(from, u)
+	}
 	return c
 }
 
+// spreadMS is the most that a router which decides by itself counts for one engine against
+// another, by its own order of them.
+//
+// Load pattern: all routers start anew at once and know nothing of each other. Each sent
+// its first requests to the engine that comes first of those with nothing to read: the same
+// one for all of a place.
+const spreadMS = 20.0
+
+// spread is an engine's place in a router's own order, from 0 to spreadMS (rendezvous
+// hashing).
+func spread(from wire.NodeID, u *upstream) float64 {
+	return spreadMS * float64(rank(u.id, from)>>11) / (1 << 53)
+}
+
 // crowd is what a full batch adds to every token of its requests.
 func (p *pool) crowd(u *upstream) float64 {
 	return 0.3 * float64(u.running())
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -30,6 +30,7 @@
 	busy    busyMeter        // of reading
 	urgency urgency
 	late    map[wire.NodeID]bool // routers that said so
+	alone   bool                 // the decision being made is not the fleet's scheduler's
 	without Without
 
 	inherited inheritance
