Names of the regular messages and the join say what they hold

Cause: read again as a newcomer. Change: schedulers for heirDue, seed for primed, learned for told; a model's two ways onto the wire stand together. Conclusion: no decision changes.

--- a/internal/core/member/join.go
+++ b/internal/core/member/join.go
@@ -22,7 +22,7 @@
 	asking bool                          // the next pings ask
 	since  map[wire.NodeID]uint32        // routers that asked, and the clock they know
 	told   map[wire.NodeID]wire.JoinFrom // as the asker: what each seed has told
-	primed int                           // the seed that is asked, of those that there are
+	seed   int                           // the seed that is asked, of those that there are
 	tries  int                           // asks of that seed without an answer
 }
 
@@ -97,11 +97,11 @@
 func (t *Table) joining(to wire.NodeID) *wire.JoinFrom {
 	j := &t.join
 	seeds := t.otherSeeds()
-	if !j.asking || len(seeds) == 0 || seeds[j.primed%len(seeds)] != to {
+	if !j.asking || len(seeds) == 0 || seeds[j.seed%len(seeds)] != to {
 		return nil
 	}
 	if j.tries++; j.tries > joinTries {
-		j.primed, j.tries = j.primed+1, 0
+		j.seed, j.tries = j.seed+1, 0
 	}
 	known := j.told[to]
 	return &known
--- a/internal/dispatch/beat.go
+++ b/internal/dispatch/beat.go
@@ -37,10 +37,10 @@
 
 // beats is the state of regular messages.
 type beats struct {
-	no      uint32
-	due     time.Time // of what heirs are told
-	round   int64     // number of the last turn in which a router was told
-	heirDue map[version.ID]wire.NodeID
+	no         uint32
+	due        time.Time                  // of what heirs are told
+	round      int64                      // number of the last turn in which a router was told
+	schedulers map[version.ID]wire.NodeID // by service, as they were seen last
 }
 
 func beatPeriod(routers int) time.Duration {
@@ -88,10 +88,10 @@
 func (n *Node) noteScheduler(now time.Time) {
 	for _, p := range n.pools {
 		to := n.schedulerOf(p.id, now)
-		if n.beats.heirDue[p.id] == to {
+		if n.beats.schedulers[p.id] == to {
 			continue
 		}
-		n.beats.heirDue[p.id] = to
+		n.beats.schedulers[p.id] = to
 		soon := now.Add(time.Duration(n.rnd.Int64N(int64(fetchSpread))))
 		if n.beats.due.After(soon) {
 			n.beats.due = soon
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -17,7 +17,7 @@
 		if p.engine == nil || p.learner.Seen() == 0 {
 			continue
 		}
-		out = append(out, p.told())
+		out = append(out, p.learned())
 	}
 	return out
 }
@@ -56,3 +56,14 @@
 	x, y := a.Base+a.Read(p), b.Base+b.Read(p)
 	return math.Max(x, y) > fifth*math.Min(x, y)
 }
+
+// learned is what was learned of the engines, as peers are told.
+func (p *pool) learned() wire.PrefillModel {
+	m := p.learner.Model()
+	return wire.PrefillModel{Service: p.id, Base: float32(m.Base), PerToken: float32(m.PerToken), PerPair: float32(m.PerPair), PerFetched: float32(m.PerFetched), Samples: uint32(p.learner.Seen())}
+}
+
+// modelOf is a model as a peer tells it.
+func modelOf(m wire.PrefillModel) prefill.Model {
+	return prefill.Model{Base: float64(m.Base), PerToken: float64(m.PerToken), PerPair: float64(m.PerPair), PerFetched: float64(m.PerFetched)}
+}
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -156,7 +156,7 @@
 		reports:   newReports(),
 		begun:     now,
 		firstLook: firstLookOf(set, rnd),
-		beats:     beats{heirDue: map[version.ID]wire.NodeID{}},
+		beats:     beats{schedulers: map[version.ID]wire.NodeID{}},
 		fleet:     fleetDemands{},
 	}
 }
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -22,8 +22,7 @@
 	keepMS = 20.0
 	// nearWait is the part of the target up to which a wait is little. Behind more, a
 	// request goes where it is served soonest: with 60 ms for another place at any wait,
-	// 0.5 to 1 in a hundred fewer of what was owed were served (15 days of three
-	// deployments of 6 to 8 routers, one play each).
+	// 0.5 to 1 in a hundred fewer of what was owed were served (15 runs, 6 to 8 routers).
 	nearWait     = 0.1
 	moveMS       = 10.0 // a fetch is priced, and keeps the same parts twice
 	newConnMS    = 8.0  // the router keeps no connection to the engine: a new one is priced like a small move
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/silverswitch/silverswitch/internal/core/wire"
-	"github.com/silverswitch/silverswitch/internal/dispatch/prefill"
 	"github.com/silverswitch/silverswitch/internal/version"
 )
 
@@ -91,19 +90,13 @@
 }
 
 func (p *pool) snapshot(now time.Time) wire.ServiceSnapshot {
-	s := wire.ServiceSnapshot{Service: p.id, Orgs: p.meter.window(now), Model: p.told()}
+	s := wire.ServiceSnapshot{Service: p.id, Orgs: p.meter.window(now), Model: p.learned()}
 	for _, u := range p.order {
 		s.Engines = append(s.Engines, wire.EngineSnapshot{Upstream: u.id, RestMS: leftMS(u.rest.until, now), Kept: u.cache.list()})
 	}
 	return s
 }
 
-// told is what was learned of the engines, as peers are told.
-func (p *pool) told() wire.PrefillModel {
-	m := p.learner.Model()
-	return wire.PrefillModel{Service: p.id, Base: float32(m.Base), PerToken: float32(m.PerToken), PerPair: float32(m.PerPair), PerFetched: float32(m.PerFetched), Samples: uint32(p.learner.Seen())}
-}
-
 // inherit takes a state that was read from an heir.
 func (n *Node) inherit(in Inherit, now time.Time) {
 	for _, s := range in.Snapshot.Services {
@@ -197,8 +190,3 @@
 		b.own[to][org] = s
 	}
 }
-
-// modelOf is a model as a peer tells it.
-func modelOf(m wire.PrefillModel) prefill.Model {
-	return prefill.Model{Base: float64(m.Base), PerToken: float64(m.PerToken), PerPair: float64(m.PerPair), PerFetched: float64(m.PerFetched)}
-}
