--- a/internal/conn/seal_test.go
+++ b/internal/conn/seal_test.go
@@ -71,7 +71,7 @@
 	assert.ErrorContains(t, err, "not sealed with this fleet's key")
 	packed = nil
 	_, err = Fetch(context.Background(), MethodVersion, "asker", addr, sealer(t, secret))
-	assert.ErrorContains(t, err, "there is none")
+	assert.ErrorContains(t, err, "version.get: there is none")
 	_, err = Fetch(context.Background(), MethodSnapshot, "asker", addr, sealer(t, secret))
 	assert.ErrorContains(t, err, "unknown method")
 }
