Requests that crash upstreams are held back, fleet-wide

Cause: what a router remembers of a failed attempt is the upstream's. Class: harm that is bounded for each target and not for its cause. Ruled out: the hand-over within one try (every line is of attempt 1); engines that end by themselves (the failing test has none). Change: an attempt without a whole answer is a doubt; it becomes a crash when the upstream's address refuses connections (looked at once) or its entry goes though it was not leaving. Three crashes of different starts without a whole answer between hold the request for ten minutes, at every router: records are told at once, three times, and joined whenever two routers' sums differ. Held requests get 503, crashes-upstreams, with the time at which they may be tried.

--- a/internal/conn/exchange.go
+++ b/internal/conn/exchange.go
@@ -197,5 +197,31 @@
 	return errorx.IsOfType(err, ErrNotSent) || IsWithdrawn(err)
 }
 
+// IsRefused reports whether an error of Send says that nothing listens at the address.
+func IsRefused(err error) bool { return isCausedBy(err, syscall.ECONNREFUSED) }
+
+// IsLost reports whether an error of Send, or of reading an answer, says that the other
+// side ended the connection.
+func IsLost(err error) bool {
+	return isCausedBy(err, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE)
+}
+
+// isCausedBy looks for causes also behind errors that errorx hides from errors.Is.
+func isCausedBy(err error, causes ...error) bool {
+	for err != nil {
+		for _, c := range causes {
+			if errors.Is(err, c) {
+				return true
+			}
+		}
+		x := errorx.Cast(err)
+		if x == nil {
+			return false
+		}
+		err = x.Cause()
+	}
+	return false
+}
+
 // IsWithdrawn reports whether an error of Send says that it was not wanted any more.
 func IsWithdrawn(err error) bool { return errorx.IsOfType(err, ErrWithdrawn) }
--- a/internal/conn/exchange_test.go
+++ b/internal/conn/exchange_test.go
@@ -277,3 +277,21 @@
 	got.Close(false)
 	assert.False(t, x.Waiting())
 }
+
+func TestAddressThatRefusesIsToldFromOneThatAccepts(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	p := NewExchanges()
+	defer p.Close()
+	addr := l.Addr().String()
+	assert.False(t, p.Refuses(context.Background(), addr))
+	c := p.pop(addr)
+	require.NotNil(t, c, "the connection is kept for the next request")
+	c.Close()
+	l.Close()
+	assert.True(t, p.Refuses(context.Background(), addr))
+	gone, stop := context.WithCancel(context.Background())
+	stop()
+	assert.False(t, p.Refuses(gone, addr), "no answer is no refusal")
+}
--- a/internal/conn/idle.go
+++ b/internal/conn/idle.go
@@ -104,6 +104,17 @@
 	return &upConn{Conn: c, addr: addr, br: bufio.NewReaderSize(c, readBuffer), limit: idleLimit}, nil
 }
 
+// Refuses opens a connection to an address and reports whether it is refused: nothing
+// listens there any more. One that is accepted is kept for the next request.
+func (p *Exchanges) Refuses(ctx context.Context, addr string) bool {
+	c, err := p.dial(ctx, addr)
+	if err != nil {
+		return IsRefused(err)
+	}
+	p.keep(c)
+	return false
+}
+
 // limitUnacked bounds how long sent bytes may stay unacknowledged.
 func limitUnacked(_, _ string, raw syscall.RawConn) error {
 	var err error
--- a/internal/dispatch/beat.go
+++ b/internal/dispatch/beat.go
@@ -138,6 +138,7 @@
 		w.Revision = n.cat.Revision
 	}
 	w.Sight, w.Blind = n.store.told(now), n.store.isBlind(now)
+	w.CrashSum = n.crashes.list.Sum()
 }
 
 // tellRound tells everyone in turn, if this router is one of those that do: one router
--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -58,14 +58,21 @@
 	return sum
 }
 
+// repeatsIn returns the repeats in the window.
+func (b *retryBudget) repeatsIn(now time.Time) int {
+	b.advance(now)
+	sum := 0
+	for _, n := range b.repeats {
+		sum += n
+	}
+	return sum
+}
+
 // take spends one repeat, or returns false. routers is the size of the fleet, and
 // part what of all requests for the service came in here.
 func (b *retryBudget) take(routers int, part float64, now time.Time) bool {
 	i := b.advance(now)
-	repeats := 0
-	for _, n := range b.repeats {
-		repeats += n
-	}
+	repeats := b.repeatsIn(now)
 	slack := float64(b.rules.Slack) * (evenSlack/float64(routers) + (1-evenSlack)*part)
 	if float64(repeats+1) > budgetSafe*(b.rules.Ratio*float64(b.asked(now))+slack) {
 		return false
--- a/internal/dispatch/catalogue.go
+++ b/internal/dispatch/catalogue.go
@@ -24,7 +24,7 @@
 }
 
 // catalogue takes newer content of the platform's store.
-func (n *Node) catalogue(c Catalogue) {
+func (n *Node) catalogue(c Catalogue, now time.Time) {
 	n.cat = c
 	if c.Table == nil {
 		return
@@ -49,6 +49,9 @@
 		p.urgency = urgencyOf(c.Table, s.Name)
 		for _, u := range p.setInstances(by[s.Name]) {
 			n.out = append(n.out, Gone{Instance: u.inst, Restarted: born[u.inst.ID] > u.inst.Born})
+			if !u.inst.Draining {
+				n.upstreamEnded(u.inst, "entry gone", now)
+			}
 		}
 	}
 	for id, p := range n.pools {
--- /dev/null
+++ b/internal/dispatch/crashes_test.go
@@ -0,0 +1,289 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/silverswitch/silverswitch/internal/core/wire"
+	"github.com/silverswitch/silverswitch/internal/dispatch/quarantine"
+	"github.com/silverswitch/silverswitch/internal/request/fingerprint"
+	"github.com/silverswitch/silverswitch/internal/routing"
+	"github.com/silverswitch/silverswitch/internal/version"
+)
+
+const guilty fingerprint.Fingerprint = 0xdead
+
+// broke ends an attempt at an engine without an answer.
+func (f *fleet) broke(id wire.NodeID, c fingerprint.Fingerprint, inst routing.Instance, lost bool) {
+	f.nodes[id].Step(Broke{Content: c, Org: "alpha", Instance: inst, Lost: lost}, f.now)
+	f.deliver()
+}
+
+// crash ends an engine under an attempt of a router, which sees its connections refused.
+func (f *fleet) crash(id wire.NodeID, c fingerprint.Fingerprint, inst routing.Instance) {
+	f.broke(id, c, inst, true)
+	f.nodes[id].Step(ConnRefused{Instance: inst}, f.now)
+	f.deliver()
+}
+
+func (f *fleet) stateAt(id wire.NodeID, c fingerprint.Fingerprint) quarantine.State {
+	return f.nodes[id].crashes.list.State(c)
+}
+
+func (f *fleet) holds(id wire.NodeID, c fingerprint.Fingerprint) bool {
+	return f.stateAt(id, c).Held(f.now) > 0
+}
+
+func (f *fleet) holders(c fingerprint.Fingerprint) int {
+	n := 0
+	for _, id := range f.order {
+		if f.holds(id, c) {
+			n++
+		}
+	}
+	return n
+}
+
+// Three routers see one crash each; all know that it is the third within two ticks.
+func TestThirdCrashIsKnownToAllAtOnce(t *testing.T) {
+	f := newFleet(t, 6, 5)
+	list := instances(5)
+	for i := range quarantine.HoldAfter {
+		assert.Zero(t, f.holders(guilty))
+		f.crash(f.order[i], guilty, list[i])
+		f.run(2 * TickEvery)
+	}
+	assert.Equal(t, len(f.order), f.holders(guilty))
+}
+
+// A doubt alone proves nothing: answers are lost, cut, and given up by their callers.
+func TestAttemptsWithoutAnAnswerProveNothing(t *testing.T) {
+	f := newFleet(t, 3, 9)
+	list := instances(9)
+	for i := range 9 {
+		f.broke(f.order[i%3], guilty, list[i], true)
+		f.run(2 * TickEvery)
+	}
+	f.run(doubtFor)
+	assert.Zero(t, f.stateAt(f.order[0], guilty).Crashes)
+}
+
+// When connections tell nothing, the upstream's entry goes some seconds later.
+func TestEntryThatGoesIsACrashUnlessItWasLeaving(t *testing.T) {
+	for _, draining := range []bool{false, true} {
+		f := newFleet(t, 1, 4)
+		id := f.order[0]
+		all := instances(4)
+		for i := range quarantine.HoldAfter {
+			if draining {
+				all[i].Draining = true
+				f.nodes[id].Step(Catalogue{Table: table(t, 390_000), Instances: all, Revision: 6, AsOf: 9}, f.now)
+			}
+			f.broke(id, guilty, all[i], false)
+			f.run(3600 * time.Millisecond)
+			f.nodes[id].Step(Catalogue{Table: table(t, 390_000), Instances: all[i+1:], Revision: uint64(7 + i), AsOf: uint64(10 + i)}, f.now)
+		}
+		f.run(2 * TickEvery)
+		assert.Equal(t, !draining, f.holds(id, guilty), "draining %v", draining)
+	}
+}
+
+// The connection may tell an upstream's end later than the store does.
+func TestAttemptThatBreaksAfterTheEndIsKnownCounts(t *testing.T) {
+	f := newFleet(t, 1, 4)
+	id := f.order[0]
+	f.nodes[id].Step(ConnRefused{Instance: instances(4)[0]}, f.now)
+	f.run(time.Second)
+	f.broke(id, guilty, instances(4)[0], false)
+	assert.Equal(t, 1, f.stateAt(id, guilty).Crashes)
+}
+
+func TestOneLookAtAnUpstreamIsEnough(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	n := f.nodes[f.order[0]]
+	probes := 0
+	for i := range 30 {
+		n.Step(Broke{Content: fingerprint.Fingerprint(i), Org: "alpha", Instance: instances(2)[0], Lost: true}, f.now)
+	}
+	for _, o := range n.Ready(f.now) {
+		if _, ok := o.(Probe); ok {
+			probes++
+		}
+	}
+	assert.Equal(t, 1, probes)
+}
+
+// One datagram in ten is lost, as on a bad link.
+func TestNewsOfACrashSurviveLostDatagrams(t *testing.T) {
+	f := newFleet(t, 8, 5)
+	list := instances(5)
+	rnd := rand.New(rand.NewPCG(1, 1))
+	f.lose = func() bool { return rnd.IntN(10) == 0 }
+	for i := range quarantine.HoldAfter {
+		f.crash(f.order[i], guilty, list[i])
+	}
+	f.run(tellTimes*tellAgain + 2*TickEvery)
+	assert.Equal(t, len(f.order), f.holders(guilty))
+}
+
+// Each side of a cut counts by itself. When it heals, what either side saw is joined:
+// nothing is added twice, nothing is lost.
+func TestSidesOfACutJoinWhatTheyHold(t *testing.T) {
+	f := newFleet(t, 4, 8)
+	list := instances(8)
+	away := f.order[3]
+	f.cut[away] = true
+	for i := range quarantine.HoldAfter {
+		f.crash(f.order[i], guilty, list[i])
+	}
+	f.run(3 * time.Second)
+	assert.False(t, f.holds(away, guilty))
+	assert.Equal(t, 3, f.holders(guilty))
+	f.crash(away, guilty, list[0])
+	f.crash(away, guilty, list[5])
+	f.cut[away] = false
+	f.run(3 * time.Second)
+	assert.Equal(t, 4, f.holders(guilty))
+	assert.LessOrEqual(t, f.stateAt(away, guilty).Crashes, 4, "the engine that both saw crash counts once")
+}
+
+// A router that starts again knows nothing; it holds what the others hold before it is
+// ready for callers.
+func TestRouterThatStartsAgainLearnsWhatIsHeld(t *testing.T) {
+	f := newFleet(t, 3, 8)
+	for i := range quarantine.HoldAfter {
+		f.crash(f.order[i], guilty, instances(8)[i])
+	}
+	f.run(time.Second)
+	id := f.order[1]
+	f.nodes[id] = New(Settings{ID: id, Inc: 2, Place: "p", Seeds: []wire.NodeID{f.order[0]}, Retry: DefaultRetryRules, Seed: 9}, f.now)
+	f.nodes[id].Step(Catalogue{Table: table(t, 390_000), Instances: instances(8), Revision: 5, AsOf: 9}, f.now)
+	f.run(beatEvery + 2*TickEvery)
+	assert.True(t, f.holds(id, guilty))
+}
+
+// The same in a fleet where only some routers tell everyone, in turn.
+func TestLargeFleetHoldsWhatThreeRoutersSaw(t *testing.T) {
+	f := newFleet(t, meshUpTo+8, 8)
+	for i := range quarantine.HoldAfter {
+		f.crash(f.order[i], guilty, instances(8)[i])
+		f.run(2 * TickEvery)
+	}
+	assert.Equal(t, len(f.order), f.holders(guilty))
+	id := f.order[len(f.order)-1]
+	f.nodes[id] = New(Settings{ID: id, Inc: 2, Place: "p", Seeds: []wire.NodeID{f.order[0]}, Retry: DefaultRetryRules, Seed: 9}, f.now)
+	f.nodes[id].Step(Catalogue{Table: table(t, 390_000), Instances: instances(8), Revision: 5, AsOf: 9}, f.now)
+	f.run(time.Second)
+	assert.True(t, f.holds(id, guilty))
+}
+
+// A request that is answered whole after all is not held, anywhere.
+func TestWholeAnswerIsToldToAll(t *testing.T) {
+	f := newFleet(t, 3, 8)
+	f.crash(f.order[0], guilty, instances(8)[0])
+	f.crash(f.order[1], guilty, instances(8)[1])
+	f.run(2 * TickEvery)
+	f.nodes[f.order[2]].Step(Answered{Content: guilty}, f.now)
+	f.run(2 * TickEvery)
+	f.crash(f.order[0], guilty, instances(8)[2])
+	f.run(2 * TickEvery)
+	assert.Zero(t, f.holders(guilty))
+	assert.Equal(t, 1, f.stateAt(f.order[1], guilty).Crashes)
+}
+
+// Racks lose power, one each two seconds, three times as many as it takes to hold a
+// request, under callers who each ask one thing until it is answered. What ran there is
+// suspected by chance. Of 400 sessions at 24 engines, of which a third lose power each
+// time, the figure below is how many come to be held; a caller of one of them is refused
+// until it lapses, so it must stay small.
+func TestRacksThatLosePowerCondemnFewSoundRequests(t *testing.T) {
+	const (
+		engineCount = 24
+		sessions    = 400
+		outages     = 3 * quarantine.HoldAfter
+		rack        = engineCount / 3
+		mostHeld    = sessions * 5 / 100
+	)
+	rnd := rand.New(rand.NewPCG(7, 7))
+	f := newFleet(t, 3, engineCount)
+	crashesAtAnswer := map[int]int{}
+	at := make([]int, sessions) // the engine that a session's attempt is at
+	life := make([]int, engineCount)
+	for s := range at {
+		at[s] = rnd.IntN(engineCount)
+	}
+	for range outages {
+		// Two of three attempts are answered between two outages; the session then asks
+		// something else.
+		for s := range at {
+			if rnd.IntN(3) > 0 {
+				crashesAtAnswer[s]++
+				at[s] = rnd.IntN(engineCount)
+			}
+		}
+		first := rack * rnd.IntN(3)
+		for s, e := range at {
+			if e < first || e >= first+rack {
+				continue
+			}
+			content := fingerprint.Fingerprint(1 + s*100 + crashesAtAnswer[s])
+			inst := routing.Instance{ID: fmt.Sprintf("e%d-%d", e, life[e]), Service: engines, Address: "10.0.0.9:1", Place: "p"}
+			f.crash(f.order[s%3], content, inst)
+			at[s] = rnd.IntN(engineCount)
+		}
+		for e := first; e < first+rack; e++ {
+			life[e]++
+		}
+		f.run(200 * time.Millisecond)
+	}
+	f.run(500 * time.Millisecond)
+	list := f.nodes[f.order[0]].crashes.list
+	held := 0
+	for _, w := range list.Decided(f.now) {
+		if len(w.Crashed) >= quarantine.HoldAfter {
+			held++
+		}
+	}
+	t.Logf("%d of %d sessions held, %d requests suspected", held, sessions, list.Len())
+	assert.LessOrEqual(t, held, mostHeld)
+	assert.Greater(t, list.Len(), held)
+}
+
+// A request that crashes ten engines in ten seconds, which it cannot any more, would
+// leave the engines that are sound as they are: what is believed of an engine ends with it.
+func TestCrashesLeaveSoundEnginesAsTheyAre(t *testing.T) {
+	f := newFleet(t, 1, 12)
+	id := f.order[0]
+	n := f.nodes[id]
+	all := instances(12)
+	for i := range 10 {
+		no := uint64(100 + i)
+		f.arrive(id, no, engines, "alpha", 5000)
+		placed := f.placed(id, no)
+		n.Step(End{ID: no, Event: wire.NoteFailed}, f.now)
+		f.crash(id, guilty, placed.Instance)
+		var left []routing.Instance
+		for _, inst := range all {
+			if inst.ID != placed.Instance.ID {
+				left = append(left, inst)
+			}
+		}
+		all = left
+		n.Step(Catalogue{Table: table(t, 390_000), Instances: all, Revision: uint64(10 + i), AsOf: uint64(10 + i)}, f.now)
+		f.run(time.Second)
+	}
+	for _, u := range n.Upstreams(f.now) {
+		assert.False(t, u.Resting, u.ID)
+		assert.Zero(t, u.Running, u.ID)
+		assert.Zero(t, u.BacklogMS, u.ID)
+	}
+	p := n.pools[serviceID(engines)]
+	require.NotNil(t, p)
+	assert.Zero(t, p.meter.over(version.IDOf("alpha"), f.now), "its organisation got nothing for what never began")
+	assert.Zero(t, n.budget(p.id).repeatsIn(f.now), "its caller's own tries are no repeats of the fleet's")
+}
--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -29,6 +29,7 @@
 	got   map[wire.NodeID]map[uint64]Output // Place or Refuse
 	evs   []Event
 	sends map[wire.NodeID]int // datagrams, when they are counted
+	lose  func() bool         // whether a datagram is lost; nil loses none
 }
 
 func table(t *testing.T, tokensPerSecond float64) *routing.Table {
@@ -77,7 +78,7 @@
 					if f.sends != nil {
 						f.sends[id]++
 					}
-					if to := f.nodes[o.To]; to != nil && !f.cut[id] && !f.cut[o.To] {
+					if to := f.nodes[o.To]; to != nil && !f.cut[id] && !f.cut[o.To] && (f.lose == nil || !f.lose()) {
 						raw, err := wire.Encode(o.Datagram)
 						require.NoError(f.t, err)
 						d, err := wire.Decode(raw)
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -95,6 +95,7 @@
 	trip    roundTrip
 	gaveUp  map[uint64]givenUp // by the request's number
 	reports reports
+	crashes crashes
 	notes   map[wire.NodeID][]wire.WorkNote
 	noteDue time.Time
 	beats   beats
@@ -128,7 +129,7 @@
 
 // Counts are totals since the start.
 type Counts struct {
-	Placed, Refused, Asked, AskedAgain, OwnDecision, OwnPlaced, AnswersLate, Woke uint64
+	Placed, Refused, Asked, AskedAgain, OwnDecision, OwnPlaced, AnswersLate, Woke, Ended uint64
 }
 
 // New returns a node that has heard nobody.
@@ -154,6 +155,7 @@
 		words:     newWords(),
 		gaveUp:    map[uint64]givenUp{},
 		reports:   newReports(),
+		crashes:   newCrashes(),
 		begun:     now,
 		firstLook: firstLookOf(set, rnd),
 		beats:     beats{schedulers: map[version.ID]wire.NodeID{}},
@@ -176,7 +178,7 @@
 	case End:
 		n.end(in, now)
 	case Catalogue:
-		n.catalogue(in)
+		n.catalogue(in, now)
 	case Sighted:
 		n.sighted(in, now)
 	case Kept:
@@ -193,6 +195,12 @@
 		n.newSettings(in, now)
 	case Inherit:
 		n.inherit(in, now)
+	case Broke:
+		n.broke(in, now)
+	case ConnRefused:
+		n.upstreamEnded(in.Instance, "connection refused", now)
+	case Answered:
+		n.answeredWhole(in, now)
 	case Leave:
 		n.leave()
 	}
@@ -214,6 +222,7 @@
 	n.tickBooked(now)
 	n.tickInherit(now)
 	n.tickReports(now)
+	n.tickCrashes(now)
 	n.tickBeat(now)
 }
 
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -67,6 +67,7 @@
 	if w.Beat != 0 {
 		n.heardBeat(from, w, now)
 	}
+	n.heardCrashes(from, w, now)
 }
 
 func (n *Node) heardNote(from wire.NodeID, note wire.WorkNote, now time.Time) {
--- /dev/null
+++ b/internal/dispatch/quarantine/quarantine_test.go
@@ -0,0 +1,194 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+
+	"github.com/silverswitch/silverswitch/internal/core/wire"
+	"github.com/silverswitch/silverswitch/internal/request/fingerprint"
+	"github.com/silverswitch/silverswitch/internal/version"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const (
+	alpha version.ID = 1
+	beta  version.ID = 2
+)
+
+func held(l *List, f fingerprint.Fingerprint, now time.Time) bool { return l.State(f).Held(now) > 0 }
+
+func TestThreeCrashesHoldARequest(t *testing.T) {
+	l := New()
+	for up := range version.ID(3) {
+		assert.False(t, held(l, 7, start))
+		assert.True(t, l.Crashed(7, alpha, 10+up, start))
+		assert.False(t, l.Crashed(7, alpha, 10+up, start), "an upstream ends once")
+	}
+	assert.True(t, held(l, 7, start))
+	assert.False(t, held(l, 8, start))
+}
+
+func TestWholeAnswerClearsWhatWasBefore(t *testing.T) {
+	l := New()
+	l.Crashed(7, alpha, 10, start)
+	l.Crashed(7, alpha, 11, start)
+	assert.True(t, l.Answered(7))
+	assert.False(t, l.Answered(7), "there is nothing left to clear")
+	l.Crashed(7, alpha, 12, start)
+	l.Crashed(7, alpha, 13, start)
+	assert.False(t, held(l, 7, start))
+	l.Crashed(7, alpha, 14, start)
+	assert.True(t, held(l, 7, start))
+}
+
+// Every lapse may cost an upstream: after it one more crash holds the request again, for
+// twice as long.
+func TestHoldLapsesAndTheNextCrashHoldsLonger(t *testing.T) {
+	l := New()
+	for up := range version.ID(3) {
+		l.Crashed(7, alpha, 10+up, start)
+	}
+	assert.True(t, held(l, 7, start.Add(holdFor-time.Second)))
+	now := start.Add(holdFor)
+	l.Expire(now)
+	assert.False(t, held(l, 7, now), "one is let through to see whether the upstreams were mended")
+	l.Crashed(7, alpha, 20, now)
+	assert.True(t, held(l, 7, now.Add(2*holdFor-time.Second)))
+	assert.False(t, held(l, 7, now.Add(2*holdFor)))
+	l.Expire(now.Add(4 * holdFor))
+	assert.Zero(t, l.Len())
+}
+
+func TestFewerCrashesAreForgotten(t *testing.T) {
+	l := New()
+	l.Crashed(7, alpha, 10, start)
+	l.Crashed(7, alpha, 11, start)
+	l.Expire(start.Add(suspectFor))
+	assert.Zero(t, l.Len())
+}
+
+func TestOneOrganisationDisplacesOnlyItsOwn(t *testing.T) {
+	l := New()
+	for up := range version.ID(3) {
+		l.Crashed(7, beta, 10+up, start)
+		l.Crashed(8, alpha, 10+up, start)
+	}
+	for i := range 2 * maxEntries {
+		l.Crashed(fingerprint.Fingerprint(100+i), alpha, 50, start.Add(time.Duration(i)*time.Millisecond))
+	}
+	assert.Equal(t, maxEntries, l.Len())
+	assert.True(t, held(l, 7, start))
+	assert.True(t, held(l, 8, start), "what is held goes last")
+	assert.Zero(t, l.State(100).Crashes, "the oldest went first")
+}
+
+// A request that many send is on upstreams that crash by chance again and again, and is
+// answered in between. When it comes to be deadly it is held like any other.
+func TestManyCrashesByChanceHideNothing(t *testing.T) {
+	l := New()
+	for up := range version.ID(3 * maxCrashes) {
+		l.Crashed(7, alpha, 1000-up, start)
+		l.Answered(7)
+	}
+	for up := range version.ID(3) {
+		l.Crashed(7, alpha, 2000+up, start)
+	}
+	assert.True(t, held(l, 7, start))
+}
+
+func TestViewIsMadeAnewOnlyWhenSomethingChanged(t *testing.T) {
+	l := New()
+	_, changed := l.View()
+	assert.False(t, changed)
+	l.Crashed(7, alpha, 10, start)
+	view, changed := l.View()
+	assert.True(t, changed)
+	assert.Equal(t, 1, view[alpha][7].Crashes)
+	assert.Empty(t, view[beta])
+	l.Crashed(7, alpha, 10, start)
+	_, changed = l.View()
+	assert.False(t, changed)
+	l.Answered(7)
+	view, changed = l.View()
+	assert.True(t, changed)
+	assert.Empty(t, view[alpha])
+}
+
+// Whatever routers see, and in whichever order and however often they tell each other,
+// they come to know the same.
+func TestRoutersThatToldEachOtherAllKnowTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const routers = 3
+		var lists [routers]*List
+		for i := range lists {
+			lists[i] = New()
+		}
+		tell := func(from, to int) {
+			for f := range lists[from].entries {
+				w, _ := lists[from].Told(f, start)
+				lists[to].Join(w, start)
+			}
+		}
+		for range rapid.IntRange(0, 60).Draw(t, "steps") {
+			at := rapid.IntRange(0, routers-1).Draw(t, "router")
+			f := fingerprint.Fingerprint(rapid.IntRange(1, 3).Draw(t, "request"))
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0:
+				lists[at].Answered(f)
+			case 1:
+				tell(at, rapid.IntRange(0, routers-1).Draw(t, "to"))
+			default:
+				lists[at].Crashed(f, alpha, version.ID(rapid.IntRange(1, 12).Draw(t, "upstream")), start)
+			}
+		}
+		for range 2 {
+			for from := range routers {
+				for to := range routers {
+					tell(from, to)
+				}
+			}
+		}
+		for i := 1; i < routers; i++ {
+			if lists[i].Sum() != lists[0].Sum() {
+				t.Fatalf("sums differ: %d, %d", lists[i].Sum(), lists[0].Sum())
+			}
+			for f := range fingerprint.Fingerprint(4) {
+				if a, b := lists[0].State(f), lists[i].State(f); a != b {
+					t.Fatalf("request %d: %v, %v", f, a, b)
+				}
+			}
+		}
+	})
+}
+
+// The sum tells apart what is held from what was cleared.
+func TestSumIsOfWhatIsHeld(t *testing.T) {
+	a, b := New(), New()
+	for up := range version.ID(3) {
+		a.Crashed(7, alpha, 10+up, start)
+		b.Crashed(7, alpha, 20+up, start)
+	}
+	assert.Equal(t, a.Sum(), b.Sum(), "both hold it: which upstreams ended matters to neither")
+	assert.NotZero(t, a.Sum())
+	b.Answered(7)
+	assert.NotEqual(t, a.Sum(), b.Sum())
+	for _, w := range b.Decided(start) {
+		a.Join(w, start)
+	}
+	for _, w := range a.Decided(start) {
+		b.Join(w, start)
+	}
+	assert.Equal(t, a.Sum(), b.Sum())
+	assert.Equal(t, a.State(7), b.State(7))
+	assert.False(t, held(a, 7, start), "what is answered whole anywhere ends no upstream")
+}
+
+func TestAgeIsTakenFromTheTeller(t *testing.T) {
+	l := New()
+	l.Join(wire.CrashRecord{Content: 7, Org: alpha, Crashed: []version.ID{1, 2, 3}, AgeMS: uint32((holdFor - time.Second).Milliseconds())}, start)
+	assert.Equal(t, time.Second, l.State(7).Held(start))
+}
--- a/internal/process/report.go
+++ b/internal/process/report.go
@@ -18,6 +18,11 @@
 		log.Info().Str("service", o.Service).Str("organisation", o.Org).Int("placed", o.Placed).Int("refused", o.Refused).
 			Int("placed_tokens", o.PlacedTokens).Int("turned_tokens", o.TurnedTokens).
 			Uint32("share_percent", o.Share).Int("share_age_ms", o.ShareAgeMS).Msg("decided-alone")
+	case dispatch.UpstreamEnded:
+		log.Info().Str("upstream", o.Instance.ID).Str("address", o.Instance.Address).Str("by", o.By).Int("running", o.Running).Msg("upstream-ended")
+	case dispatch.QuarantineReport:
+		log.Info().Stringer("fingerprint", o.Content).Str("organisation", o.Org).Int("crashes", o.Crashes).Int64("held_ms", o.Held.Milliseconds()).
+			Str("seen_by", string(o.From)).Msg("request-suspected")
 	}
 }
 
--- a/internal/process/steer.go
+++ b/internal/process/steer.go
@@ -10,6 +10,7 @@
 	"github.com/silverswitch/silverswitch/internal/conn"
 	"github.com/silverswitch/silverswitch/internal/core/wire"
 	"github.com/silverswitch/silverswitch/internal/dispatch"
+	"github.com/silverswitch/silverswitch/internal/dispatch/quarantine"
 	"github.com/silverswitch/silverswitch/internal/request/forward"
 	"github.com/silverswitch/silverswitch/internal/routing"
 )
@@ -50,7 +51,8 @@
 
 	strained   bool // control goroutine only
 	covered    atomic.Pointer[map[serviceOrg]float64]
-	coverUntil time.Time                       // control goroutine only
+	coverUntil time.Time // control goroutine only
+	quarantine atomic.Pointer[quarantine.View]
 	usable     atomic.Pointer[map[string]bool] // starts of instances that may be sent work
 	unnamed    map[string]bool                 // control goroutine only: starts whose service no table names
 	watchPause atomic.Int64                    // nanoseconds
@@ -154,6 +156,9 @@
 		s.publish(now)
 	}
 	s.node.Tick(now)
+	if view, changed := s.node.Quarantine(); changed {
+		s.quarantine.Store(&view)
+	}
 	s.ticks++
 	if on := s.Excess() > 0; on != s.strained {
 		s.strained = on
@@ -242,7 +247,9 @@
 			}
 			s.log.Info().Str("upstream", o.Instance.ID).Str("address", o.Instance.Address).Int64("born", o.Instance.Born).Bool("restarted", o.Restarted).Int("cut", cut).
 				Uint64("revision", s.view.Revision).Msg("upstream-gone")
-		case dispatch.ShareReport, dispatch.EngineReport, dispatch.AloneReport:
+		case dispatch.Probe:
+			go s.probe(o.Instance)
+		case dispatch.ShareReport, dispatch.EngineReport, dispatch.AloneReport, dispatch.UpstreamEnded, dispatch.QuarantineReport:
 			logReport(s.log, o)
 		case dispatch.Event:
 			s.log.Info().Str("peer", string(o.Router)).Uint64("value", o.Value).Str("detail", o.Detail).Msg(o.Name)
--- a/internal/request/forward/answer.go
+++ b/internal/request/forward/answer.go
@@ -81,6 +81,7 @@
 // broken follows an answer that cannot be passed on; the request may have run.
 func (a *answer) broken(err error) step {
 	a.ran = true
+	a.broke(a.place, err)
 	if errors.Is(context.Cause(a.attempt), conn.ErrSilence) {
 		a.x.FellSilent()
 	}
@@ -110,6 +111,7 @@
 		return a.broken(err)
 	}
 	a.whole = true
+	a.answeredWhole()
 	note := wire.NoteDone
 	if res.StatusCode >= 500 {
 		note = wire.NoteFailed
@@ -186,6 +188,7 @@
 			break
 		}
 	}
+	a.broke(a.place, context.Canceled)
 	a.s.ctl.End(a.ticket, wire.NoteDone)
 	a.giveUp("caller-unreachable", a.place.Instance.ID, nil)
 	return stepDone
@@ -197,6 +200,7 @@
 		return a.broken(a.ctx.Err())
 	}
 	a.whole = true
+	a.answeredWhole()
 	if !a.begun {
 		a.begun = true
 		a.first()
--- a/internal/request/forward/control.go
+++ b/internal/request/forward/control.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/silverswitch/silverswitch/internal/dispatch"
+	"github.com/silverswitch/silverswitch/internal/dispatch/quarantine"
+	"github.com/silverswitch/silverswitch/internal/request/fingerprint"
 	"github.com/silverswitch/silverswitch/internal/routing"
 )
 
@@ -33,6 +35,15 @@
 	// Usable reports whether this start of an instance may be sent work, by what is known
 	// now.
 	Usable(routing.Instance) bool
+	// Quarantined returns what is known of an organisation's requests under which
+	// upstreams have crashed; it is not changed.
+	Quarantined(org string) map[fingerprint.Fingerprint]quarantine.State
+	// Broke says that an attempt ended without a whole answer though it may have run.
+	Broke(dispatch.Broke)
+	// ConnRefused says that an instance's address refuses connections.
+	ConnRefused(routing.Instance)
+	// AnsweredWhole says that a request of those in Quarantined has been answered.
+	AnsweredWhole(fingerprint.Fingerprint)
 	// Leaving reports whether a planned stop has begun.
 	Leaving() bool
 }
--- a/internal/request/forward/count.go
+++ b/internal/request/forward/count.go
@@ -11,16 +11,16 @@
 )
 
 type counters struct {
-	reg                                                        metrics.Registry
-	arrived, answered, opened, resumed, repeated, broken, shed metrics.Counter
-	first, decision                                            metrics.Timer
+	reg                                                              metrics.Registry
+	arrived, answered, opened, resumed, repeated, broken, shed, held metrics.Counter
+	first, decision                                                  metrics.Timer
 }
 
 func newCounters(reg metrics.Registry) counters {
 	c := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("forward."+name, reg) }
 	return counters{
 		reg: reg, arrived: c("arrived"), answered: c("answered"), opened: c("connections"), resumed: c("resumed"),
-		repeated: c("repeated"), broken: c("broken"), shed: c("shed"),
+		repeated: c("repeated"), broken: c("broken"), shed: c("shed"), held: c("held"),
 		first:    metrics.GetOrRegisterTimer("forward.first", reg),
 		decision: metrics.GetOrRegisterTimer("forward.decision", reg),
 	}
@@ -43,6 +43,9 @@
 	if d := f.refusal; d != nil {
 		e.Str("by", string(d.By)).Int("wait_ms", d.WaitMS).Int("limit_ms", d.LimitMS).Int("own_ms", d.OwnMS).Uint32("share_percent", d.Over).Uint64("revision", d.Revision)
 	}
+	if f.crashes > 0 {
+		e.Stringer("fingerprint", v.fingerprint()).Int("crashes", f.crashes)
+	}
 	if f.after > 0 {
 		e.Int64("come_back_ms", f.after.Milliseconds())
 	}
--- a/internal/request/forward/failure.go
+++ b/internal/request/forward/failure.go
@@ -18,6 +18,7 @@
 	up     string // the last upstream
 
 	refusal *dispatch.Refuse // the decision that refused, for the log
+	crashes int              // of upstreams that are set down to the request
 }
 
 // fail tells the caller. It must be called before any of an answer was sent.
--- a/internal/request/forward/rig_test.go
+++ b/internal/request/forward/rig_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/silverswitch/silverswitch/internal/conn"
 	"github.com/silverswitch/silverswitch/internal/dispatch"
+	"github.com/silverswitch/silverswitch/internal/dispatch/quarantine"
 	"github.com/silverswitch/silverswitch/internal/request/fingerprint"
 	"github.com/silverswitch/silverswitch/internal/routing"
 )
@@ -41,6 +42,12 @@
 	full  atomic.Bool // excess of nine in ten
 	away  []dispatch.TurnedWork
 	left  map[string]bool // instances that have left
+
+	known    map[fingerprint.Fingerprint]quarantine.State
+	broke    []dispatch.Broke
+	refusing []string // instances that refused connections
+	whole    []fingerprint.Fingerprint
+	onAgain  func() // called before another upstream is given; may be nil
 }
 
 func (c *fakeControl) Table() *routing.Table { return c.table }
@@ -57,6 +64,30 @@
 
 func (c *fakeControl) Usable(i routing.Instance) bool { return !c.left[i.ID] }
 
+func (c *fakeControl) Quarantined(string) map[fingerprint.Fingerprint]quarantine.State {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.known
+}
+
+func (c *fakeControl) Broke(b dispatch.Broke) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.broke = append(c.broke, b)
+}
+
+func (c *fakeControl) ConnRefused(i routing.Instance) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refusing = append(c.refusing, i.ID)
+}
+
+func (c *fakeControl) AnsweredWhole(f fingerprint.Fingerprint) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.whole = append(c.whole, f)
+}
+
 func (c *fakeControl) TurnedAway(w dispatch.TurnedWork) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -83,6 +114,9 @@
 
 func (c *fakeControl) Again(t *Ticket, note uint8) {
 	c.note(note)
+	if c.onAgain != nil {
+		c.onAgain()
+	}
 	c.decide(t)
 }
 
--- a/internal/request/forward/run.go
+++ b/internal/request/forward/run.go
@@ -56,6 +56,10 @@
 			r.refused(d.Refusal)
 			return
 		}
+		if f := r.held(); f != nil {
+			r.endHeld(*f)
+			return
+		}
 		r.attempts++
 		if r.attempt(d.Place) == stepDone {
 			return
@@ -181,6 +185,12 @@
 func (r *run) sendFailed(p *dispatch.Place, err error) step {
 	sent := !isNotSent(err)
 	r.ran = r.ran || sent
+	switch {
+	case sent:
+		r.broke(p, err)
+	case conn.IsRefused(err):
+		r.s.ctl.ConnRefused(p.Instance)
+	}
 	if r.ctx.Err() != nil {
 		r.s.ctl.End(r.ticket, endNote(sent && r.r.Context().Err() == nil))
 		r.giveUp("no-answer-in-time", p.Instance.ID, err)
--- a/internal/request/forward/server.go
+++ b/internal/request/forward/server.go
@@ -206,6 +206,10 @@
 
 // run asks where the request runs and carries it through its attempts.
 func (v *visit) run() {
+	if f := v.held(); f != nil {
+		v.fail(*f)
+		return
+	}
 	v.boundWrites(v.deadline.Add(answerWrite))
 	ctx, stop := context.WithDeadline(v.r.Context(), v.deadline)
 	defer stop()
