What upstreams that leave still run is set down to nobody

Cause: an upstream that leaves ends what it still runs after its entry has gone; by then a router no longer knew that it was leaving, and took its end for a crash.

--- a/internal/dispatch/catalogue.go
+++ b/internal/dispatch/catalogue.go
@@ -49,9 +49,7 @@
 		p.urgency = urgencyOf(c.Table, s.Name)
 		for _, u := range p.setInstances(by[s.Name]) {
 			n.out = append(n.out, Gone{Instance: u.inst, Restarted: born[u.inst.ID] > u.inst.Born})
-			if !u.inst.Draining {
-				n.upstreamEnded(u.inst, "entry gone", now)
-			}
+			n.entryGone(u.inst, now)
 		}
 	}
 	for id, p := range n.pools {
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -100,6 +100,7 @@
 	list   *quarantine.List
 	doubts map[version.ID][]doubt   // by upstream
 	ended  map[version.ID]time.Time // upstreams known to have crashed
+	left   map[version.ID]time.Time // upstreams that were leaving, and have left
 	probed map[version.ID]time.Time
 	news   map[fingerprint.Fingerprint]news
 	joined map[wire.NodeID]time.Time // when all that is held was last told to a router
@@ -117,6 +118,7 @@
 		list:   quarantine.New(),
 		doubts: map[version.ID][]doubt{},
 		ended:  map[version.ID]time.Time{},
+		left:   map[version.ID]time.Time{},
 		probed: map[version.ID]time.Time{},
 		news:   map[fingerprint.Fingerprint]news{},
 		joined: map[wire.NodeID]time.Time{},
@@ -129,11 +131,11 @@
 
 // broke takes an attempt without a whole answer.
 func (n *Node) broke(in Broke, now time.Time) {
+	s := &n.crashes
+	up := version.IDOf(in.Instance.Start())
 	if n.isLeaving(in.Instance) {
 		return // its end is planned, and says nothing of what it still runs
 	}
-	s := &n.crashes
-	up := version.IDOf(in.Instance.Start())
 	d := doubt{in.Content, version.IDOf(in.Org), now}
 	if _, ended := s.ended[up]; ended {
 		n.crashed(up, d, now)
@@ -148,16 +150,29 @@
 	}
 }
 
-// isLeaving reports whether an instance is known to be leaving.
+// isLeaving reports whether an instance is known to be leaving, or to have left so.
 func (n *Node) isLeaving(i routing.Instance) bool {
+	up := version.IDOf(i.Start())
+	if _, left := n.crashes.left[up]; left {
+		return true
+	}
 	p := n.pools[serviceID(i.Service)]
 	if p == nil {
 		return false
 	}
-	u := p.ups[version.IDOf(i.Start())]
+	u := p.ups[up]
 	return u != nil && u.inst.Draining
 }
 
+// entryGone takes an upstream whose entry has gone.
+func (n *Node) entryGone(i routing.Instance, now time.Time) {
+	if i.Draining {
+		n.crashes.left[version.IDOf(i.Start())] = now
+		return
+	}
+	n.upstreamEnded(i, "entry gone", now)
+}
+
 // upstreamEnded turns the doubts at an upstream into crashes.
 func (n *Node) upstreamEnded(i routing.Instance, by string, now time.Time) {
 	s := &n.crashes
@@ -286,6 +301,7 @@
 	}
 	old := func(_ version.ID, at time.Time) bool { return now.Sub(at) >= endedFor }
 	maps.DeleteFunc(s.ended, old)
+	maps.DeleteFunc(s.left, old)
 	maps.DeleteFunc(s.probed, old)
 	maps.DeleteFunc(s.joined, func(_ wire.NodeID, at time.Time) bool { return now.Sub(at) >= joinAgain })
 }
--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -93,6 +93,20 @@
 	}
 }
 
+// An upstream that is leaving ends what it still runs when its time is over, after its
+// entry has gone.
+func TestStreamCutByAnUpstreamThatHasLeftProvesNothing(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	id := f.order[0]
+	list := instances(2)
+	list[0].Draining = true
+	f.nodes[id].Step(Catalogue{Table: table(t, 390_000), Instances: list, Revision: 6, AsOf: 9}, f.now)
+	f.nodes[id].Step(Catalogue{Table: table(t, 390_000), Instances: list[1:], Revision: 7, AsOf: 10}, f.now)
+	f.run(2 * time.Second)
+	f.crash(id, guilty, list[0])
+	assert.Zero(t, f.stateAt(id, guilty).Crashes)
+}
+
 // The connection may tell an upstream's end later than the store does.
 func TestAttemptThatBreaksAfterTheEndIsKnownCounts(t *testing.T) {
 	f := newFleet(t, 1, 4)
