One clock that goes on while the VM is suspended

Cause: Go's monotonic clock stands still while a VM is suspended. Leases, ages, deadlines and the look for pauses went by it: after a suspension a router took all that it believed for new, handed down deadlines that were over, and used slots whose lease had run out. Change: package clock, the monotonic clock plus what CLOCK_BOOTTIME is ahead of it, looked at each tick; the control state, deadlines, kept connections and slots go by it. A suspension is a pause to the decision cores, as a freeze is. The tests named suspend_test.go and TestConnectionKeptThroughASuspensionIsNotUsed fail without it (three of them are guards; each caught).

--- /dev/null
+++ b/internal/clock/clock_test.go
@@ -0,0 +1,74 @@
+package clock
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// stepped is a clock whose VM is suspended by the test.
+func stepped() (*Clock, func(time.Duration)) {
+	var total atomic.Int64
+	total.Store(int64(time.Hour)) // before the process started
+	c := New(func() (time.Duration, bool) { return time.Duration(total.Load()), true })
+	return c, func(d time.Duration) { total.Add(int64(d)) }
+}
+
+func TestSuspensionPasses(t *testing.T) {
+	c, suspend := stepped()
+	began := c.Now()
+	assert.Zero(t, c.Refresh())
+	suspend(4 * time.Second)
+	assert.Equal(t, 4*time.Second, c.Refresh())
+	assert.Zero(t, c.Refresh(), "once")
+	assert.GreaterOrEqual(t, c.Since(began), 4*time.Second)
+	assert.LessOrEqual(t, c.Until(began.Add(4*time.Second)), time.Duration(0))
+}
+
+func TestReadingsThatDifferALittleAreNoSuspension(t *testing.T) {
+	c, suspend := stepped()
+	for range 3 {
+		suspend(time.Millisecond)
+		assert.Zero(t, c.Refresh())
+		suspend(-time.Millisecond)
+		assert.Zero(t, c.Refresh())
+	}
+}
+
+func TestContextsEndThatRanOutInASuspension(t *testing.T) {
+	c, suspend := stepped()
+	over, stop := c.WithDeadline(context.Background(), c.Now().Add(time.Minute))
+	defer stop()
+	left, stopLeft := c.WithDeadline(context.Background(), c.Now().Add(time.Hour))
+	defer stopLeft()
+	suspend(2 * time.Minute)
+	c.Refresh()
+	<-over.Done()
+	assert.NoError(t, left.Err())
+	stopLeft()
+	assert.Error(t, left.Err())
+	stop()
+	assert.Empty(t, c.waiting)
+}
+
+func TestSystemWithoutTheReadingGoesOn(t *testing.T) {
+	c := New(func() (time.Duration, bool) { return 0, false })
+	assert.Zero(t, c.Refresh())
+	assert.WithinDuration(t, time.Now(), c.Now(), time.Minute)
+}
+
+func TestThisSystemTellsSuspensions(t *testing.T) {
+	_, known := SuspendedSinceBoot()
+	assert.True(t, known)
+	assert.Zero(t, System.Refresh(), "none while the test runs")
+}
+
+// BenchmarkRefresh is what each look costs: a hundred a second are made.
+func BenchmarkRefresh(b *testing.B) {
+	for b.Loop() {
+		System.Refresh()
+	}
+}
--- a/internal/conn/exchange.go
+++ b/internal/conn/exchange.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"strconv"
 	"syscall"
-	"time"
 
 	"github.com/joomcode/errorx"
 )
@@ -91,7 +90,7 @@
 	if err := x.readHead(m.Method, own); err != nil {
 		x.Close(false)
 		if c.kept && (errors.Is(err, syscall.ETIMEDOUT) || errors.Is(context.Cause(ctx), ErrSilence)) {
-			p.fellSilent(addr, time.Now())
+			p.fellSilent(addr, p.clock.Now())
 		}
 		return nil, ErrExchange.Wrap(err, "answer of %s", addr)
 	}
@@ -173,7 +172,7 @@
 
 // FellSilent says that the upstream stopped in the midst of its answer: what is kept
 // on the same path is doubted.
-func (x *Exchange) FellSilent() { x.pool.fellSilent(x.c.addr, time.Now()) }
+func (x *Exchange) FellSilent() { x.pool.fellSilent(x.c.addr, x.pool.clock.Now()) }
 
 // Waiting reports whether bytes of the upstream have arrived that were not read yet:
 // then it is not the upstream that is silent. Any goroutine may ask.
--- a/internal/conn/exchange_test.go
+++ b/internal/conn/exchange_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/silverswitch/silverswitch/internal/clock"
 )
 
 func anyAnswer(*http.Response) bool { return true }
@@ -295,3 +297,27 @@
 	stop()
 	assert.False(t, p.Refuses(gone, addr), "no answer is no refusal")
 }
+
+// The VM is suspended for longer than connections are kept: the upstream has closed its
+// side, and where the path was cut meanwhile nothing says so.
+func TestConnectionKeptThroughASuspensionIsNotUsed(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	var total atomic.Int64
+	p := NewExchanges()
+	p.clock = clock.New(func() (time.Duration, bool) { return time.Duration(total.Load()), true })
+	defer p.Close()
+	addr := l.Addr().String()
+	require.False(t, p.Refuses(context.Background(), addr))
+	c, err := p.take(context.Background(), addr)
+	require.NoError(t, err)
+	assert.True(t, c.kept)
+	p.keep(c)
+	total.Add(int64(idleLimit))
+	p.clock.Refresh()
+	c, err = p.take(context.Background(), addr)
+	require.NoError(t, err)
+	defer c.Close()
+	assert.False(t, c.kept)
+}
--- a/internal/conn/idle.go
+++ b/internal/conn/idle.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/silverswitch/silverswitch/internal/clock"
 )
 
 // Bounds of the connections to upstreams.
@@ -43,6 +45,7 @@
 	idle   map[string][]*upConn
 	busy   busy
 	silent silence
+	clock  *clock.Clock
 	Opened func()                         // counts new connections, may be nil
 	Fell   func(addr string, dropped int) // a kept connection fell silent, may be nil
 }
@@ -54,7 +57,9 @@
 }
 
 // NewExchanges returns an empty pool.
-func NewExchanges() *Exchanges { return &Exchanges{idle: map[string][]*upConn{}, busy: newBusy()} }
+func NewExchanges() *Exchanges {
+	return &Exchanges{idle: map[string][]*upConn{}, busy: newBusy(), clock: clock.System}
+}
 
 type upConn struct {
 	net.Conn
@@ -71,7 +76,7 @@
 		if c == nil {
 			return p.dial(ctx, addr)
 		}
-		if time.Since(c.since) < c.limit && quietAndOpen(c.Conn) {
+		if p.clock.Since(c.since) < c.limit && quietAndOpen(c.Conn) {
 			return c, nil
 		}
 		c.Close()
@@ -152,11 +157,11 @@
 }
 
 func (p *Exchanges) keep(c *upConn) {
-	c.since, c.kept = time.Now(), true
+	c.since, c.kept = p.clock.Now(), true
 	p.mu.Lock()
 	list := p.idle[c.addr]
 	var old []*upConn
-	for len(list) > 0 && time.Since(list[0].since) >= list[0].limit {
+	for len(list) > 0 && p.clock.Since(list[0].since) >= list[0].limit {
 		old = append(old, list[0])
 		list = list[1:]
 	}
--- a/internal/process/driver.go
+++ b/internal/process/driver.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/silverswitch/silverswitch/internal/clock"
 	"github.com/silverswitch/silverswitch/internal/conn"
 	"github.com/silverswitch/silverswitch/internal/core"
 	"github.com/silverswitch/silverswitch/internal/core/claim"
@@ -38,7 +39,8 @@
 	ops    chan op
 	mail   chan *wire.Datagram
 	nextID atomic.Uint64
-	base   time.Time // process start, with its monotonic reading
+	base   time.Time // process start
+	clock  *clock.Clock
 	done   chan struct{}
 
 	version atomic.Pointer[version.Version]
@@ -57,7 +59,7 @@
 
 // NewDriver returns a driver that is not running yet.
 func NewDriver(set core.Settings, route *conn.Route, sealer *conn.Sealer, log zerolog.Logger) *Driver {
-	now := time.Now()
+	now := clock.System.Now()
 	d := &Driver{
 		id:      set.ID,
 		node:    core.New(set, now),
@@ -68,6 +70,7 @@
 		ops:     make(chan op, opsQueue),
 		mail:    make(chan *wire.Datagram, opsQueue),
 		base:    now,
+		clock:   clock.System,
 		done:    make(chan struct{}),
 		tickets: map[uint64]*ticketState{},
 	}
@@ -75,9 +78,9 @@
 	return d
 }
 
-// now is wall time at the start plus monotonic time since: it never jumps when
-// the wall clock is set.
-func (d *Driver) now() time.Time { return d.base.Add(time.Since(d.base)) }
+// now is wall time at the start plus the time since: it never jumps when the wall clock
+// is set, and goes on while the VM is suspended.
+func (d *Driver) now() time.Time { return d.base.Add(d.clock.Since(d.base)) }
 
 // Run is the control goroutine. It ends with the context.
 func (d *Driver) Run(ctx context.Context) {
@@ -93,6 +96,7 @@
 		case m := <-d.mail:
 			d.node.Step(core.Receive{Datagram: m}, d.now())
 		case <-tick.C:
+			lookAtClock(d.clock, d.log)
 			d.tick(d.now())
 		}
 		d.drain()
@@ -154,7 +158,7 @@
 		return
 	}
 	t.running = true
-	t.ticket.Decide(request.Decision{Upstream: d.node.Upstream(o.Upstream), At: time.Now()})
+	t.ticket.Decide(request.Decision{Upstream: d.node.Upstream(o.Upstream), At: d.clock.Now()})
 }
 
 func (d *Driver) refuse(o core.Refuse) {
@@ -163,7 +167,7 @@
 		return
 	}
 	delete(d.tickets, o.ID)
-	t.ticket.Decide(request.Decision{At: time.Now(), Refusal: o})
+	t.ticket.Decide(request.Decision{At: d.clock.Now(), Refusal: o})
 }
 
 // fetch reads a version from a peer and offers it to the core.
--- a/internal/process/follow.go
+++ b/internal/process/follow.go
@@ -7,6 +7,8 @@
 	"github.com/joomcode/errorx"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
+
+	"github.com/silverswitch/silverswitch/internal/clock"
 )
 
 // Timing of reading the source.
@@ -115,7 +117,7 @@
 	f.fails.Inc(1)
 	f.st.SourceFailed()
 	if f.lost.IsZero() {
-		f.lost = time.Now()
+		f.lost = clock.System.Now()
 		f.log.Warn().Err(err).Msg("source-lost")
 	}
 }
@@ -126,7 +128,7 @@
 	if f.lost.IsZero() {
 		return false
 	}
-	away := time.Since(f.lost)
+	away := clock.System.Since(f.lost)
 	f.lost = time.Time{}
 	f.log.Info().Int64("away_ms", away.Milliseconds()).Uint64("revision", asOf).Msg("source-regained")
 	return away >= outage
--- a/internal/process/kept.go
+++ b/internal/process/kept.go
@@ -8,6 +8,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/silverswitch/silverswitch/internal/clock"
 	"github.com/silverswitch/silverswitch/internal/dispatch"
 	"github.com/silverswitch/silverswitch/internal/routing"
 )
@@ -131,7 +132,7 @@
 		s.busy = false
 		f.mu.Unlock()
 	}()
-	if !s.whole && time.Since(s.listed) >= keptListAgain {
+	if !s.whole && clock.System.Since(s.listed) >= keptListAgain {
 		f.list(ctx, e, s)
 		return
 	}
@@ -155,7 +156,7 @@
 }
 
 func (f *keptFollower) list(ctx context.Context, e routing.Instance, s *keptState) {
-	s.listed = time.Now()
+	s.listed = clock.System.Now()
 	f.lists.Inc(1)
 	news, err := f.src.KeptList(ctx, e.Address)
 	if err != nil {
--- a/internal/process/steer.go
+++ b/internal/process/steer.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/silverswitch/silverswitch/internal/clock"
 	"github.com/silverswitch/silverswitch/internal/conn"
 	"github.com/silverswitch/silverswitch/internal/core/wire"
 	"github.com/silverswitch/silverswitch/internal/dispatch"
@@ -31,6 +32,7 @@
 	mail   chan *wire.Datagram
 	nextID atomic.Uint64
 	base   time.Time
+	clock  *clock.Clock
 	done   chan struct{}
 
 	table   atomic.Pointer[routing.Table]
@@ -73,7 +75,7 @@
 
 // NewSteerer returns a steerer that is not running yet.
 func NewSteerer(set dispatch.Settings, src Source, route *conn.Route, sealer *conn.Sealer, ups *conn.Exchanges, log zerolog.Logger) *Steerer {
-	now := time.Now()
+	now := clock.System.Now()
 	s := &Steerer{
 		id:      set.ID,
 		node:    dispatch.New(set, now),
@@ -86,6 +88,7 @@
 		ops:     make(chan op, opsQueue),
 		mail:    make(chan *wire.Datagram, opsQueue),
 		base:    now,
+		clock:   clock.System,
 		begun:   now,
 		done:    make(chan struct{}),
 		tickets: map[uint64]*forward.Ticket{},
@@ -95,9 +98,17 @@
 	return s
 }
 
-// now is wall time at the start plus monotonic time since: it never jumps when
-// the wall clock is set.
-func (s *Steerer) now() time.Time { return s.base.Add(time.Since(s.base)) }
+// now is wall time at the start plus the time since: it never jumps when the wall clock
+// is set, and goes on while the VM is suspended.
+func (s *Steerer) now() time.Time { return s.base.Add(s.clock.Since(s.base)) }
+
+// lookAtClock logs a suspension. The node takes it for a pause: what it believes of
+// others is older by that much.
+func lookAtClock(c *clock.Clock, log zerolog.Logger) {
+	if jump := c.Refresh(); jump > 0 {
+		log.Info().Int64("suspended_ms", jump.Milliseconds()).Msg("suspended")
+	}
+}
 
 // Run is the control goroutine. It ends with the context.
 func (s *Steerer) Run(ctx context.Context) {
@@ -114,6 +125,7 @@
 		case m := <-s.mail:
 			s.node.Step(dispatch.Receive{Datagram: m}, s.now())
 		case <-tick.C:
+			lookAtClock(s.clock, s.log)
 			s.tick(s.now())
 		}
 		s.drain()
--- a/internal/request/forward/count.go
+++ b/internal/request/forward/count.go
@@ -2,7 +2,6 @@
 
 import (
 	"strconv"
-	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
@@ -55,7 +54,7 @@
 // fields are what every line about a request tells: its id, the inputs that were
 // decided on, and their version.
 func (v *visit) fields(e *zerolog.Event, up string) {
-	e.Str("request", v.id).Str("organisation", v.org).Int64("after_ms", time.Since(v.arrived).Milliseconds())
+	e.Str("request", v.id).Str("organisation", v.org).Int64("after_ms", v.s.clock.Since(v.arrived).Milliseconds())
 	if v.route != nil {
 		e.Str("route", v.route.Name).Int64("time_ms", v.deadline.Sub(v.arrived).Milliseconds())
 	}
--- a/internal/request/forward/quarantine.go
+++ b/internal/request/forward/quarantine.go
@@ -1,8 +1,6 @@
 package forward
 
 import (
-	"time"
-
 	"github.com/silverswitch/silverswitch/internal/conn"
 	"github.com/silverswitch/silverswitch/internal/core/wire"
 	"github.com/silverswitch/silverswitch/internal/dispatch"
@@ -28,7 +26,7 @@
 // service in 82 s.
 func (v *visit) held() *failure {
 	known := v.crashes()
-	left := known.Held(time.Now())
+	left := known.Held(v.s.clock.Now())
 	if left == 0 {
 		return nil
 	}
--- a/internal/request/forward/rig_test.go
+++ b/internal/request/forward/rig_test.go
@@ -48,6 +48,7 @@
 	refusing []string // instances that refused connections
 	whole    []fingerprint.Fingerprint
 	onAgain  func() // called before another upstream is given; may be nil
+	slow     bool   // no other upstream is given
 }
 
 func (c *fakeControl) Table() *routing.Table { return c.table }
@@ -117,7 +118,9 @@
 	if c.onAgain != nil {
 		c.onAgain()
 	}
-	c.decide(t)
+	if !c.slow {
+		c.decide(t)
+	}
 }
 
 func (c *fakeControl) First(*Ticket, time.Duration) {}
@@ -231,6 +234,8 @@
 	url string
 	ex  *conn.Exchanges
 
+	server *Server
+
 	most int
 }
 
@@ -242,7 +247,8 @@
 func newRigOf(t *testing.T, most int, ups ...string) *rig {
 	t.Helper()
 	r := &rig{ctl: &fakeControl{table: testTable(t), ups: ups}, ex: conn.NewExchanges(), most: most}
-	s := httptest.NewServer(NewServer(r.ctl, r.ex, testDialect, testKey(t), r.most, metrics.NewRegistry(), zerolog.Nop()))
+	r.server = NewServer(r.ctl, r.ex, testDialect, testKey(t), r.most, metrics.NewRegistry(), zerolog.Nop())
+	s := httptest.NewServer(r.server)
 	t.Cleanup(func() { s.Close(); r.ex.Close() })
 	r.url = s.URL
 	return r
--- a/internal/request/forward/run.go
+++ b/internal/request/forward/run.go
@@ -161,7 +161,7 @@
 	n := &r.s.names
 	h := n.upstreamHeader(r.r.Header)
 	h.Set(n.ExpectInstance, p.Instance.ID)
-	h.Set(n.Deadline, strconv.FormatInt(max(1, time.Until(r.deadline).Milliseconds()), 10))
+	h.Set(n.Deadline, strconv.FormatInt(max(1, r.s.clock.Until(r.deadline).Milliseconds()), 10))
 	if r.org != "" {
 		h.Set(n.Organisation, r.org)
 	}
--- a/internal/request/forward/server.go
+++ b/internal/request/forward/server.go
@@ -16,6 +16,7 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/silverswitch/silverswitch/internal/clock"
 	"github.com/silverswitch/silverswitch/internal/conn"
 	"github.com/silverswitch/silverswitch/internal/dispatch"
 	"github.com/silverswitch/silverswitch/internal/request/fingerprint"
@@ -34,13 +35,14 @@
 	count  counters
 	lines  *reqLog
 	key    *fingerprint.Key
+	clock  *clock.Clock
 	tracer trace.Tracer
 }
 
 // NewServer returns the handler's state. It refuses requests beyond most at once, and
 // knows requests again by fingerprints of the key.
 func NewServer(ctl Control, ups *conn.Exchanges, names Dialect, key *fingerprint.Key, most int, reg metrics.Registry, log zerolog.Logger) *Server {
-	s := &Server{ctl: ctl, ups: ups, names: names, key: key, most: int64(most), door: newDoor(), count: newCounters(reg), lines: newReqLog(log), tracer: otel.Tracer("silverswitch")}
+	s := &Server{ctl: ctl, ups: ups, names: names, key: key, clock: clock.System, most: int64(most), door: newDoor(), count: newCounters(reg), lines: newReqLog(log), tracer: otel.Tracer("silverswitch")}
 	ups.Opened = func() { s.count.opened.Inc(1) }
 	ups.Fell = func(addr string, dropped int) {
 		log.Info().Str("address", addr).Int("closed", dropped).Msg("kept-connection-silent")
@@ -93,7 +95,7 @@
 	ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	ctx, span := s.tracer.Start(ctx, "entry", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
-	v := &visit{s: s, w: w, r: r.WithContext(ctx), id: r.Header.Get(s.names.RequestID), arrived: time.Now()}
+	v := &visit{s: s, w: w, r: r.WithContext(ctx), id: r.Header.Get(s.names.RequestID), arrived: s.clock.Now()}
 	v.boundWrites(v.arrived.Add(refusalWrite))
 	defer s.open.Add(-1)
 	full := s.open.Add(1) > s.most
@@ -163,7 +165,7 @@
 		return &failure{status: http.StatusRequestEntityTooLarge, reason: "body-too-large"}
 	}
 	rc := http.NewResponseController(v.w)
-	_ = rc.SetReadDeadline(v.deadline) // not supported by test recorders
+	_ = rc.SetReadDeadline(v.s.clock.Monotonic(v.deadline)) // not supported by test recorders
 	raw, err := readSized(http.MaxBytesReader(v.w, v.r.Body, limit), v.r.ContentLength)
 	if err == nil {
 		_ = rc.SetReadDeadline(time.Time{})
@@ -201,7 +203,7 @@
 // boundWrites bounds the writes to the caller, so that a caller's connection that
 // has gone silent holds nothing for ever. It must be set anew for each request.
 func (v *visit) boundWrites(until time.Time) {
-	_ = http.NewResponseController(v.w).SetWriteDeadline(until) // not supported by test recorders
+	_ = http.NewResponseController(v.w).SetWriteDeadline(v.s.clock.Monotonic(until)) // not supported by test recorders
 }
 
 // run asks where the request runs and carries it through its attempts.
@@ -211,7 +213,7 @@
 		return
 	}
 	v.boundWrites(v.deadline.Add(answerWrite))
-	ctx, stop := context.WithDeadline(v.r.Context(), v.deadline)
+	ctx, stop := v.s.clock.WithDeadline(v.r.Context(), v.deadline)
 	defer stop()
 	t := v.s.ctl.Submit(dispatch.Request{
 		Service:  v.service,
--- /dev/null
+++ b/internal/request/forward/suspend_test.go
@@ -0,0 +1,62 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/silverswitch/silverswitch/internal/clock"
+)
+
+// The VM is suspended for 1.5 s while a request of 2 s waits for a second upstream: what
+// is handed down is what its caller still waits, and when nothing is left it ends at once
+// in place of when Go's timers would come to it.
+func TestSuspendedTimeIsNotHandedDown(t *testing.T) {
+	for name, c := range map[string]struct {
+		suspended time.Duration
+		status    int
+		sent      int
+	}{
+		"some is left":    {1500 * time.Millisecond, http.StatusOK, 1},
+		"nothing is left": {5 * time.Second, http.StatusGatewayTimeout, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var total atomic.Int64
+			stepped := clock.New(func() (time.Duration, bool) { return time.Duration(total.Load()), true })
+			first, _ := script(t, "\x00")
+			second, got := script(t, okHello)
+			r := newRig(t, first, second)
+			r.server.clock = stepped
+			r.ctl.onAgain = func() {
+				total.Add(int64(c.suspended))
+				stepped.Refresh()
+			}
+			r.ctl.slow = c.sent == 0
+			began := time.Now()
+			res, _, err := r.do(t, "GET", "/safe/x", "", "X-Left-Ms", "2000")
+			require.NoError(t, err)
+			assert.Equal(t, c.status, res.StatusCode)
+			assert.Less(t, time.Since(began), 1900*time.Millisecond, "not held until Go's timers run out")
+			require.Len(t, got(), c.sent)
+			for _, sent := range got() {
+				left, err := strconv.Atoi(sent.Header.Get("X-Left-Ms"))
+				require.NoError(t, err)
+				assert.LessOrEqual(t, left, 500)
+			}
+		})
+	}
+}
+
+func TestDeadlineOfAClockEndsWithTheCaller(t *testing.T) {
+	ctx, gone := context.WithCancel(context.Background())
+	held, stop := clock.System.WithDeadline(ctx, clock.System.Now().Add(time.Hour))
+	defer stop()
+	gone()
+	<-held.Done()
+}
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -46,7 +46,8 @@
 		if !ok {
 			return
 		}
-		if time.Since(d.At) > staleStart {
+		r.s.clock.Refresh() // a lease may have run out in a suspension that nobody noticed yet
+		if r.s.clock.Since(d.At) > staleStart {
 			r.s.ctl.Return(r.ticket, false)
 			continue
 		}
--- a/internal/request/server.go
+++ b/internal/request/server.go
@@ -1,7 +1,6 @@
 package request
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"io"
@@ -18,6 +17,7 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/silverswitch/silverswitch/internal/clock"
 	"github.com/silverswitch/silverswitch/internal/conn"
 	"github.com/silverswitch/silverswitch/internal/core/claim"
 	"github.com/silverswitch/silverswitch/internal/core/entry"
@@ -50,6 +50,7 @@
 	limits Limits
 	budget *retryBudget
 	count  counters
+	clock  *clock.Clock
 	tracer trace.Tracer
 }
 
@@ -61,6 +62,7 @@
 		limits: limits,
 		budget: newRetryBudget(),
 		count:  newCounters(reg),
+		clock:  clock.System,
 		tracer: otel.Tracer("silverswitch"),
 	}
 }
@@ -274,8 +276,8 @@
 	if v.terms.Timeout > 0 {
 		timeout = min(timeout, v.terms.Timeout)
 	}
-	deadline := time.Now().Add(timeout)
-	ctx, stop := context.WithDeadline(v.r.Context(), deadline)
+	deadline := s.clock.Now().Add(timeout)
+	ctx, stop := s.clock.WithDeadline(v.r.Context(), deadline)
 	defer stop()
 	call.Header = v.r.Header
 	call.Organisation = v.org.Name
--- /dev/null
+++ b/internal/request/suspend_test.go
@@ -0,0 +1,53 @@
+package request
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/assert"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/silverswitch/silverswitch/internal/clock"
+	"github.com/silverswitch/silverswitch/internal/conn"
+	"github.com/silverswitch/silverswitch/internal/core"
+	"github.com/silverswitch/silverswitch/internal/core/entry"
+	"github.com/silverswitch/silverswitch/internal/request/caller"
+	"github.com/silverswitch/silverswitch/internal/version"
+)
+
+// slotControl hands out one slot, and refuses what comes back.
+type slotControl struct {
+	Control
+	returned int
+	at       time.Time
+}
+
+func (c *slotControl) Return(t *Ticket, _ bool) {
+	c.returned++
+	t.Decide(Decision{At: c.at, Refusal: core.Refuse{Reason: entry.ReasonNoUpstream, After: time.Second}})
+}
+
+// The VM is suspended between the moment at which a request is given a slot and the one
+// at which it would use it: its lease has run out elsewhere, and another request may run
+// in that slot.
+func TestSlotFromBeforeASuspensionIsGivenBack(t *testing.T) {
+	var total atomic.Int64
+	stepped := clock.New(func() (time.Duration, bool) { return time.Duration(total.Load()), true })
+	ctl := &slotControl{at: stepped.Now()}
+	s := NewServer(ctl, conn.NewUpstreams(conn.DefaultLimits), DefaultLimits, metrics.NewRegistry())
+	s.clock = stepped
+	ticket := NewTicket(1)
+	ticket.Decide(Decision{Upstream: &version.Upstream{Name: "u", Address: "127.0.0.1:1"}, At: stepped.Now()})
+	total.Add(int64(5 * time.Second))
+
+	w, req := httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/", nil)
+	v := &visit{w: w, r: req, terms: caller.Terms{ID: "r1"}, span: trace.SpanFromContext(req.Context())}
+	r := &run{s: s, v: v, app: &version.Application{}, ticket: ticket, ctx: req.Context()}
+	r.loop()
+	assert.Equal(t, 1, ctl.returned)
+	assert.Zero(t, r.tries, "nothing was sent")
+}
