Operators see which requests are held, and why

Cause: a request that is refused for crashes elsewhere, minutes ago, had nothing around its line that told so. Change: held in /status, requests_held and upstreams_ended in the metrics, and explain-request shows every line of the same fingerprint, at any router and time.

--- a/internal/process/routed.go
+++ b/internal/process/routed.go
@@ -222,7 +222,7 @@
 	for name, n := range map[string]uint64{
 		"placed": s.Counts.Placed, "refused": s.Counts.Refused, "asked": s.Counts.Asked, "asked_again": s.Counts.AskedAgain,
 		"own_decisions": s.Counts.OwnDecision, "own_placed": s.Counts.OwnPlaced, "answers_late": s.Counts.AnswersLate, "pauses": s.Counts.Woke,
-		"table_version": s.Version, "store_revision": s.Revision, "routers": uint64(len(s.Routers)),
+		"table_version": s.Version, "store_revision": s.Revision, "routers": uint64(len(s.Routers)), "requests_held": uint64(len(s.Held)), "upstreams_ended": s.Counts.Ended,
 	} {
 		lines[promName("dispatch."+name)] = fmt.Sprint(n)
 	}
--- a/internal/process/steer.go
+++ b/internal/process/steer.go
@@ -70,6 +70,7 @@
 	Running   int                      `json:"requests"`
 	Routers   []wire.NodeID            `json:"routers"`
 	Upstreams []dispatch.UpstreamState `json:"upstreams"`
+	Held      []dispatch.HeldRequest   `json:"held"`
 	Counts    dispatch.Counts          `json:"counts"`
 }
 
@@ -200,7 +201,7 @@
 		s.judgeReady(now)
 		s.status.Store(&Status{
 			Router: s.id, Ready: s.ready.Load(), Leaving: s.leaving.Load(), Version: s.number(), Revision: s.view.Revision,
-			Running: len(s.tickets), Routers: s.node.Routers(), Upstreams: s.node.Upstreams(now), Counts: s.node.Counts,
+			Running: len(s.tickets), Routers: s.node.Routers(), Upstreams: s.node.Upstreams(now), Held: s.node.Held(now), Counts: s.node.Counts,
 		})
 	}
 }
--- a/internal/tool/story.go
+++ b/internal/tool/story.go
@@ -97,7 +97,7 @@
 // believe of themselves, their peers and the request's upstreams around it.
 func storyOf(id string, lines []logLine) []string {
 	sort.SliceStable(lines, func(i, j int) bool { return lines[i].at.Before(lines[j].at) })
-	routers, upstreams := map[string]bool{}, map[string]bool{}
+	routers, upstreams, prints := map[string]bool{}, map[string]bool{}, map[any]bool{}
 	var first, last time.Time
 	for _, l := range lines {
 		if l.fields["request"] != id {
@@ -111,6 +111,9 @@
 		if up, ok := l.fields["upstream"].(string); ok {
 			upstreams[up] = true
 		}
+		if print, ok := l.fields[fieldFingerprint]; ok {
+			prints[print] = true
+		}
 	}
 	if len(routers) == 0 {
 		return nil
@@ -118,7 +121,7 @@
 	var out []string
 	for _, l := range lines {
 		own := l.fields["request"] == id
-		if !own && !l.concerns(routers, upstreams, first, last) {
+		if !own && !l.sameContent(prints) && !l.concerns(routers, upstreams, first, last) {
 			continue
 		}
 		mark := " "
@@ -130,10 +133,17 @@
 	return out
 }
 
+// fieldFingerprint names the content of a request.
+const fieldFingerprint = "fingerprint"
+
+// sameContent reports whether a line, of any router and time, is about a request of the
+// same content: another try of it, or that it is suspected to crash upstreams.
+func (l logLine) sameContent(prints map[any]bool) bool { return prints[l.fields[fieldFingerprint]] }
+
 // concerns reports whether a line is a change of belief that may explain the
 // request: of one of its routers, near it in time.
 func (l logLine) concerns(routers, upstreams map[string]bool, first, last time.Time) bool {
-	if _, ofRequest := l.fields["request"]; ofRequest || !routers[l.router] || l.message == "lines-left-out" {
+	if _, ofRequest := l.fields["request"]; ofRequest || !routers[l.router] || l.message == "lines-left-out" || l.fields[fieldFingerprint] != nil {
 		return false
 	}
 	if up, ok := l.fields["upstream"].(string); ok && !upstreams[up] {
--- a/internal/tool/story_test.go
+++ b/internal/tool/story_test.go
@@ -20,6 +20,25 @@
 {"level":"info","router":"a","time":"2026-01-01T00:00:30.000Z","message":"readiness"}
 `
 
+const suspectLogs = `{"level":"info","router":"b","time":"2026-01-01T00:00:01.000Z","request":"r0","fingerprint":"00ff","message":"answer-broken"}
+{"level":"info","router":"b","time":"2026-01-01T00:00:01.100Z","fingerprint":"00ff","crashes":3,"held_ms":600000,"message":"request-suspected"}
+{"level":"info","router":"a","time":"2026-01-01T00:02:00.000Z","fingerprint":"00aa","crashes":2,"held_ms":0,"message":"request-suspected"}
+{"level":"info","router":"a","time":"2026-01-01T00:02:00.100Z","request":"r1","fingerprint":"00ff","crashes":3,"status":503,"reason":"crashes-upstreams","message":"request-failed"}
+`
+
+// Why a request is refused may have happened long before, at other routers, to another
+// try of it.
+func TestStoryTellsWhatOtherTriesDid(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "log")
+	require.NoError(t, os.WriteFile(path, []byte(suspectLogs), 0o600))
+	code, out, _ := run("explain-request", "r1", path)
+	require.Equal(t, ExitOK, code)
+	assert.Equal(t, `00:00:01.000   b answer-broken fingerprint=00ff request=r0
+00:00:01.100   b request-suspected crashes=3 fingerprint=00ff held_ms=600000
+00:02:00.100 * a request-failed crashes=3 fingerprint=00ff reason=crashes-upstreams status=503
+`, out)
+}
+
 func TestStoryOfARequest(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "log")
 	require.NoError(t, os.WriteFile(path, []byte(routerLogs), 0o600))
