Requests that crash upstreams are held on our own interface too

Cause: the same as on the routed one. 60 upstreams ended under 30 tries of one request. Change: both cores drive one tracker. Here an upstream's starts have no names; its crashes are told apart by spans of 5 s, and a router states what it holds on pings and acks.

--- a/internal/conn/idle.go
+++ b/internal/conn/idle.go
@@ -120,6 +120,16 @@
 	return false
 }
 
+// Refuses opens a connection to an address, closes it, and reports whether it was refused.
+func Refuses(ctx context.Context, addr string) bool {
+	d := net.Dialer{Timeout: dialTimeout}
+	c, err := d.DialContext(ctx, "tcp", addr)
+	if err == nil {
+		c.Close()
+	}
+	return IsRefused(err)
+}
+
 // limitUnacked bounds how long sent bytes may stay unacknowledged.
 func limitUnacked(_, _ string, raw syscall.RawConn) error {
 	var err error
--- /dev/null
+++ b/internal/core/crashes.go
@@ -0,0 +1,100 @@
+package core
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/silverswitch/silverswitch/internal/core/quarantine"
+	"github.com/silverswitch/silverswitch/internal/core/wire"
+	"github.com/silverswitch/silverswitch/internal/fingerprint"
+	"github.com/silverswitch/silverswitch/internal/version"
+)
+
+// Broke says that an attempt ended without a whole answer though the upstream may have
+// run it.
+type Broke struct {
+	Content  fingerprint.Fingerprint
+	Org      version.ID
+	Upstream version.ID
+}
+
+// ConnRefused says that an upstream's address refuses connections: its process has ended.
+type ConnRefused struct{ Upstream version.ID }
+
+// Answered says that a request to which crashes are set down has been answered whole.
+type Answered struct{ Content fingerprint.Fingerprint }
+
+func (Broke) input()       {}
+func (ConnRefused) input() {}
+func (Answered) input()    {}
+
+// Probe asks the driver whether an upstream's address refuses connections.
+type Probe struct{ Upstream version.ID }
+
+func (Probe) output() {}
+
+// crashSpan tells one crash of an upstream from the next: nothing here names the starts of
+// one that starts again. Routers see a crash within milliseconds of each other, and a
+// process is away for longer than the span or ends once in it.
+const crashSpan = 5 * time.Second
+
+// crashOf names the crash of an upstream at a time.
+func crashOf(up version.ID, now time.Time) version.ID {
+	return version.IDOf(fmt.Sprint(up, now.UnixNano()/int64(crashSpan)))
+}
+
+// Quarantine returns a copy of what is known of requests, and whether it has changed since
+// the last call.
+func (n *Node) Quarantine() (quarantine.View, bool) { return n.crashes.View() }
+
+// broke takes an attempt without a whole answer. The end of an upstream that is leaving is
+// planned, and says nothing of what it still runs.
+func (n *Node) broke(in Broke, now time.Time) {
+	if n.drains[in.Upstream] != nil {
+		return
+	}
+	if n.crashes.Broke(in.Content, in.Org, in.Upstream, true, now) {
+		n.out = append(n.out, Probe{Upstream: in.Upstream})
+	}
+}
+
+func (n *Node) connRefused(up version.ID, now time.Time) {
+	if n.drains[up] != nil {
+		return
+	}
+	if running, isNews := n.crashes.Ended(up, crashOf(up, now), now); isNews {
+		n.event("upstream-ended", uint64(running), fmt.Sprintf("upstream %d refuses connections; value: attempts that it left without an answer", up))
+	}
+}
+
+// headCrashes tells what this router holds, as one number, on pings and acks: every
+// router soon hears one from every other.
+func (n *Node) headCrashes(d *wire.Datagram) {
+	if d.Ping == nil && d.Ack == nil {
+		return
+	}
+	if d.Crashes == nil {
+		d.Crashes = &wire.CrashNews{}
+	}
+	d.Crashes.Stated, d.Crashes.Sum = true, n.crashes.Sum()
+}
+
+// reportCrashes hands over what has changed, for the log.
+func (n *Node) reportCrashes() {
+	for _, c := range n.crashes.Changes() {
+		detail := fmt.Sprintf("fingerprint %s, organisation %d, held for %v, seen by %q; value: crashes", c.Content, c.Org, c.Held, c.From)
+		n.event("request-suspected", uint64(c.Crashes), detail)
+	}
+}
+
+// organisationNames returns the names behind the organisations' IDs.
+func (n *Node) organisationNames() map[version.ID]string {
+	out := map[version.ID]string{}
+	if n.ver == nil {
+		return out
+	}
+	for id, o := range n.ver.Organisations {
+		out[id] = o.Name
+	}
+	return out
+}
--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -36,6 +36,7 @@
 	ReasonKeyTaken     Reason = "key-in-use"
 	ReasonKeyExpired   Reason = "key-outside-window"
 	ReasonKeyForgotten Reason = "key-may-be-forgotten"
+	ReasonCrashes      Reason = "crashes-upstreams"
 )
 
 // Start is leave to run a request at an upstream.
--- a/internal/core/io.go
+++ b/internal/core/io.go
@@ -143,6 +143,7 @@
 		}
 	}
 	n.takeEntry()
+	n.reportCrashes()
 	n.seal()
 	out := n.out
 	n.out = nil
@@ -206,6 +207,7 @@
 func (n *Node) seal() {
 	n.box.Seal(n.members, func(to wire.NodeID, d *wire.Datagram) {
 		n.headVersion(d)
+		n.headCrashes(d)
 		d.Drains = n.drainsToTell()
 		n.out = append(n.out, Send{To: to, Datagram: d})
 	})
--- a/internal/core/member/outbox.go
+++ b/internal/core/member/outbox.go
@@ -33,6 +33,29 @@
 	return d.Crashes
 }
 
+// AnswerCrashes adds an answer on requests that crash upstreams; nil is none.
+func (o *Outbox) AnswerCrashes(to wire.NodeID, answer *wire.CrashNews) {
+	if answer == nil {
+		return
+	}
+	c := o.Crashes(to)
+	c.Records = append(c.Records, answer.Records...)
+	c.Stated, c.Sum = answer.Stated, answer.Sum
+}
+
+// TellCrashes adds news on requests that crash upstreams for every live router but one.
+func (o *Outbox) TellCrashes(live []wire.NodeID, but wire.NodeID, news []wire.CrashRecord) {
+	if len(news) == 0 {
+		return
+	}
+	for _, id := range live {
+		if id != but {
+			c := o.Crashes(id)
+			c.Records = append(c.Records, news...)
+		}
+	}
+}
+
 // Post adds what membership sends.
 func (o *Outbox) Post(s Send) {
 	d := o.To(s.To)
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -12,6 +12,7 @@
 	"github.com/silverswitch/silverswitch/internal/core/entry"
 	"github.com/silverswitch/silverswitch/internal/core/ledger"
 	"github.com/silverswitch/silverswitch/internal/core/member"
+	"github.com/silverswitch/silverswitch/internal/core/quarantine"
 	"github.com/silverswitch/silverswitch/internal/core/sched"
 	"github.com/silverswitch/silverswitch/internal/core/wire"
 	"github.com/silverswitch/silverswitch/internal/version"
@@ -69,6 +70,7 @@
 	asks    map[uint64]*asking
 	holds   map[uint64]*claim.Ask // claims of requests past the witnesses
 	drains  map[version.ID]*drain
+	crashes *quarantine.Tracker
 	owners  ownerCache
 
 	rejected map[version.Number]bool
@@ -128,6 +130,7 @@
 		asks:     map[uint64]*asking{},
 		holds:    map[uint64]*claim.Ask{},
 		drains:   map[version.ID]*drain{},
+		crashes:  quarantine.NewTracker(),
 		rejected: map[version.Number]bool{},
 		started:  now,
 		lastTick: now,
@@ -167,6 +170,12 @@
 		n.markDrain(in.Upstream, drain{firstHand: true, firm: in.Firm}, now)
 	case Undrain:
 		n.unmark(in.Upstream)
+	case Broke:
+		n.broke(in, now)
+	case ConnRefused:
+		n.connRefused(in.Upstream, now)
+	case Answered:
+		n.crashes.Answered(in.Content, now)
 	case Leave:
 		n.leave(now)
 	}
@@ -184,6 +193,7 @@
 	n.tickAsks(now)
 	n.tickDrains(now)
 	n.tickPools(now)
+	n.box.TellCrashes(n.members.Live(true), n.set.ID, n.crashes.Tick(now))
 	if now.Sub(n.lastLedger) >= ledgerEvery {
 		n.lastLedger = now
 		n.sendLedger()
@@ -239,6 +249,9 @@
 		}
 	}
 	n.hearClaims(d, now)
+	if d.Crashes != nil {
+		n.box.AnswerCrashes(d.From, n.crashes.Heard(d.From, d.Crashes, now))
+	}
 	for i := range d.States {
 		n.adopt(&d.States[i], now)
 	}
--- a/internal/core/quarantine/tracker.go
+++ b/internal/core/quarantine/tracker.go
@@ -42,11 +42,11 @@
 //
 // An attempt that ends without a whole answer is a doubt: the answer may have been lost,
 // cut, or given up by its caller. It becomes a crash once the upstream is known to have
-// ended. One goroutine owns a tracker; upstreams are named by their starts.
+// ended. One goroutine owns a tracker.
 type Tracker struct {
 	list    *List
 	doubts  map[version.ID][]doubt   // by upstream
-	ended   map[version.ID]time.Time // upstreams known to have crashed
+	ended   map[version.ID]time.Time // crashes that are known
 	left    map[version.ID]time.Time // upstreams that were leaving, and have left
 	probed  map[version.ID]time.Time
 	news    map[fingerprint.Fingerprint]news
@@ -127,19 +127,20 @@
 func (t *Tracker) Left(up version.ID, now time.Time) { t.left[up] = now }
 
 // Ended takes the end of an upstream that was not leaving: the doubts there become
-// crashes. It returns their number, and false when the end was known.
-func (t *Tracker) Ended(up version.ID, now time.Time) (running int, isNews bool) {
-	if _, known := t.ended[up]; known {
+// crashes. crash names it at all routers alike: the upstream itself where each start has a
+// name of its own. It returns the number of doubts, and false when the end was known.
+func (t *Tracker) Ended(up, crash version.ID, now time.Time) (running int, isNews bool) {
+	if _, known := t.ended[crash]; known {
 		return 0, false
 	}
 	if _, left := t.left[up]; left {
 		return 0, false
 	}
-	t.ended[up] = now
+	t.ended[crash] = now
 	for _, d := range t.doubts[up] {
 		if now.Sub(d.at) < doubtFor {
 			running++
-			t.crashed(up, d, now)
+			t.crashed(crash, d, now)
 		}
 	}
 	delete(t.doubts, up)
@@ -147,8 +148,8 @@
 }
 
 // crashed sets an upstream's crash down to an attempt that was running there.
-func (t *Tracker) crashed(up version.ID, d doubt, now time.Time) {
-	if t.list.Crashed(d.content, d.org, up, now) {
+func (t *Tracker) crashed(crash version.ID, d doubt, now time.Time) {
+	if t.list.Crashed(d.content, d.org, crash, now) {
 		t.changed(d.content, d.org, "", now)
 	}
 }
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/silverswitch/silverswitch/internal/core/entry"
+	"github.com/silverswitch/silverswitch/internal/core/quarantine"
 	"github.com/silverswitch/silverswitch/internal/core/sched"
 	"github.com/silverswitch/silverswitch/internal/core/wire"
 	"github.com/silverswitch/silverswitch/internal/version"
@@ -27,7 +28,9 @@
 	Members  []MemberView     `json:"members"`
 	Pools    []PoolView       `json:"pools"`
 	Entry    entry.Counts     `json:"requests"`
-	Counts   Counts           `json:"control"`
+
+	Held   []quarantine.HeldRequest `json:"held"`
+	Counts Counts                   `json:"control"`
 }
 
 // MemberView is another router as this one knows it.
@@ -58,6 +61,7 @@
 		Leaving: n.leaving,
 		Watches: n.Watches(),
 		Waiting: n.entry.Waiting(),
+		Held:    n.crashes.Held(n.organisationNames(), now),
 		Running: n.entry.Running(),
 		Keys:    n.witness.Len(),
 		Cells:   n.led.Size(),
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -96,7 +96,8 @@
 	if n.isLeaving(i) {
 		return
 	}
-	running, isNews := n.crashes.Ended(version.IDOf(i.Start()), now)
+	start := version.IDOf(i.Start())
+	running, isNews := n.crashes.Ended(start, start, now)
 	if !isNews {
 		return
 	}
@@ -104,36 +105,12 @@
 	n.out = append(n.out, UpstreamEnded{Instance: i, By: by, Running: running})
 }
 
-// tickCrashes tells all routers the news.
-func (n *Node) tickCrashes(now time.Time) {
-	list := n.crashes.Tick(now)
-	if len(list) == 0 {
-		return
-	}
-	for _, id := range n.members.Live(true) {
-		if id != n.set.ID {
-			n.box.Crashes(id).Records = append(n.box.Crashes(id).Records, list...)
-		}
-	}
-}
-
 // stateHeld tells a router what this one holds, as one number.
 func (n *Node) stateHeld(to wire.NodeID) {
 	c := n.box.Crashes(to)
 	c.Stated, c.Sum = true, n.crashes.Sum()
 }
 
-// heardCrashes takes another router's news.
-func (n *Node) heardCrashes(from wire.NodeID, c *wire.CrashNews, now time.Time) {
-	answer := n.crashes.Heard(from, c, now)
-	if answer == nil {
-		return
-	}
-	mine := n.box.Crashes(from)
-	mine.Records = append(mine.Records, answer.Records...)
-	mine.Stated, mine.Sum = answer.Stated, answer.Sum
-}
-
 // reportCrashes hands over what has changed, for the log.
 func (n *Node) reportCrashes() {
 	for _, c := range n.crashes.Changes() {
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -223,7 +223,7 @@
 	n.tickBooked(now)
 	n.tickInherit(now)
 	n.tickReports(now)
-	n.tickCrashes(now)
+	n.box.TellCrashes(n.members.Live(true), n.set.ID, n.crashes.Tick(now))
 	n.tickBeat(now)
 }
 
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -35,7 +35,7 @@
 		n.receiveWork(d.From, d.Work, now)
 	}
 	if d.Crashes != nil {
-		n.heardCrashes(d.From, d.Crashes, now)
+		n.box.AnswerCrashes(d.From, n.crashes.Heard(d.From, d.Crashes, now))
 	}
 }
 
--- a/internal/process/daemon.go
+++ b/internal/process/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/silverswitch/silverswitch/internal/conn"
 	"github.com/silverswitch/silverswitch/internal/core"
 	"github.com/silverswitch/silverswitch/internal/core/wire"
+	"github.com/silverswitch/silverswitch/internal/fingerprint"
 	"github.com/silverswitch/silverswitch/internal/request"
 )
 
@@ -88,6 +89,10 @@
 }
 
 func (d *Daemon) listen(reg metrics.Registry) error {
+	prints, err := fingerprint.NewKey(d.set.Secret)
+	if err != nil {
+		return err
+	}
 	callers, err := net.Listen("tcp", d.set.Callers)
 	if err != nil {
 		return ErrSettings.Wrap(err, "[router] caller_address = %q", d.set.Callers)
@@ -97,7 +102,7 @@
 		callers.Close()
 		return ErrSettings.Wrap(err, "[router] operator_address = %q", d.set.Operator)
 	}
-	server := request.NewServer(d.drv, d.ups, d.set.Limits, reg)
+	server := request.NewServer(d.drv, d.ups, prints, d.set.Limits, reg)
 	d.callers = &http.Server{
 		Handler:           d.closing(server.Handler()),
 		ReadHeaderTimeout: d.set.HeadTime,
--- a/internal/process/driver.go
+++ b/internal/process/driver.go
@@ -44,6 +44,7 @@
 	done   chan struct{}
 
 	version atomic.Pointer[version.Version]
+	held    heldRequests
 	view    atomic.Pointer[core.View]
 	watches atomic.Bool
 	ready   atomic.Bool
@@ -132,6 +133,7 @@
 		d.ready.Store(v.Ready)
 	}
 	d.node.Tick(now)
+	d.held.publish(d.node.Quarantine())
 }
 
 // act carries out the core's outputs.
@@ -146,6 +148,8 @@
 			d.refuse(o)
 		case core.Fetch:
 			go d.fetch(o)
+		case core.Probe:
+			go d.probe(o.Upstream)
 		case core.Event:
 			d.log.Info().Uint64("value", o.Value).Str("detail", o.Detail).Msg(o.Name)
 		}
--- a/internal/process/operator.go
+++ b/internal/process/operator.go
@@ -48,6 +48,7 @@
 		lines["silverswitch_grants_returned"] = fmt.Sprintf("%d", v.Entry.GrantsReturned)
 		lines["silverswitch_grants_late"] = fmt.Sprintf("%d", v.Entry.GrantsLate)
 		lines["silverswitch_credits_used"] = fmt.Sprintf("%d", v.Entry.CreditsUsed)
+		lines["silverswitch_requests_held"] = fmt.Sprintf("%d", len(v.Held))
 		lines["silverswitch_pauses"] = fmt.Sprintf("%d", v.Counts.Woke)
 		lines["silverswitch_same_revision_values"] = fmt.Sprintf("%d", v.Counts.SameRevision)
 	}
--- a/internal/process/quarantine.go
+++ b/internal/process/quarantine.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"sync/atomic"
 
+	"github.com/silverswitch/silverswitch/internal/conn"
+	"github.com/silverswitch/silverswitch/internal/core"
 	"github.com/silverswitch/silverswitch/internal/core/quarantine"
 	"github.com/silverswitch/silverswitch/internal/dispatch"
 	"github.com/silverswitch/silverswitch/internal/fingerprint"
@@ -10,13 +13,31 @@
 	"github.com/silverswitch/silverswitch/internal/version"
 )
 
-// Quarantined implements forward.Control.
-func (s *Steerer) Quarantined(org string) map[fingerprint.Fingerprint]quarantine.State {
-	view := s.quarantine.Load()
+// heldRequests is what requests see of the control state's list of those that crash
+// upstreams. It may be read by any goroutine.
+type heldRequests struct {
+	view atomic.Pointer[quarantine.View]
+}
+
+// publish takes a copy of the list, if it has changed.
+func (h *heldRequests) publish(view quarantine.View, changed bool) {
+	if changed {
+		h.view.Store(&view)
+	}
+}
+
+// of returns what is known of an organisation's requests.
+func (h *heldRequests) of(org version.ID) map[fingerprint.Fingerprint]quarantine.State {
+	view := h.view.Load()
 	if view == nil || len(*view) == 0 {
 		return nil
 	}
-	return (*view)[version.IDOf(org)]
+	return (*view)[org]
+}
+
+// Quarantined implements forward.Control.
+func (s *Steerer) Quarantined(org string) map[fingerprint.Fingerprint]quarantine.State {
+	return s.held.of(version.IDOf(org))
 }
 
 // Broke implements forward.Control.
@@ -34,3 +55,28 @@
 		s.ConnRefused(i)
 	}
 }
+
+// Quarantined implements request.Control.
+func (d *Driver) Quarantined(org version.ID) map[fingerprint.Fingerprint]quarantine.State {
+	return d.held.of(org)
+}
+
+// Broke implements request.Control.
+func (d *Driver) Broke(b core.Broke) { d.Step(b) }
+
+// ConnRefused implements request.Control.
+func (d *Driver) ConnRefused(up version.ID) { d.Step(core.ConnRefused{Upstream: up}) }
+
+// AnsweredWhole implements request.Control.
+func (d *Driver) AnsweredWhole(f fingerprint.Fingerprint) { d.Step(core.Answered{Content: f}) }
+
+// probe looks whether an upstream that broke an answer has ended.
+func (d *Driver) probe(up version.ID) {
+	v := d.version.Load()
+	if v == nil || v.Upstreams[up] == nil {
+		return // a new configuration has taken it away
+	}
+	if conn.Refuses(context.Background(), v.Upstreams[up].Address) {
+		d.ConnRefused(up)
+	}
+}
--- a/internal/process/steer.go
+++ b/internal/process/steer.go
@@ -54,7 +54,7 @@
 	strained   bool // control goroutine only
 	covered    atomic.Pointer[map[serviceOrg]float64]
 	coverUntil time.Time // control goroutine only
-	quarantine atomic.Pointer[quarantine.View]
+	held       heldRequests
 	usable     atomic.Pointer[map[string]bool] // starts of instances that may be sent work
 	unnamed    map[string]bool                 // control goroutine only: starts whose service no table names
 	watchPause atomic.Int64                    // nanoseconds
@@ -169,9 +169,7 @@
 		s.publish(now)
 	}
 	s.node.Tick(now)
-	if view, changed := s.node.Quarantine(); changed {
-		s.quarantine.Store(&view)
-	}
+	s.held.publish(s.node.Quarantine())
 	s.ticks++
 	if on := s.Excess() > 0; on != s.strained {
 		s.strained = on
--- a/internal/request/outcome/outcome.go
+++ b/internal/request/outcome/outcome.go
@@ -95,6 +95,7 @@
 	entry.ReasonKeyTaken:     "another attempt with this idempotency key runs, has run, or may have run",
 	entry.ReasonKeyExpired:   "the idempotency key was minted too long ago or in the future",
 	entry.ReasonKeyForgotten: "routers that remember keys of that time are gone",
+	entry.ReasonCrashes:      "upstreams crashed each time that they ran this request; the same may be tried again later",
 }
 
 // body is the one shape of every error. It follows the OpenAI error object, so
--- a/internal/request/passage.go
+++ b/internal/request/passage.go
@@ -53,6 +53,7 @@
 		return p.failed(p.upstream, p.attempt, relay.Result{State: relay.InDoubt, Err: err})
 	}
 	p.tokens = usage(raw)
+	p.answeredWhole()
 	p.settle(true)
 	p.writeHead(p.res.Response, outcome.Answered, len(raw))
 	p.s.count.outcome(outcome.Answered, "")
@@ -120,6 +121,7 @@
 }
 
 func (p *passage) complete() {
+	p.answeredWhole()
 	p.settle(true)
 	p.v.w.Header().Set(http.TrailerPrefix+outcome.HeaderOutcome, string(outcome.Answered))
 	p.s.count.outcome(outcome.Answered, "")
@@ -213,6 +215,7 @@
 		return false
 	}
 	r := relay.Resume(p.ctx, p.s.ups, p.upstream, p.attempt, p.call.Organisation, p.next)
+	p.notSent(p.upstream, r.Err)
 	if r.State != relay.Replied {
 		return r.State == relay.NotSent || r.State == relay.InDoubt
 	}
@@ -225,6 +228,7 @@
 // the bound on that has passed.
 func (p *passage) callerGone() bool {
 	p.stop()
+	p.broke(p.upstream)
 	relay.Cancel(p.s.ups, p.upstream, p.attempt, p.call.Organisation)
 	p.settle(false)
 	p.s.count.outcome(outcome.Unknown, outcome.ReasonCanceled)
@@ -238,6 +242,7 @@
 	if !p.sent {
 		return p.failed(p.upstream, p.attempt, relay.Result{State: relay.InDoubt})
 	}
+	p.broke(p.upstream)
 	p.settle(false)
 	p.s.count.outcome(outcome.Unknown, outcome.ReasonBroken)
 	p.v.span.SetAttributes(attribute.String("outcome", string(outcome.Unknown)))
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -13,6 +13,7 @@
 
 	"github.com/silverswitch/silverswitch/internal/core/entry"
 	"github.com/silverswitch/silverswitch/internal/core/wire"
+	"github.com/silverswitch/silverswitch/internal/fingerprint"
 	"github.com/silverswitch/silverswitch/internal/request/outcome"
 	"github.com/silverswitch/silverswitch/internal/request/relay"
 	"github.com/silverswitch/silverswitch/internal/version"
@@ -37,6 +38,8 @@
 	ctx      context.Context
 	deadline time.Time
 	tries    int
+	ran      bool                     // an attempt may have run
+	print    *fingerprint.Fingerprint // once it was needed
 }
 
 // loop waits for a slot and tries, until there is an outcome.
@@ -51,6 +54,11 @@
 			r.s.ctl.Return(r.ticket, false)
 			continue
 		}
+		if left := r.heldFor(); left > 0 {
+			r.s.ctl.Cancel(r.ticket)
+			r.refuseHeld(left, r.ran)
+			return
+		}
 		if r.attempt(d.Upstream) {
 			return
 		}
@@ -102,6 +110,7 @@
 		p := &passage{run: r, upstream: u, attempt: id, res: res, ctx: ctx, stop: stop, began: time.Now()}
 		return p.deliver()
 	case relay.NotSent, relay.NotBegun:
+		r.notSent(u, res.Err)
 		span.SetAttributes(attribute.Bool("not_run", true))
 		return r.again(res.State == relay.NotSent)
 	case relay.Foreign:
@@ -124,6 +133,8 @@
 // failed ends an attempt that may have run. Only what is idempotent is tried
 // again, within the budget.
 func (r *run) failed(u *version.Upstream, id string, res relay.Result) bool {
+	r.ran = true
+	r.broke(u)
 	gone := r.v.r.Context().Err() != nil
 	if gone || r.ctx.Err() != nil {
 		relay.Cancel(r.s.ups, u, id, r.call.Organisation)
--- a/internal/request/server.go
+++ b/internal/request/server.go
@@ -21,6 +21,7 @@
 	"github.com/silverswitch/silverswitch/internal/conn"
 	"github.com/silverswitch/silverswitch/internal/core/claim"
 	"github.com/silverswitch/silverswitch/internal/core/entry"
+	"github.com/silverswitch/silverswitch/internal/fingerprint"
 	"github.com/silverswitch/silverswitch/internal/request/caller"
 	"github.com/silverswitch/silverswitch/internal/request/outcome"
 	"github.com/silverswitch/silverswitch/internal/request/relay"
@@ -51,11 +52,13 @@
 	budget *retryBudget
 	count  counters
 	clock  *clock.Clock
+	prints *fingerprint.Key
 	tracer trace.Tracer
 }
 
-// NewServer returns the callers' handler's state.
-func NewServer(ctl Control, ups *conn.Upstreams, limits Limits, reg metrics.Registry) *Server {
+// NewServer returns the callers' handler's state. It knows requests again by fingerprints
+// of the key.
+func NewServer(ctl Control, ups *conn.Upstreams, fingerprints *fingerprint.Key, limits Limits, reg metrics.Registry) *Server {
 	return &Server{
 		ctl:    ctl,
 		ups:    ups,
@@ -63,6 +66,7 @@
 		budget: newRetryBudget(),
 		count:  newCounters(reg),
 		clock:  clock.System,
+		prints: fingerprints,
 		tracer: otel.Tracer("silverswitch"),
 	}
 }
@@ -282,13 +286,17 @@
 	call.Header = v.r.Header
 	call.Organisation = v.org.Name
 	call.Repeatable = app.Idempotent
-	t := s.ctl.Submit(entry.Request{
+	run := &run{s: s, v: v, app: app, call: call, streams: streams, ctx: ctx, deadline: deadline}
+	if left := run.heldFor(); left > 0 {
+		run.refuseHeld(left, key != nil)
+		return
+	}
+	run.ticket = s.ctl.Submit(entry.Request{
 		Org:      v.org.ID,
 		App:      app.Name,
 		Urgent:   v.terms.Urgent || app.Priority == version.PriorityUrgent,
 		Deadline: deadline,
 	}, key)
-	run := &run{s: s, v: v, app: app, call: call, streams: streams, ticket: t, ctx: ctx, deadline: deadline}
 	run.loop()
 }
 
--- a/internal/request/suspend_test.go
+++ b/internal/request/suspend_test.go
@@ -9,12 +9,15 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/silverswitch/silverswitch/internal/clock"
 	"github.com/silverswitch/silverswitch/internal/conn"
 	"github.com/silverswitch/silverswitch/internal/core"
 	"github.com/silverswitch/silverswitch/internal/core/entry"
+	"github.com/silverswitch/silverswitch/internal/core/quarantine"
+	"github.com/silverswitch/silverswitch/internal/fingerprint"
 	"github.com/silverswitch/silverswitch/internal/request/caller"
 	"github.com/silverswitch/silverswitch/internal/version"
 )
@@ -26,6 +29,10 @@
 	at       time.Time
 }
 
+func (c *slotControl) Quarantined(version.ID) map[fingerprint.Fingerprint]quarantine.State {
+	return nil
+}
+
 func (c *slotControl) Return(t *Ticket, _ bool) {
 	c.returned++
 	t.Decide(Decision{At: c.at, Refusal: core.Refuse{Reason: entry.ReasonNoUpstream, After: time.Second}})
@@ -38,14 +45,16 @@
 	var total atomic.Int64
 	stepped := clock.New(func() (time.Duration, bool) { return time.Duration(total.Load()), true })
 	ctl := &slotControl{at: stepped.Now()}
-	s := NewServer(ctl, conn.NewUpstreams(conn.DefaultLimits), DefaultLimits, metrics.NewRegistry())
+	prints, err := fingerprint.NewKey("a secret of the fleet")
+	require.NoError(t, err)
+	s := NewServer(ctl, conn.NewUpstreams(conn.DefaultLimits), prints, DefaultLimits, metrics.NewRegistry())
 	s.clock = stepped
 	ticket := NewTicket(1)
 	ticket.Decide(Decision{Upstream: &version.Upstream{Name: "u", Address: "127.0.0.1:1"}, At: stepped.Now()})
 	total.Add(int64(5 * time.Second))
 
 	w, req := httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/", nil)
-	v := &visit{w: w, r: req, terms: caller.Terms{ID: "r1"}, span: trace.SpanFromContext(req.Context())}
+	v := &visit{w: w, r: req, org: &version.Organisation{}, terms: caller.Terms{ID: "r1"}, span: trace.SpanFromContext(req.Context())}
 	r := &run{s: s, v: v, app: &version.Application{}, ticket: ticket, ctx: req.Context()}
 	r.loop()
 	assert.Equal(t, 1, ctl.returned)
--- a/internal/request/ticket.go
+++ b/internal/request/ticket.go
@@ -11,7 +11,9 @@
 	"github.com/silverswitch/silverswitch/internal/core"
 	"github.com/silverswitch/silverswitch/internal/core/claim"
 	"github.com/silverswitch/silverswitch/internal/core/entry"
+	"github.com/silverswitch/silverswitch/internal/core/quarantine"
 	"github.com/silverswitch/silverswitch/internal/core/wire"
+	"github.com/silverswitch/silverswitch/internal/fingerprint"
 	"github.com/silverswitch/silverswitch/internal/version"
 )
 
@@ -32,6 +34,15 @@
 	Return(t *Ticket, failed bool)
 	// Finish ends a ticket that has a slot.
 	Finish(t *Ticket, s wire.Sample, answered bool)
+	// Quarantined returns what is known of an organisation's requests under which
+	// upstreams have crashed; it is not changed.
+	Quarantined(org version.ID) map[fingerprint.Fingerprint]quarantine.State
+	// Broke says that an attempt ended without a whole answer though it may have run.
+	Broke(core.Broke)
+	// ConnRefused says that an upstream's address refuses connections.
+	ConnRefused(version.ID)
+	// AnsweredWhole says that a request of those in Quarantined has been answered.
+	AnsweredWhole(fingerprint.Fingerprint)
 	// Leaving says that an upstream told this router it is leaving.
 	Leaving(id version.ID)
 }
