--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -44,6 +44,8 @@
 type List struct {
 	entries map[fingerprint.Fingerprint]*entry
 	changed bool // since View was called
+	sum     uint64
+	summed  bool // sum holds: every regular message tells it
 }
 
 type entry struct {
@@ -100,7 +102,7 @@
 	}
 	e.answers++
 	e.crashed = nil
-	l.changed = true
+	l.touch()
 	return true
 }
 
@@ -139,10 +141,15 @@
 		e.last = at
 	}
 	e.held = e.held || len(e.crashed) >= HoldAfter
-	l.changed = l.changed || news
+	if news {
+		l.touch()
+	}
 	return news
 }
 
+// touch notes that something has changed.
+func (l *List) touch() { l.changed, l.summed = true, false }
+
 // makeRoom forgets one entry when the list is full: of the organisation that has most of
 // them, so that one that sends a new deadly request each time displaces its own; of these
 // the one with the fewest crashes, the oldest first.
@@ -169,6 +176,7 @@
 		}
 	}
 	delete(l.entries, least)
+	l.touch()
 }
 
 // Expire forgets what says nothing any more.
@@ -176,7 +184,7 @@
 	for f, e := range l.entries {
 		if e.forgotten(now) {
 			delete(l.entries, f)
-			l.changed = true
+			l.touch()
 		}
 	}
 }
@@ -274,13 +282,16 @@
 
 // Sum is the same at two routers that hold, and held, the same requests.
 func (l *List) Sum() uint64 {
-	sum := uint64(0)
+	if l.summed {
+		return l.sum
+	}
+	l.sum, l.summed = 0, true
 	for f, e := range l.entries {
 		if e.held {
-			sum ^= (uint64(f) + uint64(min(len(e.crashed), HoldAfter))) * spread
+			l.sum ^= (uint64(f) + uint64(min(len(e.crashed), HoldAfter))) * spread
 		}
 	}
-	return sum
+	return l.sum
 }
 
 // Len returns the number of requests remembered.
