The head of an upstream's answer is bounded

Change: 256 KB at most for each head; the connection is then closed, and the attempt ends like a broken one. Conclusion: answers that are not streams are still held whole, up to 16 MB each, with no bound on their sum: open.

--- a/internal/conn/exchange.go
+++ b/internal/conn/exchange.go
@@ -34,6 +34,8 @@
 	maxStale = 2
 	// maxStaleBody is the largest body read past to reach the next answer.
 	maxStaleBody = 256 << 10
+	// maxHead is the largest head of an answer, in bytes.
+	maxHead = 256 << 10
 	// inlineBody is the largest body written before the answer is waited for; a
 	// larger one is written beside it, since an upstream may answer early.
 	inlineBody = 2 << 10
@@ -134,10 +136,12 @@
 // former requests are skipped.
 func (x *Exchange) readHead(method string, own func(*http.Response) bool) error {
 	for stale := 0; ; {
+		x.c.in.allow(maxHead)
 		res, err := http.ReadResponse(x.c.br, &http.Request{Method: method})
 		if err != nil {
 			return err
 		}
+		x.c.in.allow(noBound)
 		if res.StatusCode >= 100 && res.StatusCode < 200 {
 			continue
 		}
--- a/internal/conn/exchange_test.go
+++ b/internal/conn/exchange_test.go
@@ -1,15 +1,18 @@
 package conn
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -321,3 +324,57 @@
 	defer c.Close()
 	assert.False(t, c.kept)
 }
+
+// An upstream's head without an end would fill a router's memory until its process is
+// killed, and the caller's next try would do the same to the next router.
+func TestHeadWithoutAnEndIsGivenUp(t *testing.T) {
+	const most = 16 << 20
+	sent := make(chan int, 1)
+	addr := serveRaw(t, func(c net.Conn) {
+		defer c.Close()
+		_, _ = http.ReadRequest(bufio.NewReader(c))
+		line := []byte("X-Filler: " + strings.Repeat("x", 1000) + "\r\n")
+		n, _ := io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+		for n < most {
+			k, err := c.Write(line)
+			n += k
+			if err != nil {
+				break
+			}
+		}
+		sent <- n
+	})
+	p := NewExchanges()
+	defer p.Close()
+	_, err := p.Send(context.Background(), addr, &Message{Method: "GET", Target: "/", Host: "h", Header: http.Header{}}, anyAnswer)
+	assert.True(t, errorx.IsOfType(err, ErrExchange), "%v", err)
+	assert.False(t, IsLost(err), "the upstream did not end the connection")
+	assert.Less(t, <-sent, most)
+}
+
+// The bound is on each head alone: a body may be larger, and a kept connection may bring
+// any number of answers.
+func TestBoundOfHeadsIsOnEachAlone(t *testing.T) {
+	const answers = 8
+	body := strings.Repeat("b", maxHead)
+	addr := serveRaw(t, func(c net.Conn) {
+		defer c.Close()
+		br := bufio.NewReader(c)
+		for {
+			if _, err := http.ReadRequest(br); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Filler: "+strings.Repeat("x", maxHead/2)+"\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
+		}
+	})
+	p := NewExchanges()
+	defer p.Close()
+	for range answers {
+		x, err := p.Send(context.Background(), addr, &Message{Method: "GET", Target: "/", Host: "h", Header: http.Header{}}, anyAnswer)
+		require.NoError(t, err)
+		raw, err := io.ReadAll(x.Response.Body)
+		require.NoError(t, err)
+		assert.Equal(t, body, string(raw))
+		x.Close(true)
+	}
+}
--- a/internal/conn/idle.go
+++ b/internal/conn/idle.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -65,8 +66,9 @@
 	net.Conn
 	kept  bool // it has served before
 	addr  string
-	br    *bufio.Reader
-	since time.Time // idle since
+	in    *bounded
+	br    *bufio.Reader // of in
+	since time.Time     // idle since
 	limit time.Duration
 }
 
@@ -106,7 +108,33 @@
 	if p.Opened != nil {
 		p.Opened()
 	}
-	return &upConn{Conn: c, addr: addr, br: bufio.NewReaderSize(c, readBuffer), limit: idleLimit}, nil
+	in := &bounded{from: c, left: noBound}
+	return &upConn{Conn: c, addr: addr, in: in, br: bufio.NewReaderSize(in, readBuffer), limit: idleLimit}, nil
+}
+
+// bounded reads no more than it is allowed to. net/http's reading of an answer's head has
+// no bound: one without an end filled a router's memory.
+type bounded struct {
+	from io.Reader
+	left int // bytes, noBound for any number
+}
+
+const noBound = -1
+
+var errHeadTooLarge = errors.New("the head of the answer is too large")
+
+func (b *bounded) allow(n int) { b.left = n }
+
+func (b *bounded) Read(p []byte) (int, error) {
+	if b.left == noBound {
+		return b.from.Read(p)
+	}
+	if b.left == 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := b.from.Read(p[:min(len(p), b.left)])
+	b.left -= n
+	return n, err
 }
 
 // Refuses opens a connection to an address and reports whether it is refused: nothing
