--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -130,7 +130,7 @@
 		asks:     map[uint64]*asking{},
 		holds:    map[uint64]*claim.Ask{},
 		drains:   map[version.ID]*drain{},
-		crashes:  quarantine.NewTracker(),
+		crashes:  quarantine.NewTracker(set.ID),
 		rejected: map[version.Number]bool{},
 		started:  now,
 		lastTick: now,
--- a/internal/core/quarantine/tracker.go
+++ b/internal/core/quarantine/tracker.go
@@ -44,6 +44,7 @@
 // cut, or given up by its caller. It becomes a crash once the upstream is known to have
 // ended. One goroutine owns a tracker.
 type Tracker struct {
+	self    wire.NodeID
 	list    *List
 	doubts  map[version.ID][]doubt   // by upstream
 	ended   map[version.ID]time.Time // crashes that are known
@@ -74,12 +75,13 @@
 	Org     version.ID
 	Crashes int           // since its last whole answer
 	Held    time.Duration // how much longer it is held, 0 when it is not
-	From    wire.NodeID   // who saw it; "" is this router
+	From    wire.NodeID   // who saw it
 }
 
-// NewTracker returns one that knows nothing.
-func NewTracker() *Tracker {
+// NewTracker returns one of a router that knows nothing.
+func NewTracker(self wire.NodeID) *Tracker {
 	return &Tracker{
+		self:   self,
 		list:   New(),
 		doubts: map[version.ID][]doubt{},
 		ended:  map[version.ID]time.Time{},
@@ -150,7 +152,7 @@
 // crashed sets an upstream's crash down to an attempt that was running there.
 func (t *Tracker) crashed(crash version.ID, d doubt, now time.Time) {
 	if t.list.Crashed(d.content, d.org, crash, now) {
-		t.changed(d.content, d.org, "", now)
+		t.changed(d.content, d.org, t.self, now)
 	}
 }
 
@@ -160,7 +162,7 @@
 		return
 	}
 	told, _ := t.list.Told(f, now)
-	t.changed(f, told.Org, "", now)
+	t.changed(f, told.Org, t.self, now)
 }
 
 // changed notes a change for the log and, when this router saw it, for all others. One
@@ -170,7 +172,7 @@
 	if s.Crashes != 1 {
 		t.changes = append(t.changes, Change{Content: f, Org: org, Crashes: s.Crashes, Held: s.Held(now), From: from})
 	}
-	if from == "" {
+	if from == t.self {
 		t.news[f] = news{left: tellTimes, due: now}
 	}
 }
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -156,7 +156,7 @@
 		words:     newWords(),
 		gaveUp:    map[uint64]givenUp{},
 		reports:   newReports(),
-		crashes:   quarantine.NewTracker(),
+		crashes:   quarantine.NewTracker(set.ID),
 		begun:     now,
 		firstLook: firstLookOf(set, rnd),
 		beats:     beats{schedulers: map[version.ID]wire.NodeID{}},
--- a/internal/tool/story.go
+++ b/internal/tool/story.go
@@ -121,7 +121,7 @@
 	var out []string
 	for _, l := range lines {
 		own := l.fields["request"] == id
-		if !own && !l.sameContent(prints) && !l.concerns(routers, upstreams, first, last) {
+		if !own && !l.sameContent(prints, last) && !l.concerns(routers, upstreams, first, last) {
 			continue
 		}
 		mark := " "
@@ -136,9 +136,12 @@
 // fieldFingerprint names the content of a request.
 const fieldFingerprint = "fingerprint"
 
-// sameContent reports whether a line, of any router and time, is about a request of the
-// same content: another try of it, or that it is suspected to crash upstreams.
-func (l logLine) sameContent(prints map[any]bool) bool { return prints[l.fields[fieldFingerprint]] }
+// sameContent reports whether a line, of any router and any time until the request's end,
+// is about a request of the same content: another try of it, or that it is suspected to
+// crash upstreams.
+func (l logLine) sameContent(prints map[any]bool, last time.Time) bool {
+	return prints[l.fields[fieldFingerprint]] && !l.at.After(last)
+}
 
 // concerns reports whether a line is a change of belief that may explain the
 // request: of one of its routers, near it in time.
--- a/internal/tool/story_test.go
+++ b/internal/tool/story_test.go
@@ -24,6 +24,7 @@
 {"level":"info","router":"b","time":"2026-01-01T00:00:01.100Z","fingerprint":"00ff","crashes":3,"held_ms":600000,"message":"request-suspected"}
 {"level":"info","router":"a","time":"2026-01-01T00:02:00.000Z","fingerprint":"00aa","crashes":2,"held_ms":0,"message":"request-suspected"}
 {"level":"info","router":"a","time":"2026-01-01T00:02:00.100Z","request":"r1","fingerprint":"00ff","crashes":3,"status":503,"reason":"crashes-upstreams","message":"request-failed"}
+{"level":"info","router":"a","time":"2026-01-01T00:02:00.200Z","request":"r2","fingerprint":"00ff","crashes":3,"status":503,"reason":"crashes-upstreams","message":"request-failed"}
 `
 
 // Why a request is refused may have happened long before, at other routers, to another
