Two crashes before the first event hold a request

Cause: after every router has lost power what is held is lost too, and each request must end upstreams again until it is known. Three crashes are counted whatever the answer had come to; what ends an upstream when it begins to run has had no event, and few of the sound requests beside it have not. Change: a crash before the answer's first event weighs 3, one later 2, and 6 hold the request: two early ones or three of any kind. One crash, and its clearing, is no line of the log any more.

--- a/internal/core/crashes.go
+++ b/internal/core/crashes.go
@@ -11,11 +11,12 @@
 )
 
 // Broke says that an attempt ended without a whole answer though the upstream may have
-// run it.
+// run it. Early says that its answer had no event yet.
 type Broke struct {
 	Content  fingerprint.Fingerprint
 	Org      version.ID
 	Upstream version.ID
+	Early    bool
 }
 
 // ConnRefused says that an upstream's address refuses connections: its process has ended.
@@ -53,7 +54,8 @@
 	if n.drains[in.Upstream] != nil {
 		return
 	}
-	if n.crashes.Broke(in.Content, in.Org, in.Upstream, true, now) {
+	a := quarantine.Attempt{Content: in.Content, Org: in.Org, Early: in.Early, Lost: true}
+	if n.crashes.Broke(in.Upstream, a, now) {
 		n.out = append(n.out, Probe{Upstream: in.Upstream})
 	}
 }
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -3,7 +3,7 @@
 //
 // Load pattern: a request ends each upstream that begins to run it, and comes again at
 // any router. Whatever runs beside it is suspected with it, tens of sound requests for one
-// that is guilty; three crashes in a row without a whole answer between tell them apart.
+// that is guilty; a few crashes in a row without a whole answer between tell them apart.
 //
 // What is known of a request is the set of upstreams that crashed under it since its last
 // whole answer, and the number of those answers: of two sets the one after more answers
@@ -22,12 +22,19 @@
 )
 
 const (
-	// HoldAfter is the number of crashes after which a request is held. Two prove too
-	// little: a stream that is resumed when its upstream crashes meets another crash by
-	// chance (TestRacksThatLosePowerCondemnFewSoundRequests has the figures).
+	// HoldAfter is the number of crashes after which a request is held at the latest. Two
+	// prove too little where an answer had begun: a stream that is resumed when its
+	// upstream crashes meets another crash by chance.
 	HoldAfter = 3
-	// holdFor is how long a request is held after its third crash, and twice as long
-	// after each one more: every time that it is tried again may cost an upstream.
+	// lateWeight is what a crash in the midst of an answer weighs, earlyWeight one before
+	// the answer's first event: what ends an upstream when it begins to run has had none,
+	// of the sound requests beside it few have not. Two early crashes hold a request, or
+	// three of any kind (TestRacksThatLosePowerCondemnFewSoundRequests has the figures).
+	lateWeight  = 2
+	earlyWeight = 3
+	holdWeight  = HoldAfter * lateWeight
+	// holdFor is how long a request is held, and twice as long after each crash more:
+	// every time that it is tried again may cost an upstream.
 	holdFor = 10 * time.Minute
 	maxHold = 2 * time.Hour
 	// suspectFor is how long fewer crashes are remembered.
@@ -52,6 +59,7 @@
 	org     version.ID
 	answers uint32       // whole ones that were told of: they clear what was before
 	crashed []version.ID // starts of upstreams since then, sorted
+	early   []version.ID // of these, before the answer's first event
 	held    bool         // it is, or was before an answer, held
 	last    time.Time    // of the crashes
 }
@@ -61,13 +69,19 @@
 
 // hold is how long the request is held after its last crash, 0 when it is not.
 func (e *entry) hold() time.Duration {
-	n := len(e.crashed)
-	if n < HoldAfter {
+	if !e.heavy() {
 		return 0
 	}
-	return min(holdFor<<(n-HoldAfter), maxHold)
+	return min(holdFor<<((e.weight()-holdWeight)/lateWeight), maxHold)
 }
 
+func (e *entry) weight() int {
+	return lateWeight*len(e.crashed) + (earlyWeight-lateWeight)*len(e.early)
+}
+
+// heavy reports whether its crashes hold the request.
+func (e *entry) heavy() bool { return e.weight() >= holdWeight }
+
 // forgotten reports whether the entry says nothing any more. A request that was held is
 // remembered as long again after it: the next crash holds it at once.
 func (e *entry) forgotten(now time.Time) bool {
@@ -84,13 +98,23 @@
 	return all, !slices.Equal(a, all)
 }
 
-// Crashed notes that an upstream crashed while it ran a request. It reports whether that
-// is news.
-func (l *List) Crashed(f fingerprint.Fingerprint, org, up version.ID, now time.Time) bool {
+// Crashed notes that an upstream crashed while it ran a request; early says that its
+// answer had no event yet. It reports whether that is news.
+func (l *List) Crashed(f fingerprint.Fingerprint, org, up version.ID, early bool, now time.Time) bool {
 	e := l.entry(f, org)
-	var news bool
-	e.crashed, news = join(e.crashed, []version.ID{up})
-	return l.settle(e, news, now)
+	crash := []version.ID{up}
+	if !early {
+		return l.settle(e, e.join(crash, nil), now)
+	}
+	return l.settle(e, e.join(crash, crash), now)
+}
+
+// join adds crashes, and reports whether there were new ones.
+func (e *entry) join(crashed, early []version.ID) bool {
+	var more, sooner bool
+	e.crashed, more = join(e.crashed, crashed)
+	e.early, sooner = join(e.early, early)
+	return more || sooner
 }
 
 // Answered notes that a request was answered whole: no crash before speaks against it. It
@@ -101,7 +125,7 @@
 		return false
 	}
 	e.answers++
-	e.crashed = nil
+	e.crashed, e.early = nil, nil
 	l.touch()
 	return true
 }
@@ -114,13 +138,12 @@
 	e.held = e.held || w.Held
 	switch {
 	case w.Answers > e.answers:
-		e.answers, e.crashed = w.Answers, nil
+		e.answers, e.crashed, e.early = w.Answers, nil, nil
 		news = true
 	case w.Answers < e.answers:
 		return l.settle(e, news, at)
 	}
-	var more bool
-	e.crashed, more = join(e.crashed, w.Crashed)
+	more := e.join(w.Crashed, w.Early)
 	return l.settle(e, news || more, at)
 }
 
@@ -140,7 +163,7 @@
 	if at.After(e.last) {
 		e.last = at
 	}
-	e.held = e.held || len(e.crashed) >= HoldAfter
+	e.held = e.held || e.heavy()
 	if news {
 		l.touch()
 	}
@@ -171,7 +194,7 @@
 			continue
 		}
 		o := l.entries[least]
-		if o == nil || cmp.Or(cmp.Compare(len(e.crashed), len(o.crashed)), e.last.Compare(o.last), cmp.Compare(f, least)) < 0 {
+		if o == nil || cmp.Or(cmp.Compare(e.weight(), o.weight()), e.last.Compare(o.last), cmp.Compare(f, least)) < 0 {
 			least = f
 		}
 	}
@@ -255,6 +278,7 @@
 		Org:     e.org,
 		Answers: e.answers,
 		Crashed: e.crashed,
+		Early:   e.early,
 		Held:    e.held,
 		AgeMS:   uint32(max(0, now.Sub(e.last).Milliseconds())),
 	}, true
@@ -287,8 +311,11 @@
 	}
 	l.sum, l.summed = 0, true
 	for f, e := range l.entries {
-		if e.held {
-			l.sum ^= (uint64(f) + uint64(min(len(e.crashed), HoldAfter))) * spread
+		switch {
+		case e.heavy():
+			l.sum ^= (uint64(f) + 1) * spread
+		case e.held:
+			l.sum ^= uint64(f) * spread
 		}
 	}
 	return l.sum
--- a/internal/core/quarantine/tracker.go
+++ b/internal/core/quarantine/tracker.go
@@ -60,6 +60,7 @@
 type doubt struct {
 	content fingerprint.Fingerprint
 	org     version.ID
+	early   bool // the answer had no event yet
 	at      time.Time
 }
 
@@ -103,14 +104,21 @@
 	return out
 }
 
-// Broke takes an attempt that ended without a whole answer though it may have run; lost
-// says that the upstream's side ended the connection. It reports whether the upstream is
-// to be looked at now.
-func (t *Tracker) Broke(f fingerprint.Fingerprint, org, up version.ID, lost bool, now time.Time) bool {
+// Attempt is one that ended without a whole answer though it may have run.
+type Attempt struct {
+	Content fingerprint.Fingerprint
+	Org     version.ID
+	Early   bool // its answer had no event yet
+	Lost    bool // the upstream's side ended the connection
+}
+
+// Broke takes an attempt at an upstream. It reports whether the upstream is to be looked
+// at now.
+func (t *Tracker) Broke(up version.ID, a Attempt, now time.Time) bool {
 	if _, left := t.left[up]; left {
 		return false // its end was planned, and says nothing of what it still ran
 	}
-	d := doubt{f, org, now}
+	d := doubt{a.Content, a.Org, a.Early, now}
 	if _, ended := t.ended[up]; ended {
 		t.crashed(up, d, now)
 		return false
@@ -118,7 +126,7 @@
 	if list := t.doubts[up]; len(list) < maxDoubts {
 		t.doubts[up] = append(list, d)
 	}
-	if !lost || now.Sub(t.probed[up]) < probeAgain {
+	if !a.Lost || now.Sub(t.probed[up]) < probeAgain {
 		return false
 	}
 	t.probed[up] = now
@@ -151,25 +159,27 @@
 
 // crashed sets an upstream's crash down to an attempt that was running there.
 func (t *Tracker) crashed(crash version.ID, d doubt, now time.Time) {
-	if t.list.Crashed(d.content, d.org, crash, now) {
-		t.changed(d.content, d.org, t.self, now)
+	before := t.list.State(d.content).Crashes
+	if t.list.Crashed(d.content, d.org, crash, d.early, now) {
+		t.changed(d.content, d.org, t.self, before, now)
 	}
 }
 
 // Answered takes the whole answer of a request that was suspected.
 func (t *Tracker) Answered(f fingerprint.Fingerprint, now time.Time) {
+	before := t.list.State(f).Crashes
 	if !t.list.Answered(f) {
 		return
 	}
 	told, _ := t.list.Told(f, now)
-	t.changed(f, told.Org, t.self, now)
+	t.changed(f, told.Org, t.self, before, now)
 }
 
 // changed notes a change for the log and, when this router saw it, for all others. One
-// crash is no line: tens of sound requests are suspected with each.
-func (t *Tracker) changed(f fingerprint.Fingerprint, org version.ID, from wire.NodeID, now time.Time) {
+// crash is no line, nor is its clearing: tens of sound requests are suspected with each.
+func (t *Tracker) changed(f fingerprint.Fingerprint, org version.ID, from wire.NodeID, before int, now time.Time) {
 	s := t.list.State(f)
-	if s.Crashes != 1 {
+	if max(before, s.Crashes) > 1 {
 		t.changes = append(t.changes, Change{Content: f, Org: org, Crashes: s.Crashes, Held: s.Held(now), From: from})
 	}
 	if from == t.self {
@@ -217,8 +227,10 @@
 // the same requests: one has just started, or there was a cut between them.
 func (t *Tracker) Heard(from wire.NodeID, c *wire.CrashNews, now time.Time) *wire.CrashNews {
 	for _, w := range c.Records {
+		f := fingerprint.Fingerprint(w.Content)
+		before := t.list.State(f).Crashes
 		if t.list.Join(w, now) {
-			t.changed(fingerprint.Fingerprint(w.Content), w.Org, from, now)
+			t.changed(f, w.Org, from, before, now)
 		}
 	}
 	if !c.Stated || c.Sum == t.list.Sum() {
--- a/internal/core/wire/crashes.go
+++ b/internal/core/wire/crashes.go
@@ -19,6 +19,7 @@
 	Org     version.ID
 	Answers uint32       // whole ones, after which crashes are counted anew
 	Crashed []version.ID // starts of upstreams, since the last of those
+	Early   []version.ID // of these, before the answer's first event
 	Held    bool         // the request is, or was before an answer, held back
 	AgeMS   uint32       // of the last crash
 }
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -14,11 +14,13 @@
 // follows from it is package quarantine's to decide.
 
 // Broke says that an attempt ended without a whole answer though the upstream may have
-// run it. Lost says that the upstream's side ended the connection.
+// run it. Early says that its answer had no event yet, Lost that the upstream's side ended
+// the connection.
 type Broke struct {
 	Content  fingerprint.Fingerprint
 	Org      string
 	Instance routing.Instance
+	Early    bool
 	Lost     bool
 }
 
@@ -67,7 +69,8 @@
 	if n.isLeaving(in.Instance) {
 		return // its end is planned, and says nothing of what it still runs
 	}
-	if n.crashes.Broke(in.Content, version.IDOf(in.Org), version.IDOf(in.Instance.Start()), in.Lost, now) {
+	a := quarantine.Attempt{Content: in.Content, Org: version.IDOf(in.Org), Early: in.Early, Lost: in.Lost}
+	if n.crashes.Broke(version.IDOf(in.Instance.Start()), a, now) {
 		n.out = append(n.out, Probe{Instance: in.Instance})
 	}
 }
--- a/internal/request/forward/answer.go
+++ b/internal/request/forward/answer.go
@@ -81,7 +81,7 @@
 // broken follows an answer that cannot be passed on; the request may have run.
 func (a *answer) broken(err error) step {
 	a.ran = true
-	a.broke(a.place, err)
+	a.broke(a.place, !a.noted, err)
 	if errors.Is(context.Cause(a.attempt), conn.ErrSilence) {
 		a.x.FellSilent()
 	}
@@ -188,7 +188,7 @@
 			break
 		}
 	}
-	a.broke(a.place, context.Canceled)
+	a.broke(a.place, false, context.Canceled)
 	a.s.ctl.End(a.ticket, wire.NoteDone)
 	a.giveUp("caller-unreachable", a.place.Instance.ID, nil)
 	return stepDone
--- a/internal/request/forward/run.go
+++ b/internal/request/forward/run.go
@@ -187,7 +187,7 @@
 	r.ran = r.ran || sent
 	switch {
 	case sent:
-		r.broke(p, err)
+		r.broke(p, true, err)
 	case conn.IsRefused(err):
 		r.s.ctl.ConnRefused(p.Instance)
 	}
--- a/internal/request/passage.go
+++ b/internal/request/passage.go
@@ -228,7 +228,7 @@
 // the bound on that has passed.
 func (p *passage) callerGone() bool {
 	p.stop()
-	p.broke(p.upstream)
+	p.broke(p.upstream, p.events == 0)
 	relay.Cancel(p.s.ups, p.upstream, p.attempt, p.call.Organisation)
 	p.settle(false)
 	p.s.count.outcome(outcome.Unknown, outcome.ReasonCanceled)
@@ -242,7 +242,7 @@
 	if !p.sent {
 		return p.failed(p.upstream, p.attempt, relay.Result{State: relay.InDoubt})
 	}
-	p.broke(p.upstream)
+	p.broke(p.upstream, p.events == 0)
 	p.settle(false)
 	p.s.count.outcome(outcome.Unknown, outcome.ReasonBroken)
 	p.v.span.SetAttributes(attribute.String("outcome", string(outcome.Unknown)))
--- a/internal/request/quarantine.go
+++ b/internal/request/quarantine.go
@@ -47,9 +47,10 @@
 	r.s.failVisit(r.v, outcome.Refused(entry.ReasonCrashes, left, doubt))
 }
 
-// broke says that the upstream may have run the request and gave no whole answer.
-func (r *run) broke(u *version.Upstream) {
-	r.s.ctl.Broke(core.Broke{Content: r.content(), Org: r.v.org.ID, Upstream: u.ID})
+// broke says that the upstream may have run the request and gave no whole answer; early
+// that the answer had not begun.
+func (r *run) broke(u *version.Upstream, early bool) {
+	r.s.ctl.Broke(core.Broke{Content: r.content(), Org: r.v.org.ID, Upstream: u.ID, Early: early})
 }
 
 // notSent says so when the upstream's process has ended.
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -134,7 +134,7 @@
 // again, within the budget.
 func (r *run) failed(u *version.Upstream, id string, res relay.Result) bool {
 	r.ran = true
-	r.broke(u)
+	r.broke(u, true)
 	gone := r.v.r.Context().Err() != nil
 	if gone || r.ctx.Err() != nil {
 		relay.Cancel(r.s.ups, u, id, r.call.Organisation)
