What requests ask of the control state stands in a file of its own

Cause: steer.go had 395 lines on two matters: running the node, and what requests ask of it. Two sums over a window stood twice. Change: moved; no behaviour. Measured: internal/process and internal/dispatch pass. Conclusion: none.

--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -51,18 +51,18 @@
 // asked returns the requests in the window.
 func (b *retryBudget) asked(now time.Time) int {
 	b.advance(now)
-	sum := 0
-	for _, n := range b.requests {
-		sum += n
-	}
-	return sum
+	return sumOf(b.requests[:])
 }
 
 // repeatsIn returns the repeats in the window.
 func (b *retryBudget) repeatsIn(now time.Time) int {
 	b.advance(now)
+	return sumOf(b.repeats[:])
+}
+
+func sumOf(list []int) int {
 	sum := 0
-	for _, n := range b.repeats {
+	for _, n := range list {
 		sum += n
 	}
 	return sum
--- /dev/null
+++ b/internal/process/requests.go
@@ -0,0 +1,60 @@
+package process
+
+import (
+	"time"
+
+	"github.com/silverswitch/silverswitch/internal/dispatch"
+	"github.com/silverswitch/silverswitch/internal/request/forward"
+	"github.com/silverswitch/silverswitch/internal/routing"
+)
+
+// What requests ask of the control state. Every method may be called by any goroutine.
+
+// Excess implements forward.Control.
+func (s *Steerer) Excess() float64 { return s.strain.excess() }
+
+// TurnedAway implements forward.Control.
+func (s *Steerer) TurnedAway(w dispatch.TurnedWork) { s.turned.add(w) }
+
+// Usable implements forward.Control.
+func (s *Steerer) Usable(i routing.Instance) bool {
+	m := s.usable.Load()
+	return m == nil || (*m)[i.Start()]
+}
+
+// Table implements forward.Control.
+func (s *Steerer) Table() *routing.Table { return s.table.Load() }
+
+// Leaving implements forward.Control.
+func (s *Steerer) Leaving() bool { return s.leaving.Load() }
+
+// Submit implements forward.Control.
+func (s *Steerer) Submit(r dispatch.Request) *forward.Ticket {
+	t := forward.NewTicket(s.nextID.Add(1))
+	r.ID = t.ID
+	r.Aim = s.base.Add(r.Aim.Sub(s.base))
+	r.Deadline = s.base.Add(r.Deadline.Sub(s.base))
+	s.do(func(now time.Time) {
+		s.tickets[t.ID] = t
+		s.node.Step(dispatch.Arrive{Request: r}, now)
+	})
+	return t
+}
+
+// Again implements forward.Control.
+func (s *Steerer) Again(t *forward.Ticket, note uint8) {
+	s.do(func(now time.Time) { s.node.Step(dispatch.Again{ID: t.ID, Event: note}, now) })
+}
+
+// First implements forward.Control.
+func (s *Steerer) First(t *forward.Ticket, after time.Duration) {
+	s.do(func(now time.Time) { s.node.Step(dispatch.First{ID: t.ID, After: after}, now) })
+}
+
+// End implements forward.Control.
+func (s *Steerer) End(t *forward.Ticket, note uint8) {
+	s.do(func(now time.Time) {
+		delete(s.tickets, t.ID)
+		s.node.Step(dispatch.End{ID: t.ID, Event: note}, now)
+	})
+}
--- a/internal/process/steer.go
+++ b/internal/process/steer.go
@@ -220,12 +220,6 @@
 	return s.view.Table.Number
 }
 
-// Excess implements forward.Control.
-func (s *Steerer) Excess() float64 { return s.strain.excess() }
-
-// TurnedAway implements forward.Control.
-func (s *Steerer) TurnedAway(w dispatch.TurnedWork) { s.turned.add(w) }
-
 // act carries out the node's outputs.
 func (s *Steerer) act(outs []dispatch.Output) {
 	for _, o := range outs {
@@ -271,12 +265,6 @@
 // SourceFailed says that the source did not answer.
 func (s *Steerer) SourceFailed() { s.Step(dispatch.Unsighted{}) }
 
-// Usable implements forward.Control.
-func (s *Steerer) Usable(i routing.Instance) bool {
-	m := s.usable.Load()
-	return m == nil || (*m)[i.Start()]
-}
-
 // WatchPause is the longest pause between two tries of a source that fails.
 func (s *Steerer) WatchPause() time.Duration { return time.Duration(s.watchPause.Load()) }
 
@@ -356,40 +344,3 @@
 
 // Status returns the control state as of a moment ago, or nil at the start.
 func (s *Steerer) Status() *Status { return s.status.Load() }
-
-// Table implements forward.Control.
-func (s *Steerer) Table() *routing.Table { return s.table.Load() }
-
-// Leaving implements forward.Control.
-func (s *Steerer) Leaving() bool { return s.leaving.Load() }
-
-// Submit implements forward.Control.
-func (s *Steerer) Submit(r dispatch.Request) *forward.Ticket {
-	t := forward.NewTicket(s.nextID.Add(1))
-	r.ID = t.ID
-	r.Aim = s.base.Add(r.Aim.Sub(s.base))
-	r.Deadline = s.base.Add(r.Deadline.Sub(s.base))
-	s.do(func(now time.Time) {
-		s.tickets[t.ID] = t
-		s.node.Step(dispatch.Arrive{Request: r}, now)
-	})
-	return t
-}
-
-// Again implements forward.Control.
-func (s *Steerer) Again(t *forward.Ticket, note uint8) {
-	s.do(func(now time.Time) { s.node.Step(dispatch.Again{ID: t.ID, Event: note}, now) })
-}
-
-// First implements forward.Control.
-func (s *Steerer) First(t *forward.Ticket, after time.Duration) {
-	s.do(func(now time.Time) { s.node.Step(dispatch.First{ID: t.ID, After: after}, now) })
-}
-
-// End implements forward.Control.
-func (s *Steerer) End(t *forward.Ticket, note uint8) {
-	s.do(func(now time.Time) {
-		delete(s.tickets, t.ID)
-		s.node.Step(dispatch.End{ID: t.ID, Event: note}, now)
-	})
-}
