Answers that are not streams take a bounded part of a router's memory

Each answer was held whole, up to 16 MB, with no bound on their sum, and a larger one could not be passed on at all. Change: answers are held until they are whole within a quarter of the VM's memory for all of them; what does not fit is passed on as it comes, and cut when it breaks.

--- a/internal/process/routed.go
+++ b/internal/process/routed.go
@@ -89,7 +89,7 @@
 		d.close()
 		return nil, err
 	}
-	if d.edge, err = newEdge(set.Callers, forward.NewServer(d.st, d.ups, names, key, mostOpen(set.MemoryMB), reg, log), set.Files, d.behind, log); err != nil {
+	if d.edge, err = newEdge(set.Callers, forward.NewServer(d.st, d.ups, names, key, boundsOf(set.MemoryMB), reg, log), set.Files, d.behind, log); err != nil {
 		d.close()
 		return nil, err
 	}
@@ -112,16 +112,20 @@
 	// openPerMB is how many requests at once a megabyte of the VM's memory bears:
 	// 60 KB each for bodies, buffers and stacks, in half of the memory.
 	openPerMB = 8
-	// openUnknown is the bound where the memory is unknown.
-	openUnknown = 20_000
+	// answersShare is the part of the VM's memory that answers may take which are held
+	// until they are whole: half of what openPerMB leaves.
+	answersShare = 4
+	// openUnknown and answersUnknown are the bounds where the memory is unknown.
+	openUnknown    = 20_000
+	answersUnknown = 64 << 20
 )
 
-// mostOpen is how many requests a router takes at once.
-func mostOpen(mb int) int {
+// boundsOf is what a router takes on at once, by its memory in MB.
+func boundsOf(mb int) forward.Bounds {
 	if mb == 0 {
-		return openUnknown
+		return forward.Bounds{Requests: openUnknown, Answers: answersUnknown}
 	}
-	return openPerMB * mb
+	return forward.Bounds{Requests: openPerMB * mb, Answers: int64(mb) << 20 / answersShare}
 }
 
 // behind reports whether this router is short of processor and datagrams of its peers lie
--- a/internal/request/forward/answer.go
+++ b/internal/request/forward/answer.go
@@ -17,8 +17,9 @@
 	"github.com/silverswitch/silverswitch/internal/routing"
 )
 
-// maxAnswer bounds an answer that is not a stream, in bytes.
-const maxAnswer = 16 << 20
+// maxSkipped is how much is read of an answer that nobody gets, in bytes, so that its
+// connection can be kept.
+const maxSkipped = 16 << 20
 
 // answer is one upstream's answer to an attempt.
 type answer struct {
@@ -62,7 +63,7 @@
 
 // notExecuted follows an upstream's word that it did not run the request.
 func (a *answer) notExecuted(res *http.Response) step {
-	_, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxAnswer))
+	_, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxSkipped))
 	a.whole = err == nil
 	a.logAttempt(a.place, "not-run-by-upstream: "+strconv.Itoa(res.StatusCode), nil)
 	if a.ctx.Err() != nil {
@@ -100,16 +101,18 @@
 	return stepDone
 }
 
-// plain passes on an answer that is not a stream, when it is whole.
+// plain passes on an answer that is not a stream, when it is whole; one that is too large
+// to be held as it comes.
 func (a *answer) plain(res *http.Response) step {
 	a.first()
-	raw, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer+1))
-	if err == nil && len(raw) > maxAnswer {
-		err = io.ErrShortBuffer
-	}
+	part, err := a.s.answers.hold(res.Body)
+	defer a.s.answers.give(part.taken)
 	if err != nil {
 		return a.broken(err)
 	}
+	if !part.whole {
+		return a.passOn(res, part.raw)
+	}
 	a.whole = true
 	a.answeredWhole()
 	note := wire.NoteDone
@@ -123,14 +126,41 @@
 		}
 	}
 	a.head(res)
-	a.w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
+	a.w.Header().Set("Content-Length", strconv.Itoa(len(part.raw)))
 	a.w.WriteHeader(res.StatusCode)
-	_, _ = a.w.Write(raw) // the caller may be gone
+	_, _ = a.w.Write(part.raw) // the caller may be gone
 	a.s.ctl.End(a.ticket, note)
 	a.logAnswered(a.place, res.StatusCode, a.firstAfter)
 	return stepDone
 }
 
+// passOn passes on an answer of which the beginning has been read. When it breaks, the
+// caller's connection is cut, so that it does not look whole.
+func (a *answer) passOn(res *http.Response, beginning []byte) step {
+	a.silence.stop() // nothing can be tried elsewhere any more
+	a.begun = true
+	a.head(res)
+	if res.ContentLength >= 0 {
+		a.w.Header().Set("Content-Length", strconv.FormatInt(res.ContentLength, 10))
+	}
+	a.w.WriteHeader(res.StatusCode)
+	_, err := a.w.Write(beginning)
+	if err == nil {
+		_, err = io.Copy(a.w, res.Body)
+	}
+	if err != nil {
+		a.broke(a.place, false, err)
+		a.s.ctl.End(a.ticket, endNote(a.r.Context().Err() == nil))
+		a.giveUp("answer-broken", a.place.Instance.ID, err)
+		return stepDone
+	}
+	a.whole = true
+	a.answeredWhole()
+	a.s.ctl.End(a.ticket, wire.NoteDone)
+	a.logAnswered(a.place, res.StatusCode, a.firstAfter)
+	return stepDone
+}
+
 // head copies the answer's headers.
 func (a *answer) head(res *http.Response) {
 	h := a.w.Header()
--- a/internal/request/forward/bench_test.go
+++ b/internal/request/forward/bench_test.go
@@ -22,7 +22,7 @@
 	ctl := &fakeControl{table: testTable(b)}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(b, err)
-	s := &http.Server{Handler: NewServer(ctl, conn.NewExchanges(), testDialect, testKey(b), 0, metrics.NewRegistry(), zerolog.Nop())}
+	s := &http.Server{Handler: NewServer(ctl, conn.NewExchanges(), testDialect, testKey(b), Bounds{}, metrics.NewRegistry(), zerolog.Nop())}
 	go func() { _ = s.Serve(l) }()
 	defer s.Close()
 	body := strings.Repeat("x", 9200)
--- a/internal/request/forward/rig_test.go
+++ b/internal/request/forward/rig_test.go
@@ -247,7 +247,7 @@
 func newRigOf(t *testing.T, most int, ups ...string) *rig {
 	t.Helper()
 	r := &rig{ctl: &fakeControl{table: testTable(t), ups: ups}, ex: conn.NewExchanges(), most: most}
-	r.server = NewServer(r.ctl, r.ex, testDialect, testKey(t), r.most, metrics.NewRegistry(), zerolog.Nop())
+	r.server = NewServer(r.ctl, r.ex, testDialect, testKey(t), Bounds{Requests: r.most, Answers: 1 << 20}, metrics.NewRegistry(), zerolog.Nop())
 	s := httptest.NewServer(r.server)
 	t.Cleanup(func() { s.Close(); r.ex.Close() })
 	r.url = s.URL
--- a/internal/request/forward/server.go
+++ b/internal/request/forward/server.go
@@ -26,23 +26,24 @@
 // Server answers callers of the routed interface. It may be used by any
 // goroutine.
 type Server struct {
-	ctl    Control
-	ups    *conn.Exchanges
-	names  Dialect
-	most   int64 // requests at once
-	open   atomic.Int64
-	door   *door
-	count  counters
-	lines  *reqLog
-	key    *fingerprint.Key
-	clock  *clock.Clock
-	tracer trace.Tracer
+	ctl     Control
+	ups     *conn.Exchanges
+	names   Dialect
+	most    int // requests at once
+	answers heldBytes
+	open    atomic.Int64
+	door    *door
+	count   counters
+	lines   *reqLog
+	key     *fingerprint.Key
+	clock   *clock.Clock
+	tracer  trace.Tracer
 }
 
-// NewServer returns the handler's state. It refuses requests beyond most at once, and
-// knows requests again by fingerprints of the key.
-func NewServer(ctl Control, ups *conn.Exchanges, names Dialect, key *fingerprint.Key, most int, reg metrics.Registry, log zerolog.Logger) *Server {
-	s := &Server{ctl: ctl, ups: ups, names: names, key: key, clock: clock.System, most: int64(most), door: newDoor(), count: newCounters(reg), lines: newReqLog(log), tracer: otel.Tracer("silverswitch")}
+// NewServer returns the handler's state. It knows requests again by fingerprints of the
+// key.
+func NewServer(ctl Control, ups *conn.Exchanges, names Dialect, key *fingerprint.Key, most Bounds, reg metrics.Registry, log zerolog.Logger) *Server {
+	s := &Server{ctl: ctl, ups: ups, names: names, key: key, clock: clock.System, most: most.Requests, answers: heldBytes{most: most.Answers}, door: newDoor(), count: newCounters(reg), lines: newReqLog(log), tracer: otel.Tracer("silverswitch")}
 	ups.Opened = func() { s.count.opened.Inc(1) }
 	ups.Fell = func(addr string, dropped int) {
 		log.Info().Str("address", addr).Int("closed", dropped).Msg("kept-connection-silent")
@@ -98,7 +99,7 @@
 	v := &visit{s: s, w: w, r: r.WithContext(ctx), id: r.Header.Get(s.names.RequestID), arrived: s.clock.Now()}
 	v.boundWrites(v.arrived.Add(refusalWrite))
 	defer s.open.Add(-1)
-	full := s.open.Add(1) > s.most
+	full := s.open.Add(1) > int64(s.most)
 	if f := v.admit(); f != nil {
 		v.fail(*f)
 		return
