--- a/internal/conn/exchange_test.go
+++ b/internal/conn/exchange_test.go
@@ -378,3 +378,23 @@
 		x.Close(true)
 	}
 }
+
+// A process that ends may close its connections a moment before it stops listening: the
+// first look is still accepted.
+func TestAddressThatIsAboutToRefuseIsLookedAtAgain(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		l.Close()
+		c.Close()
+	}()
+	addr := l.Addr().String()
+	p := NewExchanges()
+	defer p.Close()
+	assert.True(t, p.Refuses(context.Background(), addr))
+	assert.Nil(t, p.pop(addr))
+}
--- a/internal/conn/idle.go
+++ b/internal/conn/idle.go
@@ -137,27 +137,6 @@
 	return n, err
 }
 
-// Refuses opens a connection to an address and reports whether it is refused: nothing
-// listens there any more. One that is accepted is kept for the next request.
-func (p *Exchanges) Refuses(ctx context.Context, addr string) bool {
-	c, err := p.dial(ctx, addr)
-	if err != nil {
-		return IsRefused(err)
-	}
-	p.keep(c)
-	return false
-}
-
-// Refuses opens a connection to an address, closes it, and reports whether it was refused.
-func Refuses(ctx context.Context, addr string) bool {
-	d := net.Dialer{Timeout: dialTimeout}
-	c, err := d.DialContext(ctx, "tcp", addr)
-	if err == nil {
-		c.Close()
-	}
-	return IsRefused(err)
-}
-
 // limitUnacked bounds how long sent bytes may stay unacknowledged.
 func limitUnacked(_, _ string, raw syscall.RawConn) error {
 	var err error
