Upstreams that go in the same moment are one crash

And read on from there: a request that everyone of an organisation sends is at several upstreams of a rack when it loses power, and would have been refused to all for ten minutes. Change: crashes count one after the other, by when their attempts began; two early ones hold for 30 s, three of any kind for ten minutes and more. Records tell when an attempt began and at which level they hold, which never falls without an answer, so that routers agree. Sound requests that move with a deadly one may still be held, for 30 s.

--- a/internal/core/crashes.go
+++ b/internal/core/crashes.go
@@ -16,6 +16,7 @@
 	Content  fingerprint.Fingerprint
 	Org      version.ID
 	Upstream version.ID
+	Began    time.Time // of the attempt
 	Early    bool
 }
 
@@ -54,7 +55,7 @@
 	if n.drains[in.Upstream] != nil {
 		return
 	}
-	a := quarantine.Attempt{Content: in.Content, Org: in.Org, Early: in.Early, Lost: true}
+	a := quarantine.Attempt{Content: in.Content, Org: in.Org, Began: in.Began, Early: in.Early, Lost: true}
 	if n.crashes.Broke(in.Upstream, a, now) {
 		n.out = append(n.out, Probe{Upstream: in.Upstream})
 	}
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -22,22 +22,20 @@
 )
 
 const (
-	// HoldAfter is the number of crashes after which a request is held at the latest. Two
-	// prove too little where an answer had begun: a stream that is resumed when its
-	// upstream crashes meets another crash by chance.
+	// HoldAfter is the number of crashes, one after the other, from which a request is held
+	// for long. Two prove too little where an answer had begun: a stream that is resumed
+	// when its upstream crashes meets another crash by chance.
 	HoldAfter = 3
-	// lateWeight is what a crash in the midst of an answer weighs, earlyWeight one before
-	// the answer's first event: what ends an upstream when it begins to run has had none,
-	// of the sound requests beside it few have not. Two early crashes hold a request, or
-	// three of any kind (TestRacksThatLosePowerCondemnFewSoundRequests has the figures).
-	lateWeight  = 2
-	earlyWeight = 3
-	holdWeight  = HoldAfter * lateWeight
-	// holdFor is how long a request is held, and twice as long after each crash more:
+	// holdFor is how long a request is held then, and twice as long after each crash more:
 	// every time that it is tried again may cost an upstream.
 	holdFor = 10 * time.Minute
 	maxHold = 2 * time.Hour
-	// suspectFor is how long fewer crashes are remembered.
+	// holdBriefly is how long it is held after two crashes that both came before the
+	// answer's first event: what ends an upstream when it begins to run has had none, of
+	// the sound requests beside it few have not. It is longer than a caller's tries last.
+	// (TestRacksThatLosePowerCondemnFewSoundRequests has the figures.)
+	holdBriefly = 30 * time.Second
+	// suspectFor is how long crashes are remembered that hold nothing, or no longer.
 	suspectFor = 10 * time.Minute
 	// maxEntries bounds the requests remembered. A crash makes tens of them: this holds
 	// what 40 crashes with 50 requests each leave within suspectFor.
@@ -57,94 +55,91 @@
 
 type entry struct {
 	org     version.ID
-	answers uint32       // whole ones that were told of: they clear what was before
-	crashed []version.ID // starts of upstreams since then, sorted
-	early   []version.ID // of these, before the answer's first event
-	held    bool         // it is, or was before an answer, held
-	last    time.Time    // of the crashes
+	answers uint32  // whole ones that were told of: they clear what was before
+	crashes []Crash // since then, by time
+	level   int     // that they hold the request at; it never falls without an answer
+	held    bool    // it is, or was before an answer, held
+	last    time.Time
 }
 
 // New returns an empty list.
 func New() *List { return &List{entries: map[fingerprint.Fingerprint]*entry{}} }
 
+// Levels at which a request is held; each further crash adds one.
+const (
+	levelNone = iota
+	levelBrief
+	levelLong
+)
+
 // hold is how long the request is held after its last crash, 0 when it is not.
 func (e *entry) hold() time.Duration {
-	if !e.heavy() {
+	switch e.level {
+	case levelNone:
 		return 0
+	case levelBrief:
+		return holdBriefly
 	}
-	return min(holdFor<<((e.weight()-holdWeight)/lateWeight), maxHold)
-}
-
-func (e *entry) weight() int {
-	return lateWeight*len(e.crashed) + (earlyWeight-lateWeight)*len(e.early)
+	return min(holdFor<<(e.level-levelLong), maxHold)
 }
 
-// heavy reports whether its crashes hold the request.
-func (e *entry) heavy() bool { return e.weight() >= holdWeight }
-
 // forgotten reports whether the entry says nothing any more. A request that was held is
 // remembered as long again after it: the next crash holds it at once.
 func (e *entry) forgotten(now time.Time) bool {
 	return now.Sub(e.last) >= max(suspectFor, 2*e.hold())
 }
 
-// join adds the members of b to the sorted set a, and reports whether there were new ones.
-// Of more than maxCrashes the least are kept, the same ones whatever the order.
-func join(a, b []version.ID) ([]version.ID, bool) {
-	all := slices.Concat(a, b)
-	slices.Sort(all)
-	all = slices.Compact(all)
-	all = all[:min(len(all), maxCrashes)]
-	return all, !slices.Equal(a, all)
-}
-
-// Crashed notes that an upstream crashed while it ran a request; early says that its
-// answer had no event yet. It reports whether that is news.
-func (l *List) Crashed(f fingerprint.Fingerprint, org, up version.ID, early bool, now time.Time) bool {
+// Crashed notes that an upstream crashed while it ran a request. It reports whether that
+// is news.
+func (l *List) Crashed(f fingerprint.Fingerprint, org version.ID, c Crash) bool {
 	e := l.entry(f, org)
-	crash := []version.ID{up}
-	if !early {
-		return l.settle(e, e.join(crash, nil), now)
-	}
-	return l.settle(e, e.join(crash, crash), now)
+	return l.settle(e, e.join(c), c.At)
 }
 
-// join adds crashes, and reports whether there were new ones.
-func (e *entry) join(crashed, early []version.ID) bool {
-	var more, sooner bool
-	e.crashed, more = join(e.crashed, crashed)
-	e.early, sooner = join(e.early, early)
-	return more || sooner
+// join adds a crash, and reports whether there was news in it.
+func (e *entry) join(c Crash) bool {
+	var news bool
+	e.crashes, news = joinCrash(e.crashes, c)
+	e.level = max(e.level, levelOf(e.crashes))
+	return news
 }
 
 // Answered notes that a request was answered whole: no crash before speaks against it. It
 // reports whether that is news.
 func (l *List) Answered(f fingerprint.Fingerprint) bool {
 	e := l.entries[f]
-	if e == nil || len(e.crashed) == 0 {
+	if e == nil || len(e.crashes) == 0 {
 		return false
 	}
-	e.answers++
-	e.crashed, e.early = nil, nil
+	e.clear(e.answers + 1)
 	l.touch()
 	return true
 }
 
+// clear forgets the crashes before a whole answer.
+func (e *entry) clear(answers uint32) { e.answers, e.crashes, e.level = answers, nil, levelNone }
+
 // Join takes what another router knows. It reports whether there was news in it.
 func (l *List) Join(w wire.CrashRecord, now time.Time) bool {
-	at := now.Add(-time.Duration(w.AgeMS) * time.Millisecond)
 	e := l.entry(fingerprint.Fingerprint(w.Content), w.Org)
+	at := ago(now, w.AgeMS)
 	news := w.Held && !e.held
 	e.held = e.held || w.Held
-	switch {
-	case w.Answers > e.answers:
-		e.answers, e.crashed, e.early = w.Answers, nil, nil
-		news = true
-	case w.Answers < e.answers:
+	if w.Answers < e.answers {
 		return l.settle(e, news, at)
 	}
-	more := e.join(w.Crashed, w.Early)
-	return l.settle(e, news || more, at)
+	if w.Answers > e.answers {
+		e.clear(w.Answers)
+		news = true
+	}
+	for _, c := range w.Crashes {
+		more := e.join(Crash{Up: c.Up, Early: c.Early, Began: ago(now, c.BeganMS), At: ago(now, c.AgeMS)})
+		news = news || more
+	}
+	if int(w.Level) > e.level {
+		e.level, news = int(w.Level), true
+	}
+	return l.settle(e, news, at)
 }
 
 // entry returns what is known of a request, which may be nothing yet.
@@ -163,7 +158,7 @@
 	if at.After(e.last) {
 		e.last = at
 	}
-	e.held = e.held || e.heavy()
+	e.held = e.held || e.level > levelNone
 	if news {
 		l.touch()
 	}
@@ -194,7 +189,7 @@
 			continue
 		}
 		o := l.entries[least]
-		if o == nil || cmp.Or(cmp.Compare(e.weight(), o.weight()), e.last.Compare(o.last), cmp.Compare(f, least)) < 0 {
+		if o == nil || cmp.Or(cmp.Compare(e.level, o.level), cmp.Compare(len(e.crashes), len(o.crashes)), e.last.Compare(o.last), cmp.Compare(f, least)) < 0 {
 			least = f
 		}
 	}
@@ -227,7 +222,7 @@
 }
 
 func (e *entry) state() State {
-	s := State{Crashes: len(e.crashed)}
+	s := State{Crashes: len(e.crashes)}
 	if hold := e.hold(); hold > 0 {
 		s.Until = e.last.Add(hold)
 	}
@@ -273,15 +268,11 @@
 	if e == nil {
 		return wire.CrashRecord{}, false
 	}
-	return wire.CrashRecord{
-		Content: uint64(f),
-		Org:     e.org,
-		Answers: e.answers,
-		Crashed: e.crashed,
-		Early:   e.early,
-		Held:    e.held,
-		AgeMS:   uint32(max(0, now.Sub(e.last).Milliseconds())),
-	}, true
+	w := wire.CrashRecord{Content: uint64(f), Org: e.org, Answers: e.answers, Level: uint8(e.level), Held: e.held, AgeMS: ageMS(now, e.last)}
+	for _, c := range e.crashes {
+		w.Crashes = append(w.Crashes, wire.Crash{Up: c.Up, Early: c.Early, BeganMS: ageMS(now, c.Began), AgeMS: ageMS(now, c.At)})
+	}
+	return w, true
 }
 
 // Decided returns the requests that are, or were, held, the latest crash first.
@@ -311,11 +302,8 @@
 	}
 	l.sum, l.summed = 0, true
 	for f, e := range l.entries {
-		switch {
-		case e.heavy():
-			l.sum ^= (uint64(f) + 1) * spread
-		case e.held:
-			l.sum ^= uint64(f) * spread
+		if e.held {
+			l.sum ^= (uint64(f) + uint64(e.level)) * spread
 		}
 	}
 	return l.sum
--- a/internal/core/quarantine/tracker.go
+++ b/internal/core/quarantine/tracker.go
@@ -61,6 +61,7 @@
 	content fingerprint.Fingerprint
 	org     version.ID
 	early   bool // the answer had no event yet
+	began   time.Time
 	at      time.Time
 }
 
@@ -108,6 +109,7 @@
 type Attempt struct {
 	Content fingerprint.Fingerprint
 	Org     version.ID
+	Began   time.Time
 	Early   bool // its answer had no event yet
 	Lost    bool // the upstream's side ended the connection
 }
@@ -118,7 +120,7 @@
 	if _, left := t.left[up]; left {
 		return false // its end was planned, and says nothing of what it still ran
 	}
-	d := doubt{a.Content, a.Org, a.Early, now}
+	d := doubt{a.Content, a.Org, a.Early, a.Began, now}
 	if _, ended := t.ended[up]; ended {
 		t.crashed(up, d, now)
 		return false
@@ -158,9 +160,9 @@
 }
 
 // crashed sets an upstream's crash down to an attempt that was running there.
-func (t *Tracker) crashed(crash version.ID, d doubt, now time.Time) {
+func (t *Tracker) crashed(up version.ID, d doubt, now time.Time) {
 	before := t.list.State(d.content).Crashes
-	if t.list.Crashed(d.content, d.org, crash, d.early, now) {
+	if t.list.Crashed(d.content, d.org, Crash{Up: up, Early: d.early, Began: d.began, At: d.at}) {
 		t.changed(d.content, d.org, t.self, before, now)
 	}
 }
--- a/internal/core/wire/crashes.go
+++ b/internal/core/wire/crashes.go
@@ -17,9 +17,18 @@
 	_       struct{} `cbor:",toarray"`
 	Content uint64   // the request's fingerprint
 	Org     version.ID
-	Answers uint32       // whole ones, after which crashes are counted anew
-	Crashed []version.ID // starts of upstreams, since the last of those
-	Early   []version.ID // of these, before the answer's first event
-	Held    bool         // the request is, or was before an answer, held back
-	AgeMS   uint32       // of the last crash
+	Answers uint32  // whole ones, after which crashes are counted anew
+	Crashes []Crash // since the last of those
+	Level   uint8   // at which they hold the request: package quarantine
+	Held    bool    // it is, or was before an answer, held
+	AgeMS   uint32  // of the last crash
+}
+
+// Crash is an upstream that crashed while it ran a request.
+type Crash struct {
+	_       struct{} `cbor:",toarray"`
+	Up      version.ID
+	Early   bool   // the answer had no event yet
+	BeganMS uint32 // since the attempt began
+	AgeMS   uint32 // since the crash
 }
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -20,6 +20,7 @@
 	Content  fingerprint.Fingerprint
 	Org      string
 	Instance routing.Instance
+	Began    time.Time // of the attempt
 	Early    bool
 	Lost     bool
 }
@@ -69,7 +70,7 @@
 	if n.isLeaving(in.Instance) {
 		return // its end is planned, and says nothing of what it still runs
 	}
-	a := quarantine.Attempt{Content: in.Content, Org: version.IDOf(in.Org), Early: in.Early, Lost: in.Lost}
+	a := quarantine.Attempt{Content: in.Content, Org: version.IDOf(in.Org), Began: in.Began, Early: in.Early, Lost: in.Lost}
 	if n.crashes.Broke(version.IDOf(in.Instance.Start()), a, now) {
 		n.out = append(n.out, Probe{Instance: in.Instance})
 	}
--- a/internal/request/forward/quarantine.go
+++ b/internal/request/forward/quarantine.go
@@ -56,6 +56,7 @@
 		Content:  r.fingerprint(),
 		Org:      r.org,
 		Instance: p.Instance,
+		Began:    r.sent,
 		Early:    early,
 		Lost:     r.ctx.Err() == nil && conn.IsLost(err),
 	})
--- a/internal/request/forward/run.go
+++ b/internal/request/forward/run.go
@@ -27,6 +27,8 @@
 	ran       bool  // an attempt may have run
 	last      int64 // position of the last event passed on, or the caller's own
 	begun     bool  // the answer's headers are sent
+
+	sent time.Time // of the last attempt, by the server's clock
 }
 
 // maxWithdrawn bounds the placements of one request whose upstream has left before
@@ -117,6 +119,7 @@
 	silence := newWatchdog(func() { stop(conn.ErrSilence) }, r.firstLimit(p))
 	defer silence.stop()
 	began := time.Now()
+	r.sent = r.s.clock.Now()
 	m := r.message(p)
 	m.Began = silence.watch
 	x, err := r.s.ups.Send(ctx, p.Instance.Address, m, r.isOwn)
--- a/internal/request/quarantine.go
+++ b/internal/request/quarantine.go
@@ -50,7 +50,7 @@
 // broke says that the upstream may have run the request and gave no whole answer; early
 // that the answer had not begun.
 func (r *run) broke(u *version.Upstream, early bool) {
-	r.s.ctl.Broke(core.Broke{Content: r.content(), Org: r.v.org.ID, Upstream: u.ID, Early: early})
+	r.s.ctl.Broke(core.Broke{Content: r.content(), Org: r.v.org.ID, Upstream: u.ID, Began: r.sent, Early: early})
 }
 
 // notSent says so when the upstream's process has ended.
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -39,6 +39,7 @@
 	deadline time.Time
 	tries    int
 	ran      bool                     // an attempt may have run
+	sent     time.Time                // of the last attempt, by the server's clock
 	print    *fingerprint.Fingerprint // once it was needed
 }
 
@@ -95,6 +96,7 @@
 // has been told, and false when the request waits for another slot.
 func (r *run) attempt(u *version.Upstream) bool {
 	r.tries++
+	r.sent = r.s.clock.Now()
 	id := uuid.Must(uuid.NewV7()).String()
 	ctx, span := r.s.tracer.Start(r.ctx, "upstream", trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String("upstream", u.Name), attribute.String("place", u.Place)))
