Routers that start are told what is held with the answer to their first words

Change: the answer to a router's join holds all that is held. Measured: TestRouterThatStartsTwiceIsToldTwice fails at the second start without it.

--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -249,6 +249,9 @@
 		}
 	}
 	n.hearClaims(d, now)
+	if d.Join != nil {
+		n.box.AnswerCrashes(d.From, n.crashes.All(now))
+	}
 	if d.Crashes != nil {
 		n.box.AnswerCrashes(d.From, n.crashes.Heard(d.From, d.Crashes, now))
 	}
--- a/internal/core/quarantine/tracker.go
+++ b/internal/core/quarantine/tracker.go
@@ -242,6 +242,12 @@
 		return nil
 	}
 	t.joined[from] = now
+	return t.All(now)
+}
+
+// All returns all that is held, for a router that has just started or holds something
+// else.
+func (t *Tracker) All(now time.Time) *wire.CrashNews {
 	held := t.list.Decided(now)
 	return &wire.CrashNews{Records: held[:min(len(held), mostHeld)], Stated: true, Sum: t.list.Sum()}
 }
--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -187,6 +187,23 @@
 	assert.True(t, f.holds(id, guilty))
 }
 
+// One that starts twice within a second is told each time, with the answer to its first
+// words: callers that know its address come before the balancer sends any.
+func TestRouterThatStartsTwiceIsToldTwice(t *testing.T) {
+	f := newFleet(t, 3, 8)
+	for i := range quarantine.HoldAfter {
+		f.crash(f.order[i], guilty, instances(8)[i])
+	}
+	f.run(time.Second)
+	id := f.order[1]
+	for inc := range wire.Incarnation(2) {
+		f.nodes[id] = New(Settings{ID: id, Inc: 2 + inc, Place: "p", Seeds: []wire.NodeID{f.order[0]}, Retry: DefaultRetryRules, Seed: 9}, f.now)
+		f.run(2 * TickEvery)
+		assert.True(t, f.holds(id, guilty), "start %d", inc)
+		f.run(100 * time.Millisecond)
+	}
+}
+
 // The same in a fleet where only some routers tell everyone, in turn.
 func TestLargeFleetHoldsWhatThreeRoutersSaw(t *testing.T) {
 	f := newFleet(t, meshUpTo+8, 8)
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -29,6 +29,7 @@
 		n.box.To(d.From)
 	}
 	if d.Join != nil {
+		n.box.AnswerCrashes(d.From, n.crashes.All(now))
 		n.tellStore(d.From, now) // it needs a table, and has heard of nobody yet
 	}
 	if d.Work != nil {
