--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -276,8 +276,8 @@
 		at[s] = rnd.IntN(engineCount)
 	}
 	for range outages {
-		// One in ten attempts that run has had no event yet. Two of three attempts are answered between two outages; the session then asks
-		// something else.
+		// One in ten attempts that run has had no event yet. Two of three are answered
+		// between two outages; the session then asks something else.
 		for s := range at {
 			if rnd.IntN(3) > 0 {
 				crashesAtAnswer[s]++
