Lines tell what of each organisation's work was begun, and for whom others wait

Cause: of the hypotheses on organisations far under what the best served got, the log could not tell unheard demand from a door that lets too little in, nor either from work that was placed and not begun. Change: organisation-share has begun, asking_steps and waits; decided-alone has let_in_percent. No decision rests on them. Measured: nothing yet; internal/dispatch passes.

--- a/internal/dispatch/covered.go
+++ b/internal/dispatch/covered.go
@@ -28,14 +28,8 @@
 		if p.engine == nil {
 			continue
 		}
-		alone := n.schedulerOf(p.id, now) != n.set.ID
-		p.meter.refresh(now)
 		for org := range p.here.orgs {
-			part := n.coveredAlone(p, org, now)
-			if !alone {
-				part = p.meter.covered(org)
-			}
-			if part < 1 {
+			if part := n.coveredHere(p, org, now); part < 1 {
 				out = append(out, Covered{Service: p.service, Org: n.reports.names[org], Part: part})
 			}
 		}
@@ -43,6 +37,15 @@
 	return out
 }
 
+// coveredHere is the part of an organisation's requests that is let in.
+func (n *Node) coveredHere(p *pool, org version.ID, now time.Time) float64 {
+	if n.schedulerOf(p.id, now) != n.set.ID {
+		return n.coveredAlone(p, org, now)
+	}
+	p.meter.refresh(now)
+	return p.meter.covered(org)
+}
+
 func (n *Node) coveredAlone(p *pool, org version.ID, now time.Time) float64 {
 	w := n.words.heard[orgAt{p.id, org}]
 	if w.at.IsZero() || n.aloneOver(p, org, now) < 1 {
--- a/internal/dispatch/late_test.go
+++ b/internal/dispatch/late_test.go
@@ -275,3 +275,32 @@
 	assert.Equal(t, 300, alone[0].TurnedTokens)
 	assert.GreaterOrEqual(t, alone[0].ShareAgeMS, 0)
 }
+
+// Two organisations differed in what engines began, and no line could tell whether the one
+// that got less was waited for: what was got is what was placed.
+func TestShareReportTellsWhatWasBegunAndWhoIsWaitedFor(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	id := f.order[0]
+	n := f.nodes[id]
+	p := n.pools[serviceID(engines)]
+	for range shareSteps {
+		f.run(shareStep)
+		p.meter.ask(version.IDOf("a"), window, f.now)
+		p.meter.grant(version.IDOf("a"), 60_000, f.now)
+	}
+	f.arrive(id, 1, engines, "a", 4000)
+	f.placed(id, 1)
+	n.Step(First{ID: 1, After: 50 * time.Millisecond}, f.now)
+	n.reports.due = f.now
+	n.Ready(f.now)
+	n.Tick(f.now)
+	for _, o := range n.Ready(f.now) {
+		if r, ok := o.(ShareReport); ok {
+			assert.Equal(t, int(Cost(4000, 50)), r.Begun)
+			assert.True(t, r.Waits)
+			assert.GreaterOrEqual(t, r.AskingSteps, goesOnOf-1)
+			return
+		}
+	}
+	t.Fatal("no report")
+}
--- a/internal/dispatch/lead.go
+++ b/internal/dispatch/lead.go
@@ -45,7 +45,11 @@
 
 // goesOn reports whether an organisation asked for more than it got in most steps of the
 // last three seconds.
-func (m *meter) goesOn(u *tally) bool {
+func (m *meter) goesOn(u *tally) bool { return m.askingSteps(u) >= goesOnSteps }
+
+// askingSteps is the steps of the last three seconds in which an organisation asked for
+// more than it got.
+func (m *meter) askingSteps(u *tally) int {
 	asking := 0
 	for back := range int64(goesOnOf) {
 		i := m.steps.place(back)
@@ -53,7 +57,7 @@
 			asking++
 		}
 	}
-	return asking >= goesOnSteps
+	return asking
 }
 
 // findLeast finds what the least served organisation got of those that ask for more.
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -142,6 +142,7 @@
 		r.up.observe(gotMS, p.usual.learn(gotMS), now)
 		return
 	}
+	p.meter.begin(r.org, r.cost, now)
 	if r.entry.Doubted() {
 		r.up.queue.Settle(r.entry, p.learner.Model(), now)
 	} else if s, ok := r.up.queue.First(r.entry, gotMS, p.learner.Model(), now); ok && !p.without.Learning {
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -21,8 +21,10 @@
 // ShareReport is how one organisation stands at a service that this router schedules,
 // in tokens of the window in which shares are counted.
 type ShareReport struct {
-	Service, Org      string
-	Asked, Got, Share int
+	Service, Org             string
+	Asked, Got, Begun, Share int
+	AskingSteps              int  // of the last twelve, in which it asked for more than it got
+	Waits                    bool // others that have had much more are held back for it
 }
 
 // EngineReport is what this router believes of the engines of a service that it
@@ -51,6 +53,7 @@
 	TurnedTokens    int    // refused at the door
 	Share           uint32 // hundredths of its share that it has had, by the scheduler's last word
 	ShareAgeMS      int    // of that word, -1 when there is none
+	LetInPercent    int    // of what comes in here, that shares cover: the door refuses the rest while it is short of processor
 }
 
 func (ShareReport) output()  {}
@@ -133,7 +136,7 @@
 			age = int(now.Sub(w.at).Milliseconds())
 		}
 		n.out = append(n.out, AloneReport{Service: p.service, Org: n.reports.names[k.org], Placed: a.placed, Refused: a.refused,
-			PlacedTokens: int(a.tokens), TurnedTokens: int(a.turned), Share: w.Over, ShareAgeMS: age})
+			PlacedTokens: int(a.tokens), TurnedTokens: int(a.turned), Share: w.Over, ShareAgeMS: age, LetInPercent: int(100 * min(1, n.coveredHere(p, k.org, now)))})
 	}
 	clear(n.reports.alone)
 }
@@ -156,7 +159,8 @@
 			continue
 		}
 		u := p.meter.orgs[id]
-		n.out = append(n.out, ShareReport{Service: p.service, Org: n.reports.names[id], Asked: int(total(&u.asked)), Got: int(total(&u.got)), Share: int(p.meter.shares[id])})
+		n.out = append(n.out, ShareReport{Service: p.service, Org: n.reports.names[id], Asked: int(total(&u.asked)), Got: int(total(&u.got)), Begun: int(total(&u.begun)),
+			Share: int(p.meter.shares[id]), AskingSteps: p.meter.askingSteps(u), Waits: p.meter.wants(id, u)})
 	}
 }
 
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -29,8 +29,8 @@
 	dirty    bool
 }
 
-// tally is one organisation's tokens by step.
-type tally struct{ asked, got [shareSteps]float64 }
+// tally is one organisation's tokens by step. begun is for the log alone.
+type tally struct{ asked, got, begun [shareSteps]float64 }
 
 func newMeter(tokensPerSecond float64) *meter {
 	m := &meter{
@@ -60,7 +60,7 @@
 // empty forgets one step, and organisations that have asked for nothing since.
 func (m *meter) empty(i int) {
 	for id, u := range m.orgs {
-		u.asked[i], u.got[i] = 0, 0
+		u.asked[i], u.got[i], u.begun[i] = 0, 0, 0
 		if total(&u.asked) == 0 {
 			delete(m.orgs, id)
 		}
@@ -96,6 +96,14 @@
 	m.booked.add(org, 0, tokens)
 }
 
+// begin books what an engine began.
+func (m *meter) begin(org version.ID, tokens float64, now time.Time) {
+	i := m.advance(now)
+	if u := m.orgs[org]; u != nil {
+		u.begun[i] += tokens
+	}
+}
+
 func total(steps *[shareSteps]float64) float64 { return floats.Sum(steps[:]) }
 
 // refresh cuts the shares anew when what they rest on has changed.
