The door lets in what is placed, not the share alone

What callers saw: of two floods the one by routers short of processor got less than half of what the other one got, and everyone else who asked for more than its share was held back for it while engines stood idle (30 to 40 in a hundred of their time read). Cause: such a router refuses at its door, without asking, what shares do not cover, and let in twice the share; the scheduler gave others three to eight times theirs. Two limits on one thing, the guaranteed share at the door and the level of what is given out at the scheduler; the class is a limit that is cut from a guarantee where more than the guarantee is given out. Change: the door lets in twice what was placed there in the window, if that is more than twice the share. So it follows what the scheduler gives, up to half of what is let in being refused. No message changes. Why it holds: the scheduler's answers alone decide how much comes in; the door only spares asks of which most would be refused.

--- a/internal/dispatch/covered.go
+++ b/internal/dispatch/covered.go
@@ -13,9 +13,13 @@
 	Part         float64
 }
 
-// coverRoom is how many times its share an organisation's requests are let in for: what
-// is beyond the share is given out too, where engines have room, and some of what is let
-// in is refused for other reasons.
+// coverRoom is how many times its share, and how many times what was placed here of late, an
+// organisation's requests are let in for: some of what is let in is refused for other
+// reasons, and what lies beyond shares is given out too.
+//
+// Load pattern: of three floods, one by a router short of processor, the two others had
+// eight times their shares. With the share alone as measure the door left the third one
+// twice its share, whatever the scheduler would have given it.
 const coverRoom = 2.0
 
 // Covered returns the organisations that have had their shares and ask for more than is
@@ -39,13 +43,15 @@
 
 // coveredHere is the part of an organisation's requests that is let in.
 func (n *Node) coveredHere(p *pool, org version.ID, now time.Time) float64 {
-	if n.schedulerOf(p.id, now) != n.set.ID {
-		return n.coveredAlone(p, org, now)
+	here := p.here.at(org, now)
+	placed := coverRoom * total(&here.got) / max(1, total(&here.asked))
+	if n.schedulerOf(p.id, now) == n.set.ID {
+		return max(placed, p.meter.coveredByShare(org, now))
 	}
-	p.meter.refresh(now)
-	return p.meter.covered(org)
+	return max(placed, n.coveredAlone(p, org, now))
 }
 
+// coveredAlone is the part that the share covers, by the scheduler's word.
 func (n *Node) coveredAlone(p *pool, org version.ID, now time.Time) float64 {
 	w := n.words.heard[orgAt{p.id, org}]
 	if w.at.IsZero() || n.aloneOver(p, org, now) < 1 {
@@ -54,8 +60,9 @@
 	return coverRoom * float64(w.Share) / max(1, float64(w.Asked))
 }
 
-// covered is the same by the meter of the scheduler itself.
-func (m *meter) covered(org version.ID) float64 {
+// coveredByShare is the part that the share covers, by the meter of the scheduler itself.
+func (m *meter) coveredByShare(org version.ID, now time.Time) float64 {
+	m.refresh(now)
 	u, share := m.of(org), m.shares[org]
 	if share <= 0 || total(&u.got) < share {
 		return 1
--- a/internal/dispatch/late_test.go
+++ b/internal/dispatch/late_test.go
@@ -322,3 +322,19 @@
 	assert.True(t, m.leads(2, now))
 	assert.False(t, m.leads(1, now))
 }
+
+// What the scheduler gives beyond shares goes on coming in while the router is short of
+// processor: the door measured by the share alone, and left an organisation a half of what
+// it had had there.
+func TestDoorLetsInWhatWasPlacedHereOfLate(t *testing.T) {
+	f, id := flooded(t)
+	n := f.nodes[id]
+	p := n.pools[serviceID(engines)]
+	org := version.IDOf("flood")
+	n.words.heard[orgAt{p.id, org}] = heardWord{wire.ShareWord{Service: p.id, Org: org, Over: 400, Share: 10_000, Asked: 1_000_000}, f.now}
+	here := p.here.at(org, f.now)
+	here.asked, here.got = [shareSteps]float64{1_000_000}, [shareSteps]float64{40_000}
+	assert.InDelta(t, coverRoom*0.04, n.coveredHere(p, org, f.now), 1e-9)
+	here.got = [shareSteps]float64{}
+	assert.InDelta(t, coverRoom*0.01, n.coveredHere(p, org, f.now), 1e-9)
+}
