The wait that an organisation is allowed falls with what it has had of its share

What callers saw: where engines serve less than is stated, a flood and everyone else were refused alike, and more of what was taken came late. Cause: shares are cut from the stated capacity. Below its share everyone was allowed the same wait, four fifths of the target; where nobody comes to its share, shares decide nothing, and the flood keeps every wait at that limit. Change: the wait allowed falls from four fifths at nothing to 0.15 at the share, and on as before. It needs no measure of what engines really serve.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -12,7 +12,7 @@
 // Limits of admission, in parts of the time within which an answer counts as
 // fully useful. Source: docs/BENCH.md.
 const (
-	waitUnder = 0.80 // for an organisation under its share
+	waitUnder = 0.80 // for an organisation that has had nothing of its share
 	// waitAtShare is the part for an organisation at its share. Beyond it, what it adds
 	// slows the streams of all others at an engine: with 0.35 in place of 0.15 the
 	// worst-served tenth of organisations got 0.005 and 0.016 less of what they are owed on
@@ -170,8 +170,8 @@
 	aim := p.aimOf(a)
 	part := waitUnder
 	urgency := math.Pow(lessUrgent, float64(p.urgency.rank(int(a.Priority))))
-	if over >= 1 && !p.without.Shares {
-		part = waitAtShare / over
+	if !p.without.Shares {
+		part = waitPart(over)
 	}
 	room := aim - p.learner.Model().Base - c.ownMS
 	if c.ownMS > largeOwn*aim {
@@ -180,6 +180,19 @@
 	return urgency * min(part*aim, max(room, part*aim/4))
 }
 
+// waitPart is the part of the target that a request may wait whose organisation has had so
+// much of its share: the less, the longer, so that who is nearer to its share makes room for
+// the others also where nobody comes to it.
+//
+// Load pattern: engines serve less than is stated. With one limit for all that were under
+// their shares a flood kept every wait at that limit, and what was taken there came late.
+func waitPart(over float64) float64 {
+	if over >= 1 {
+		return waitAtShare / over
+	}
+	return waitUnder + over*(waitAtShare-waitUnder)
+}
+
 func (p *pool) whyNone(a *wire.WorkAsk, now time.Time) Reason {
 	switch {
 	case len(p.order) == 0:
--- a/internal/dispatch/admission_test.go
+++ b/internal/dispatch/admission_test.go
@@ -173,3 +173,16 @@
 	_, refused := f.got[id][2].(Refuse)
 	assert.True(t, refused, "behind the first one it would wait")
 }
+
+// Engines served two fifths of what was stated, nobody came to its share, and all were
+// allowed the same wait: the flood kept it at that limit for everyone.
+func TestWhoHasHadMoreOfItsShareMayWaitLess(t *testing.T) {
+	last := waitUnder
+	assert.Equal(t, last, waitPart(0))
+	for over := 0.05; over < 5; over += 0.05 {
+		part := waitPart(over)
+		assert.Less(t, part, last, "over %.2f", over)
+		last = part
+	}
+	assert.InDelta(t, waitAtShare, waitPart(1), 1e-9)
+}
--- a/internal/lab/tokens/fair_test.go
+++ b/internal/lab/tokens/fair_test.go
@@ -52,3 +52,26 @@
 		assert.GreaterOrEqual(t, least, fairPart, "seed %d", s.Seed)
 	}
 }
+
+// slow reads two fifths of what the operators state for the service.
+func slow() engine.Figures {
+	f := engine.DefaultFigures
+	f.ReadPerMS *= 0.4
+	return f
+}
+
+// Engines served less than was stated. Those under their shares, nearly everyone, were all
+// allowed to wait for four fifths of the target, and what an engine could have served in
+// time waited until it was late.
+func TestEnginesThatServeLessThanStatedServeItInTime(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(3) {
+		s := Standard(2 * short)["flood"]
+		s.Seed, s.Engine = 3+seed, slow()
+		r, err := s.Run()
+		require.NoError(t, err)
+		t.Logf("seed %d: %+v", s.Seed, r)
+		served := float64(r.InTarget + r.Late)
+		assert.Less(t, float64(r.Late)/served, 0.1, "seed %d", s.Seed)
+	}
+}
