While engines are short of what is stated, the least served goes first also below shares

What callers saw: a small organisation at a third of its share was refused nearly as often as a flood at nine tenths of its own. Cause: who has had one and a half times as much is held back for another one that waits, but only from its whole share on; where engines serve less than is stated nobody comes to it. With prompts of half a second each engine that came free went to whoever came next, and the flood sent ten times as much. Change: while a fifth as much as was placed is refused for the wait to organisations under their shares, one is held back from half of its share on.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -78,6 +78,9 @@
 			why, limit = p.whyRefuse(a, c, over, now)
 		}
 		if why != ReasonNone && p.mayRefuse(a) {
+			if why == ReasonCapacity && over < 1 {
+				p.meter.miss(a.Org, tokens, now)
+			}
 			return verdict{after: p.comeBack(a, c.waitMS, limit), why: why, wait: c.waitMS, limit: limit, ownMS: p.learner.Model().Base + c.ownMS, over: told}
 		}
 		p.meter.grant(a.Org, tokens, now)
@@ -116,9 +119,9 @@
 	return over >= 1 && !p.without.Shares && p.busy.part(p.open(now), now) > max(leastBusy, mostBusy/math.Sqrt(over))
 }
 
-// leads reports whether an organisation over its share has to let the others go first.
+// leads reports whether an organisation has to let the others go first.
 func (p *pool) leads(org version.ID, over float64, now time.Time) bool {
-	return over >= 1 && !p.without.Shares && p.meter.leads(org, now)
+	return over >= p.meter.leadFrom(now) && !p.without.Shares && p.meter.leads(org, now)
 }
 
 // mayRefuse reports whether a request may be refused for the wait. One that has been
--- a/internal/dispatch/late_test.go
+++ b/internal/dispatch/late_test.go
@@ -338,3 +338,28 @@
 	here.got = [shareSteps]float64{}
 	assert.InDelta(t, coverRoom*0.01, n.coveredHere(p, org, f.now), 1e-9)
 }
+
+// Of two organisations the one had had a third of its share and the other nine tenths, and
+// the first was refused for the wait as often as the other: each engine that came free went
+// to whoever came next, and the other one sent ten times as much.
+func TestWhileEnginesAreShortTheLeastServedGoesFirst(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	p := f.nodes[f.order[0]].pools[serviceID(engines)]
+	m := p.meter
+	small, flood := version.IDOf("small"), version.IDOf("flood")
+	for range shareSteps {
+		f.run(shareStep)
+		m.ask(small, window, f.now)
+		m.ask(flood, 10*window, f.now)
+		m.grant(small, 0.3*m.capacity/2/shareSteps, f.now)
+		m.grant(flood, 0.9*m.capacity/2/shareSteps, f.now)
+	}
+	over := m.over(flood, f.now)
+	assert.InDelta(t, 0.9, over, 0.01)
+	assert.False(t, p.leads(flood, over, f.now), "it is owed its share")
+	m.miss(small, m.capacity, f.now)
+	f.run(shareStep)
+	assert.True(t, p.leads(flood, over, f.now))
+	assert.False(t, p.leads(small, m.over(small, f.now), f.now))
+	assert.False(t, p.leads(flood, 0.4, f.now), "nobody is held back below half of its share")
+}
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -25,12 +25,14 @@
 	steps    steps
 	shares   map[version.ID]float64
 	booked   booked
+	short    bool    // engines serve less than is stated
 	least    float64 // tokens that the least served one got of those that ask for more
 	dirty    bool
 }
 
-// tally is one organisation's tokens by step. begun is for the log alone.
-type tally struct{ asked, got, begun [shareSteps]float64 }
+// tally is one organisation's tokens by step: missed was refused for the wait while it was
+// under its share. begun is for the log alone.
+type tally struct{ asked, got, missed, begun [shareSteps]float64 }
 
 func newMeter(tokensPerSecond float64) *meter {
 	m := &meter{
@@ -60,7 +62,7 @@
 // empty forgets one step, and organisations that have asked for nothing since.
 func (m *meter) empty(i int) {
 	for id, u := range m.orgs {
-		u.asked[i], u.got[i], u.begun[i] = 0, 0, 0
+		u.asked[i], u.got[i], u.missed[i], u.begun[i] = 0, 0, 0, 0
 		if total(&u.asked) == 0 {
 			delete(m.orgs, id)
 		}
@@ -96,6 +98,12 @@
 	m.booked.add(org, 0, tokens)
 }
 
+// miss books what was refused for the wait to an organisation under its share.
+func (m *meter) miss(org version.ID, tokens float64, now time.Time) {
+	i := m.advance(now)
+	m.of(org).missed[i] += tokens
+}
+
 // begin books what an engine began.
 func (m *meter) begin(org version.ID, tokens float64, now time.Time) {
 	i := m.advance(now)
@@ -112,6 +120,7 @@
 	if m.dirty {
 		m.cut()
 		m.findLeast()
+		m.findShort()
 		m.dirty = false
 	}
 }
