--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -121,7 +121,13 @@
 
 // leads reports whether an organisation has to let the others go first.
 func (p *pool) leads(org version.ID, over float64, now time.Time) bool {
-	return over >= p.meter.leadFrom(now) && !p.without.Shares && p.meter.leads(org, now)
+	switch {
+	case p.without.Shares || over < heldFrom:
+		return false
+	case over < 1:
+		return p.meter.aheadOfGiven(org, now)
+	}
+	return p.meter.leads(org, now)
 }
 
 // mayRefuse reports whether a request may be refused for the wait. One that has been
--- a/internal/dispatch/lead.go
+++ b/internal/dispatch/lead.go
@@ -15,14 +15,6 @@
 // and has not begun yet, or was told late, takes the rest.
 const mostLead = 1.5
 
-// leadWhenShort is the part of its share from which an organisation is held back for others
-// while engines serve less than is stated: nobody comes to its whole share then.
-const leadWhenShort = 0.5
-
-// shortPart is the part of what was placed in the window that has to be refused for the wait,
-// of organisations under their shares, for engines to serve less than is stated.
-const shortPart = 0.2
-
 // wantsMore is how many times what it got an organisation asks for that counts as one that
 // waits.
 const wantsMore = 1.5
@@ -45,25 +37,6 @@
 	return total(&m.of(org).got) > mostLead*m.least
 }
 
-// leadFrom is the part of its share from which an organisation is held back for others.
-func (m *meter) leadFrom(now time.Time) float64 {
-	m.refresh(now)
-	if m.short {
-		return leadWhenShort
-	}
-	return 1
-}
-
-// findShort finds whether engines serve less than is stated.
-func (m *meter) findShort() {
-	got, missed := 0.0, 0.0
-	for _, u := range m.orgs {
-		got += total(&u.got)
-		missed += total(&u.missed)
-	}
-	m.short = missed > shortPart*got
-}
-
 // wants reports whether an organisation has asked for more than its share and for more
 // than it got, and goes on asking.
 func (m *meter) wants(org version.ID, u *tally) bool {
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -25,8 +25,8 @@
 	steps    steps
 	shares   map[version.ID]float64
 	booked   booked
-	short    bool    // engines serve less than is stated
-	least    float64 // tokens that the least served one got of those that ask for more
+	given    map[version.ID]float64 // parts of what is given out, while engines serve less than is stated
+	least    float64                // tokens that the least served one got of those that ask for more
 	dirty    bool
 }
 
@@ -118,9 +118,10 @@
 func (m *meter) refresh(now time.Time) {
 	m.advance(now)
 	if m.dirty {
-		m.cut()
+		demands := m.demands()
+		m.shares = maxMin(demands, m.capacity)
 		m.findLeast()
-		m.findShort()
+		m.findGiven(demands)
 		m.dirty = false
 	}
 }
@@ -136,28 +137,37 @@
 	return total(&m.of(org).got) / share
 }
 
-// cut divides the capacity (progressive filling).
-func (m *meter) cut() {
-	type demand struct {
-		org version.ID
-		n   float64
-	}
-	demands := make([]demand, 0, len(m.orgs))
+// demand is what an organisation asked for in the window, in tokens.
+type demand struct {
+	org version.ID
+	n   float64
+}
+
+// demands returns what organisations asked for, the least first.
+func (m *meter) demands() []demand {
+	out := make([]demand, 0, len(m.orgs))
 	for id, u := range m.orgs {
-		demands = append(demands, demand{id, total(&u.asked)})
+		out = append(out, demand{id, total(&u.asked)})
 	}
-	sort.Slice(demands, func(i, j int) bool {
-		if demands[i].n != demands[j].n {
-			return demands[i].n < demands[j].n
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].n != out[j].n {
+			return out[i].n < out[j].n
 		}
-		return demands[i].org < demands[j].org
+		return out[i].org < out[j].org
 	})
-	clear(m.shares)
-	left := m.capacity
+	return out
+}
+
+// maxMin divides a capacity between demands, the least first (progressive filling). It
+// returns what each organisation may use without being over.
+func maxMin(demands []demand, capacity float64) map[version.ID]float64 {
+	out := make(map[version.ID]float64, len(demands))
+	left := capacity
 	for i, d := range demands {
 		even := left / float64(len(demands)-i)
 		got := min(d.n, even)
 		left -= got
-		m.shares[d.org] = max(even, got) // what it may use without being over
+		out[d.org] = max(even, got)
 	}
+	return out
 }
