--- /dev/null
+++ b/internal/dispatch/lead_test.go
@@ -0,0 +1,112 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/silverswitch/silverswitch/internal/version"
+)
+
+// Two organisations flood, one by a router that brings its requests more slowly: what was
+// over shares all went to the other one.
+func TestOfTwoThatWaitTheLeastServedGoesFirst(t *testing.T) {
+	m := newMeter(390_000)
+	now := start
+	for range shareSteps {
+		now = now.Add(shareStep)
+		m.ask(1, window, now)
+		m.ask(2, window, now)
+		m.grant(1, 40_000, now)
+		m.grant(2, 100_000, now)
+	}
+	assert.True(t, m.leads(2, now))
+	assert.False(t, m.leads(1, now))
+	later := now.Add(goesOnFor * time.Second)
+	for at := now; at.Before(later); at = at.Add(shareStep) {
+		m.ask(2, window, at)
+	}
+	assert.False(t, m.leads(2, later), "who has stopped asking holds nobody back")
+}
+
+// A refusal for the share is told from one for the wait.
+func TestRefusalForTheShareSaysSo(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	id := f.order[0]
+	p := f.nodes[id].pools[serviceID(engines)]
+	for range shareSteps {
+		f.run(shareStep)
+		p.meter.ask(version.IDOf("waits"), window, f.now)
+		p.meter.ask(version.IDOf("flood"), window, f.now)
+		p.meter.grant(version.IDOf("waits"), 60_000, f.now)
+		p.meter.grant(version.IDOf("flood"), 120_000, f.now)
+	}
+	f.arrive(id, 1, engines, "flood", 3000)
+	r, refused := f.got[id][1].(Refuse)
+	require.True(t, refused)
+	assert.Equal(t, ReasonShare, r.Reason)
+	assert.Equal(t, "share-used", r.Reason.String())
+	assert.Equal(t, "unknown", Reason(200).String())
+	f.arrive(id, 2, engines, "waits", 3000)
+	f.placed(id, 2)
+}
+
+// Whoever has only begun to ask for more than it gets is about to be served.
+func TestNobodyIsHeldBackForANewFlood(t *testing.T) {
+	m := newMeter(390_000)
+	now := start
+	for range shareSteps {
+		now = now.Add(shareStep)
+		m.ask(2, window, now)
+		m.grant(2, 100_000, now)
+	}
+	m.ask(1, 2*window, now)
+	assert.False(t, m.leads(2, now))
+}
+
+// An organisation asked for four times what it got in every second, and was not waited for:
+// in a step in which one of its large requests was served it had got what it asked.
+func TestWhoIsServedOnceInAStepStillWaits(t *testing.T) {
+	m := newMeter(390_000)
+	now := start
+	for step := range shareSteps {
+		now = now.Add(shareStep)
+		m.ask(2, window, now)
+		m.grant(2, 200_000, now)
+		m.ask(1, 100_000, now)
+		if step%4 == 0 {
+			m.grant(1, 100_000, now)
+		}
+		if step >= goesOnFor*int(stepsASecond) {
+			assert.True(t, m.leads(2, now), "step %d", step)
+			assert.False(t, m.leads(1, now), "step %d", step)
+		}
+	}
+}
+
+// Of two organisations the one had had a third of its share and the other nine tenths, and
+// the first was refused for the wait as often as the other: each engine that came free went
+// to whoever came next, and the other one sent ten times as much.
+func TestWhileEnginesAreShortTheLeastServedGoesFirst(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	p := f.nodes[f.order[0]].pools[serviceID(engines)]
+	m := p.meter
+	small, flood := version.IDOf("small"), version.IDOf("flood")
+	for range shareSteps {
+		f.run(shareStep)
+		m.ask(small, window, f.now)
+		m.ask(flood, 10*window, f.now)
+		m.grant(small, 0.3*m.capacity/2/shareSteps, f.now)
+		m.grant(flood, 0.9*m.capacity/2/shareSteps, f.now)
+	}
+	over := m.over(flood, f.now)
+	assert.InDelta(t, 0.9, over, 0.01)
+	assert.False(t, p.leads(flood, over, f.now), "it is owed its share")
+	m.miss(small, m.capacity, f.now)
+	f.run(shareStep)
+	assert.True(t, p.leads(flood, over, f.now))
+	assert.False(t, p.leads(small, m.over(small, f.now), f.now))
+	assert.False(t, p.leads(flood, 0.2, f.now), "nobody is held back that has had little of its share")
+}
--- /dev/null
+++ b/internal/dispatch/report_test.go
@@ -0,0 +1,86 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/silverswitch/silverswitch/internal/version"
+)
+
+// Once a second the log tells what decisions rest on.
+func TestReportsTellWhatDecisionsRestOn(t *testing.T) {
+	f, id := flooded(t)
+	sched := f.nodes[f.scheduler()]
+	sched.Step(Strained{On: false}, f.now)
+	var shares []ShareReport
+	var believed []EngineReport
+	sched.reports.due = f.now
+	for range 50 {
+		f.now = f.now.Add(TickEvery)
+		sched.Tick(f.now)
+		for _, o := range sched.Ready(f.now) {
+			switch o := o.(type) {
+			case ShareReport:
+				shares = append(shares, o)
+			case EngineReport:
+				believed = append(believed, o)
+			}
+		}
+	}
+	require.Len(t, shares, 2)
+	assert.Equal(t, 2*window+int(Cost(4000, 50)), shares[0].Asked)
+	assert.Positive(t, shares[0].Share)
+	require.NotEmpty(t, believed)
+	assert.Equal(t, 4, believed[0].Engines)
+
+	n := f.nodes[id]
+	n.reports.countAlone(orgAt{serviceID(engines), version.IDOf("flood")}, 500, true)
+	n.reports.countAlone(orgAt{serviceID(engines), version.IDOf("flood")}, 0, false)
+	n.reports.countTurned(orgAt{serviceID(engines), version.IDOf("flood")}, 300)
+	n.reports.countTurned(orgAt{1, 2}, 300) // of a service that has gone
+	n.reportAlone(f.now)
+	var alone []AloneReport
+	for _, o := range n.Ready(f.now) {
+		if a, is := o.(AloneReport); is {
+			alone = append(alone, a)
+		}
+	}
+	require.Len(t, alone, 1)
+	assert.Equal(t, 1, alone[0].Placed)
+	assert.Equal(t, 1, alone[0].Refused)
+	assert.Equal(t, 500, alone[0].PlacedTokens)
+	assert.Equal(t, 300, alone[0].TurnedTokens)
+	assert.GreaterOrEqual(t, alone[0].ShareAgeMS, 0)
+}
+
+// Two organisations differed in what engines began, and no line could tell whether the one
+// that got less was waited for: what was got is what was placed.
+func TestShareReportTellsWhatWasBegunAndWhoIsWaitedFor(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	id := f.order[0]
+	n := f.nodes[id]
+	p := n.pools[serviceID(engines)]
+	for range shareSteps {
+		f.run(shareStep)
+		p.meter.ask(version.IDOf("a"), window, f.now)
+		p.meter.grant(version.IDOf("a"), 60_000, f.now)
+	}
+	f.arrive(id, 1, engines, "a", 4000)
+	f.placed(id, 1)
+	n.Step(First{ID: 1, After: 50 * time.Millisecond}, f.now)
+	n.reports.due = f.now
+	n.Ready(f.now)
+	n.Tick(f.now)
+	for _, o := range n.Ready(f.now) {
+		if r, ok := o.(ShareReport); ok {
+			assert.Equal(t, int(Cost(4000, 50)), r.Begun)
+			assert.True(t, r.Waits)
+			assert.GreaterOrEqual(t, r.AskingSeconds, goesOnFor)
+			return
+		}
+	}
+	t.Fatal("no report")
+}
