--- a/internal/dispatch/covered.go
+++ b/internal/dispatch/covered.go
@@ -18,8 +18,8 @@
 // reasons, and what lies beyond shares is given out too.
 //
 // Load pattern: of three floods one came in by a router short of processor, and the two
-// others had eight times their shares. Measured by its share alone the first one was left
-// twice that, whatever the scheduler would have given it.
+// others had three times their shares and more. Measured by its share alone the first one
+// was left twice that, whatever the scheduler would have given it.
 const coverRoom = 2.0
 
 // Covered returns the organisations that have had their shares and ask for more than is
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -53,7 +53,7 @@
 	TurnedTokens    int    // refused at the door
 	Share           uint32 // hundredths of its share that it has had, by the scheduler's last word
 	ShareAgeMS      int    // of that word, -1 when there is none
-	LetInPercent    int    // of what comes in here, that shares cover: the door refuses the rest while it is short of processor
+	LetInPercent    int    // of what comes in here, by the door while this router is short of processor
 }
 
 func (ShareReport) output()  {}
--- a/internal/lab/tokens/fair_test.go
+++ b/internal/lab/tokens/fair_test.go
@@ -37,7 +37,7 @@
 
 // Two organisations flooded, and the one whose router refused at its door began less than
 // half of what the other one did. The door let in twice the organisation's share, while the
-// scheduler gave the other one eight times its own. The lines of a scheduler that settled it,
+// scheduler gave the other one more than three times its own. The lines of a scheduler that settled it,
 // in tokens of four seconds: before the doors refused, the one had 4,217,000 and the other
 // 4,268,000; three seconds later it had 2,147,000 of a share of 1,186,000, while its routers
 // turned away nine in ten of its requests and the scheduler hardly any.
