Lists of live routers are corrected and not made anew

Cause: in a fleet of 585 each change of one router's state made the lists of live routers and the rankings of three services anew: listing, sorting by two hashes a comparison, at each tick while hundreds start. Rumours were sorted for each datagram.

Change: a list is corrected by the routers whose state has changed since; a ranking works out each hash once, and is kept for two ticks in a large fleet whose states change all the time, and as long as nothing changes otherwise; the six rumours to tell are picked in one pass.

A start still grows with the routers that are heard of one by one; what each costs no longer does.

--- a/internal/core/member/live.go
+++ b/internal/core/member/live.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -10,17 +11,24 @@
 // Live returns the routers believed alive, self among them; with leaving set,
 // also those that are leaving. Sorted; the caller must not change it.
 //
-// The list is kept until a state changes: with 195 routers, sorting it for each request
-// and tick took half of the processor time of the first 15 s (124.5 and 61.6 s).
+// The list is kept, and corrected by the routers whose state has changed since. Load
+// pattern: hundreds of routers start together, and each hears of the others one by one.
+// Listing and sorting all of them anew for each took half of the processor time.
 func (t *Table) Live(leaving bool) []wire.NodeID {
 	l := &t.live[0]
 	if leaving {
 		l = &t.live[1]
 	}
-	if l.ids != nil && l.changes == t.Changes {
+	behind := t.Changes - l.changes
+	switch {
+	case l.ids != nil && behind == 0:
 		return l.ids
+	case l.ids == nil || behind > len(t.touched):
+		l.ids = t.findLive(leaving)
+	default:
+		l.ids = t.corrected(l.ids, t.touched[len(t.touched)-behind:], leaving)
 	}
-	*l = liveList{ids: t.findLive(leaving), changes: t.Changes}
+	l.changes = t.Changes
 	return l.ids
 }
 
@@ -30,13 +38,62 @@
 	changes int
 }
 
+// maxTouched is how many changes a list is corrected by at most; after more of them it is
+// made anew.
+const maxTouched = 64
+
+// changed counts a change of a router's state.
+func (t *Table) changed(id wire.NodeID) {
+	t.Changes++
+	if len(t.touched) == 2*maxTouched {
+		t.touched = append(t.touched[:0], t.touched[maxTouched:]...)
+	}
+	t.touched = append(t.touched, id)
+}
+
+// corrected returns a list with the present state of some routers. The list itself stays:
+// others may hold it.
+func (t *Table) corrected(ids, touched []wire.NodeID, leaving bool) []wire.NodeID {
+	out := slices.Clone(ids)
+	for _, id := range touched {
+		i, listed := slices.BinarySearch(out, id)
+		switch is := t.isLive(id, leaving); {
+		case is && !listed:
+			out = slices.Insert(out, i, id)
+		case !is && listed:
+			out = slices.Delete(out, i, i+1)
+		}
+	}
+	return out
+}
+
+// isLive reports whether a router belongs to the list of Live.
+func (t *Table) isLive(id wire.NodeID, leaving bool) bool {
+	if id == t.self.ID {
+		return leaving || t.self.State == wire.Alive
+	}
+	m := t.members[id]
+	return m != nil && t.usable(m) && (leaving || m.State != wire.Leaving)
+}
+
+// Dead returns the routers believed dead.
+func (t *Table) Dead() map[wire.NodeID]bool {
+	out := map[wire.NodeID]bool{}
+	for id, m := range t.members {
+		if m.State == wire.Dead {
+			out[id] = true
+		}
+	}
+	return out
+}
+
 func (t *Table) findLive(leaving bool) []wire.NodeID {
 	ids := []wire.NodeID{}
-	if leaving || t.self.State == wire.Alive {
+	if t.isLive(t.self.ID, leaving) {
 		ids = append(ids, t.self.ID)
 	}
-	for id, m := range t.members {
-		if t.usable(m) && (leaving || m.State != wire.Leaving) {
+	for id := range t.members {
+		if t.isLive(id, leaving) {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -65,7 +65,8 @@
 	tell      map[wire.NodeID]bool // routers that asked for this one's own update
 	seq       uint32
 	live      [2]liveList
-	Changes   int // counts changes of state, for whoever caches a view
+	touched   []wire.NodeID // the routers of the latest changes, in order
+	Changes   int           // counts changes of state, for whoever caches a view
 }
 
 type probe struct {
@@ -118,7 +119,7 @@
 	t.self.Refute++
 	t.spread(t.self.ID)
 	t.join.changed(nil)
-	t.Changes++
+	t.changed(t.self.ID)
 }
 
 // Refresh raises this router's own number, after a pause in which others may
@@ -169,7 +170,7 @@
 	// second.
 	i, last := t.rnd.IntN(len(t.order)), len(t.order)-1
 	t.order[i], t.order[last] = t.order[last], t.order[i]
-	t.Changes++
+	t.changed(id)
 }
 
 // Get returns what is known of a router, or nil.
@@ -245,7 +246,7 @@
 	if m.Place == "" && u.Place != "" {
 		m.Place, m.Public, m.Power = u.Place, u.Public, u.Power
 		t.join.changed(m)
-		t.Changes++
+		t.changed(u.ID)
 	}
 	if !supersedes(u, m.Update) {
 		return
@@ -281,7 +282,7 @@
 	}
 	if u.State != m.State || u.Inc != m.Inc {
 		m.Since = now
-		t.Changes++
+		t.changed(u.ID)
 	}
 	m.Update = u
 	t.join.changed(m)
--- a/internal/core/member/probe.go
+++ b/internal/core/member/probe.go
@@ -87,7 +87,7 @@
 			break
 		}
 	}
-	t.Changes++
+	t.changed(id)
 }
 
 // startProbe pings the next router of a shuffled round (SWIM 4.3), so that each
--- a/internal/core/member/rumour.go
+++ b/internal/core/member/rumour.go
@@ -1,7 +1,7 @@
 package member
 
 import (
-	"sort"
+	"slices"
 	"strconv"
 
 	"github.com/silverswitch/silverswitch/internal/core/wire"
@@ -56,8 +56,7 @@
 		delete(t.tell, to)
 		out = append(out, t.self)
 	}
-	sort.SliceStable(t.rumours, func(i, j int) bool { return t.rumours[i].left > t.rumours[j].left })
-	for i := range t.rumours {
+	for _, i := range t.freshest(maxPiggyback + 1) {
 		if len(out) >= maxPiggyback {
 			break
 		}
@@ -70,6 +69,24 @@
 	return out
 }
 
+// freshest returns the places of the rumours that were told least, those that were told
+// least first and of equal ones the earliest.
+func (t *Table) freshest(most int) []int {
+	best := make([]int, 0, most+1)
+	for i, r := range t.rumours {
+		at := len(best)
+		for at > 0 && t.rumours[best[at-1]].left < r.left {
+			at--
+		}
+		if at == most {
+			continue
+		}
+		best = slices.Insert(best, at, i)
+		best = best[:min(len(best), most)]
+	}
+	return best
+}
+
 func (t *Table) entry(id wire.NodeID) (wire.Update, bool) {
 	if id == t.self.ID {
 		return t.self, true
--- a/internal/dispatch/rank.go
+++ b/internal/dispatch/rank.go
@@ -1,7 +1,8 @@
 package dispatch
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,37 +23,63 @@
 // which they would decide for a service: those with most processor first, since
 // a scheduler works for the whole fleet, and of equal ones by rendezvous hashing.
 func (n *Node) ranked(service version.ID, now time.Time) []wire.NodeID {
+	return n.ranking(service, now).order
+}
+
+func (n *Node) ranking(service version.ID, now time.Time) *ranking {
 	r := n.ranks[service]
-	if r != nil && r.changes == n.members.Changes && now.Sub(r.at) < rankFor {
-		return r.order
+	if r != nil && r.holds(n, now) {
+		return r
 	}
 	r = &ranking{changes: n.members.Changes, at: now}
+	var list []ranked
 	for _, id := range n.members.Live(false) {
 		if until, silent := n.silent[id]; !silent || now.After(until) {
-			r.order = append(r.order, id)
+			list = append(list, ranked{id, n.power(id), rank(service, id)})
 		}
 	}
-	sort.Slice(r.order, func(i, j int) bool {
-		a, b := r.order[i], r.order[j]
-		if pa, pb := n.power(a), n.power(b); pa != pb {
-			return pa > pb
-		}
-		return rank(service, a) > rank(service, b)
+	slices.SortFunc(list, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.power, a.power), cmp.Compare(b.hash, a.hash))
 	})
+	for _, e := range list {
+		r.order = append(r.order, e.id)
+	}
 	n.ranks[service] = r
-	return r.order
+	return r
+}
+
+// ranked is a router with what it is ranked by.
+type ranked struct {
+	id    wire.NodeID
+	power uint32
+	hash  uint64
 }
 
 // ranking is a service's routers in order, kept for a moment.
 type ranking struct {
 	order   []wire.NodeID
+	relays  map[string][]wire.NodeID // by place, found when they are asked for
 	changes int
 	at      time.Time
 }
 
-// rankFor is how long a ranking is kept while no router's state changes; a silent
-// one clears it at once.
-const rankFor = 100 * time.Millisecond
+const (
+	// rankFor is how long a ranking is kept while no router's state changes, but some are
+	// passed over for a time. Another one that falls silent clears it at once.
+	rankFor = 100 * time.Millisecond
+	// rankLeast is how long it is kept in a large fleet where states change all the time:
+	// hundreds of routers that start together are heard of one by one.
+	rankLeast = 2 * TickEvery
+)
+
+// holds reports whether a ranking may still be used.
+func (r *ranking) holds(n *Node, now time.Time) bool {
+	age := now.Sub(r.at)
+	if r.changes != n.members.Changes {
+		return age < rankLeast && len(r.order) > meshUpTo
+	}
+	return len(n.silent) == 0 || age < rankFor
+}
 
 // power is a router's processor, in steps of a quarter of a core, so that small
 // differences do not make one router the scheduler of everything.
