A decision looks at a few upstreams, and a large service uses a working set

Cause: each decision looked at every engine of the service (1.8 ms before 6,000), each regular message of another router was compared with every upstream (0.31 ms; heirs hear a thousand a second at 585 routers), and the scheduler held a connection to each engine and asked each what it keeps.

Change: beyond 128 upstreams a decision looks at those that keep the prompt's parts, a few of those in use, and one that is not, in each place. What routers state is kept by router. What engines keep is read of those in use alone, at most 200 reads a second.

Ways: all engines with a bounded choice of a few at random was weighed: it strews shared parts over all engines, so each reads them again. A fixed subset by hashing holds parts together and does not grow with load.

Pools of up to 128 decide as before.

--- a/internal/dispatch/beat.go
+++ b/internal/dispatch/beat.go
@@ -119,7 +119,7 @@
 	}
 	n.beats.no++
 	demand, models, doubts := n.ownDemand(now), n.ownModels(), n.doubts(now)
-	n.applyLoads(n.set.ID, n.loadsFor(n.set.ID))
+	n.applyLoads(n.set.ID, n.loadsFor(n.set.ID), now)
 	all, placed := n.loadsFor(""), n.placers()
 	for _, id := range to {
 		if id == n.set.ID {
@@ -248,7 +248,7 @@
 
 // heardBeat takes a router's regular message.
 func (n *Node) heardBeat(from wire.NodeID, w *wire.Work, now time.Time) {
-	n.applyLoads(from, w.Loads)
+	n.applyLoads(from, w.Loads, now)
 	n.heardDemand(from, w.Demand)
 	n.heardModels(w.Models)
 	n.heardDoubts(w.Doubts, now)
@@ -258,6 +258,7 @@
 		}
 		for _, h := range w.Held {
 			if u := p.ups[h.Upstream]; u != nil {
+				u.touch(now)
 				u.cache.add(h.Part, int(h.Tokens), true, now)
 				u.fit(now)
 			}
@@ -266,17 +267,8 @@
 }
 
 // applyLoads replaces what a router states of its use of upstreams.
-func (n *Node) applyLoads(from wire.NodeID, loads []wire.WorkLoad) {
-	stated := map[version.ID]wire.WorkLoad{}
-	for _, l := range loads {
-		stated[l.Upstream] = l
-	}
+func (n *Node) applyLoads(from wire.NodeID, loads []wire.WorkLoad, now time.Time) {
 	for _, p := range n.pools {
-		for id, u := range p.ups {
-			l, now := stated[id]
-			if old := u.nodes[from]; now || old != nil && old.load != (wire.WorkLoad{}) {
-				u.change(from, func(n *nodeUse) { n.load = l })
-			}
-		}
+		p.applyLoads(from, loads, now)
 	}
 }
--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -7,22 +7,29 @@
 
 	"github.com/silverswitch/silverswitch/internal/core/wire"
 	"github.com/silverswitch/silverswitch/internal/routing"
+	"github.com/silverswitch/silverswitch/internal/version"
 )
 
-// BenchmarkDecide is one decision and its end, with 60 engines and 600 requests
-// at them, of 58 routers: 53,000 decisions a second and core.
+// BenchmarkDecide is one decision and its end, with 600 requests at engines in three places,
+// of 58 routers.
 func BenchmarkDecide(b *testing.B) {
+	for _, n := range []int{60, 600, 6000, 12000} {
+		b.Run(fmt.Sprint(n, " engines"), func(b *testing.B) { benchmarkDecide(b, n) })
+	}
+}
+
+func benchmarkDecide(b *testing.B, engineCount int) {
 	svc := &routing.Service{Name: engines, Engine: &routing.Engine{Slots: 64, MemoryTokens: 232_000}}
 	p := newPool(svc, 1_300_000)
 	var list []routing.Instance
-	for i := range 60 {
+	for i := range engineCount {
 		list = append(list, routing.Instance{ID: fmt.Sprintf("e%d", i), Service: engines, Place: fmt.Sprint(i % 3)})
 	}
 	p.setInstances(list)
 	now := start
 	ask := func(no int) (wire.NodeID, *wire.WorkAsk) {
 		parts := []wire.PromptPart{{Part: uint64(no % 4), Tokens: 2520}, {Part: uint64(100 + no%263), Tokens: 3780}, {Part: uint64(10_000 + no), Tokens: 2890}}
-		return wire.NodeID(fmt.Sprint(no % 58)), &wire.WorkAsk{No: uint64(no), Try: 1, Org: 1, Input: 9190, Output: 50, AimMS: 600, LeftMS: 6000, Parts: parts}
+		return wire.NodeID(fmt.Sprint(no % 58)), &wire.WorkAsk{No: uint64(no), Try: 1, Org: 1, Place: version.IDOf(fmt.Sprint(no % 3)), Input: 9190, Output: 50, AimMS: 600, LeftMS: 6000, Parts: parts}
 	}
 	end := func(no int) {
 		from, _ := ask(no)
--- a/internal/dispatch/cache.go
+++ b/internal/dispatch/cache.go
@@ -14,6 +14,7 @@
 	used  int
 	parts map[uint64]*list.Element
 	order *list.List // of *part, most recently used first
+	keep  heldBy     // notes who holds what; may be the zero value
 }
 
 type part struct {
@@ -62,6 +63,7 @@
 	}
 	c.parts[id] = c.order.PushFront(&part{id: id, tokens: tokens, ready: ready, at: now})
 	c.used += tokens
+	c.keep.added(id)
 }
 
 // drop forgets a part.
@@ -73,6 +75,14 @@
 	c.order.Remove(e)
 	delete(c.parts, id)
 	c.used -= e.Value.(*part).tokens
+	c.keep.dropped(id)
+}
+
+// clear forgets every part.
+func (c *cache) clear() {
+	for id := range c.parts {
+		c.drop(id)
+	}
 }
 
 // correctAfter is how old the own knowledge of a part must be until the engine's
--- a/internal/dispatch/catalogue.go
+++ b/internal/dispatch/catalogue.go
@@ -75,7 +75,8 @@
 // long that there is none.
 func (n *Node) KnowsFleet(now time.Time) bool { return n.Heard() || now.Sub(n.begun) >= aloneFor }
 
-// Scheduled returns the engines that this router schedules. While it knows no fleet it
+// Scheduled returns the engines that this router schedules and that are in use: of the
+// others there is nothing to learn. While it knows no fleet it
 // schedules none: asking an engine for all that it keeps delays the engine's work.
 //
 // Load pattern: 195 routers lose power, and the seeds come back last. Each took itself for
@@ -89,7 +90,7 @@
 		if p.engine == nil || n.schedulerOf(p.id, now) != n.set.ID {
 			continue
 		}
-		for _, u := range p.order {
+		for _, u := range p.inUse() {
 			if !u.evacuated {
 				out = append(out, u.inst)
 			}
--- a/internal/dispatch/evacuation.go
+++ b/internal/dispatch/evacuation.go
@@ -16,6 +16,10 @@
 // evacuate takes the places that are evacuated. Upstreams of those that were so until now
 // may be cold, whatever their entries say: these are written later.
 func (p *pool) evacuate(places map[string]bool, now time.Time) {
+	if len(places) == 0 && !p.evacuations {
+		return
+	}
+	p.evacuations = len(places) > 0
 	for _, u := range p.order {
 		was := u.evacuated
 		u.evacuated = places[u.inst.Place]
@@ -42,6 +46,7 @@
 			open++
 		}
 	}
+	p.openUps = open
 	if all > 0 {
 		tokensPerSecond *= float64(open) / float64(all)
 	}
@@ -54,6 +59,9 @@
 
 // open counts the upstreams that take work at their usual rate.
 func (p *pool) open(now time.Time) int {
+	if p.cold.PerSecond <= 0 {
+		return p.openUps
+	}
 	open := 0
 	for _, u := range p.order {
 		if !u.closed() && !p.isCold(u, now) {
@@ -92,10 +100,8 @@
 
 // describePlace says whether any upstream lies in a place.
 func (n *Node) describePlace(place string) string {
-	for _, i := range n.cat.Instances {
-		if i.Place == place {
-			return ""
-		}
+	if n.upstreamPlaces[place] {
+		return ""
 	}
 	return ": no upstream lies there"
 }
--- a/internal/dispatch/late.go
+++ b/internal/dispatch/late.go
@@ -44,7 +44,7 @@
 		if p.engine == nil {
 			continue
 		}
-		for _, u := range p.order {
+		for _, u := range p.inUse() {
 			u.workOff(p.learner.Model(), min(elapsed, PauseLimit), now)
 		}
 	}
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -292,10 +292,8 @@
 
 // dropDead forgets what routers had placed that are dead.
 func (n *Node) dropDead(now time.Time) {
-	for _, m := range n.members.All() {
-		if m.State == wire.Dead {
-			n.forgetRouter(m.ID, now)
-		}
+	if dead := n.members.Dead(); len(dead) > 0 {
+		n.forgetRouters(dead, now)
 	}
 	for id := range n.demands {
 		if n.members.Get(id) == nil {
@@ -310,16 +308,19 @@
 	}
 }
 
-func (n *Node) forgetRouter(id wire.NodeID, now time.Time) {
+// forgetRouters forgets what routers had placed, stated and told that are gone.
+func (n *Node) forgetRouters(gone map[wire.NodeID]bool, now time.Time) {
 	for _, p := range n.pools {
-		p.lost(id, now)
+		p.lost(gone, now)
 	}
 	for _, f := range n.flights {
-		f.orphan = f.orphan || f.by == id && f.placed != 0
+		f.orphan = f.orphan || gone[f.by] && f.placed != 0
+	}
+	for id := range gone {
+		n.setLate(id, false)
+		delete(n.ahead, id)
+		delete(n.store.blind, id)
 	}
-	n.setLate(id, false)
-	delete(n.ahead, id)
-	delete(n.store.blind, id)
 }
 
 func (n *Node) event(e Event) { n.out = append(n.out, e) }
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -14,7 +14,7 @@
 			return // a datagram of a process that has ended
 		}
 		if d.Inc > m.Inc && m.Inc != 0 {
-			n.forgetRouter(d.From, now)
+			n.forgetRouters(map[wire.NodeID]bool{d.From: true}, now)
 		}
 	}
 	n.heardAt = now
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -26,6 +26,7 @@
 	// 0.5 to 1 in a hundred fewer of what was owed were served (15 runs, 6 to 8 routers).
 	nearWait     = 0.1
 	moveMS       = 10.0 // a fetch is priced, and keeps the same parts twice
+	wakeMS       = 10.0 // an engine that is not in use: what later requests share is read there anew
 	newConnMS    = 8.0  // the router keeps no connection to the engine: a new one is priced like a small move
 	plainPlaceMS = 6.0  // a plain upstream in another place
 	plainRunMS   = 10.0 // each request the own router has at a plain upstream
@@ -109,21 +110,28 @@
 
 // chooseOf is choose among those that do not rest, or among all.
 func (p *pool) chooseOf(from wire.NodeID, a *wire.WorkAsk, rested bool, now time.Time) *choices {
+	look := p.candidates(a, now)
+	best := p.bestOf(look, from, a, rested, now)
+	if best == nil && !p.isSmall() {
+		best = p.bestOf(p.others(a, rested, now), from, a, rested, now)
+	}
+	return best
+}
+
+// bestOf returns the best of some upstreams, or nil when none takes work.
+func (p *pool) bestOf(look []*upstream, from wire.NodeID, a *wire.WorkAsk, rested bool, now time.Time) *choices {
 	if p.engine == nil {
-		if c := p.choosePlain(a, rested, now); c != nil {
+		if c := p.choosePlain(look, a, rested, now); c != nil {
 			return &choices{soonest: *c, near: *c}
 		}
 		return nil
 	}
-	holder := p.lookUp(a, now)
-	own := ownTokens(int(a.Input), int(a.Output), a.Parts)
-	usable := int(memoryUsable * float64(p.engine.MemoryTokens))
+	holder := p.lookUp(look, a, now)
 	var best choices
-	for _, u := range p.order {
-		if !u.takes(a, rested, now) || !p.coldRoom(u, now) || u.running() >= p.engine.Slots || u.memory()+own > usable {
-			continue
+	for _, u := range look {
+		if p.hasRoom(u, a, rested, now) {
+			best.weigh(p.at(u, from, a, holder, now), a.Place)
 		}
-		best.weigh(p.at(u, from, a, holder, now), a.Place)
 	}
 	if best.soonest.up == nil {
 		return nil
@@ -131,6 +139,19 @@
 	return &best
 }
 
+// hasRoom reports whether an upstream takes a request now.
+func (p *pool) hasRoom(u *upstream, a *wire.WorkAsk, rested bool, now time.Time) bool {
+	if !u.takes(a, rested, now) || !p.coldRoom(u, now) {
+		return false
+	}
+	if p.engine == nil {
+		return true
+	}
+	own := ownTokens(int(a.Input), int(a.Output), a.Parts)
+	usable := int(memoryUsable * float64(p.engine.MemoryTokens))
+	return u.running() < p.engine.Slots && u.memory()+own <= usable
+}
+
 // weigh takes a place where it is better than those before.
 func (b *choices) weigh(c choice, place version.ID) {
 	if b.soonest.up == nil || c.cost < b.soonest.cost {
@@ -153,11 +174,11 @@
 	return out
 }
 
-// lookUp notes at each engine how much of the prompt it keeps, and returns the one
-// that keeps most of it read.
-func (p *pool) lookUp(a *wire.WorkAsk, now time.Time) *upstream {
+// lookUp notes at some engines how much of the prompt each keeps, and returns the one that
+// keeps most of it read.
+func (p *pool) lookUp(look []*upstream, a *wire.WorkAsk, now time.Time) *upstream {
 	var holder *upstream
-	for _, u := range p.order {
+	for _, u := range look {
 		u.kept, u.ready = 0, 0
 		if p.without.Parts {
 			continue
@@ -193,6 +214,9 @@
 	if !p.without.Connection && !u.conns.kept(from, now) {
 		c.price += newConnMS
 	}
+	if u.inUse == notInUse && !p.isSmall() {
+		c.price += wakeMS
+	}
 	c.cost = c.waitMS + c.ownMS + c.price + p.crowd(u)
 	if p.alone {
 		c.cost += spread(from, u)
@@ -219,10 +243,11 @@
 	return 0.3 * float64(u.running())
 }
 
-func (p *pool) choosePlain(a *wire.WorkAsk, rested bool, now time.Time) *choice {
+// choosePlain returns the best of some plain upstreams, or nil when none takes work.
+func (p *pool) choosePlain(look []*upstream, a *wire.WorkAsk, rested bool, now time.Time) *choice {
 	var best *choice
-	for _, u := range p.order {
-		if !u.takes(a, rested, now) || !p.coldRoom(u, now) {
+	for _, u := range look {
+		if !p.hasRoom(u, a, rested, now) {
 			continue
 		}
 		u.settle(now)
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"sort"
 	"time"
 
 	"github.com/silverswitch/silverswitch/internal/core/wire"
@@ -20,18 +19,29 @@
 	engine  *routing.Engine // nil for a plain service
 	ups     map[version.ID]*upstream
 	order   []*upstream // by ID
-	runs    map[runKey]*run
-	learner *prefill.Learner // of the engines' times to the first event
-	logged  prefill.Model    // as it was written to the log last
-	aim     float64          // the strictest target of the routes to it, in milliseconds, 0 when unknown
-	usual   usualTime        // of a plain service
-	meter   *meter           // of the fleet, as far as this router decides
-	here    *meter           // of what came in at this router, whoever decided
-	busy    busyMeter        // of reading
-	urgency urgency
-	late    map[wire.NodeID]bool // routers that said so
-	alone   bool                 // the decision being made is not the fleet's scheduler's
-	without Without
+	places  map[version.ID]*placeSet
+	// placeOrder is the places sorted, nil after a change of them.
+	placeOrder []*placeSet
+	holders    holders
+	look       look
+	openUps    int // that are neither leaving nor evacuated
+	// statedBy are the upstreams at which a router states a load, and statedNo numbers the
+	// statements.
+	statedBy    map[wire.NodeID][]*upstream
+	statedNo    uint64
+	evacuations bool // some place was evacuated when that was looked at last
+	runs        map[runKey]*run
+	learner     *prefill.Learner // of the engines' times to the first event
+	logged      prefill.Model    // as it was written to the log last
+	aim         float64          // the strictest target of the routes to it, in milliseconds, 0 when unknown
+	usual       usualTime        // of a plain service
+	meter       *meter           // of the fleet, as far as this router decides
+	here        *meter           // of what came in at this router, whoever decided
+	busy        busyMeter        // of reading
+	urgency     urgency
+	late        map[wire.NodeID]bool // routers that said so
+	alone       bool                 // the decision being made is not the fleet's scheduler's
+	without     Without
 
 	regions  map[string]string // of places
 	cold     routing.Cold      // what its upstreams take while they are cold
@@ -47,6 +57,8 @@
 		id:      version.IDOf(s.Name),
 		engine:  s.Engine,
 		ups:     map[version.ID]*upstream{},
+		places:  map[version.ID]*placeSet{},
+		holders: holders{},
 		runs:    map[runKey]*run{},
 		learner: prefill.NewLearner(),
 		logged:  prefill.Prior,
@@ -55,43 +67,67 @@
 		here:    newMeter(tokensPerSecond),
 		busy:    newBusyMeter(),
 		late:    map[wire.NodeID]bool{},
+
+		statedBy: map[wire.NodeID][]*upstream{},
 	}
 }
 
 // setInstances takes the list of the service's instances. It returns those that
 // have left it.
 func (p *pool) setInstances(list []routing.Instance) (gone []*upstream) {
-	listed := map[version.ID]bool{}
+	listed := make(map[version.ID]bool, len(list))
 	for _, inst := range list {
-		id := version.IDOf(inst.Start())
-		listed[id] = true
-		if u := p.ups[id]; u != nil {
-			u.inst = inst
-			continue
-		}
-		u := newUpstream(inst, p.engine)
-		if region, known := p.regions[inst.Place]; known {
-			u.region = version.IDOf(region)
-		}
-		p.ups[id] = u
+		listed[version.IDOf(inst.Start())] = true
+		p.put(inst)
 	}
-	for id, u := range p.ups {
-		if !listed[id] {
+	for _, u := range p.order {
+		if !listed[u.id] {
 			gone = append(gone, u)
-			for _, r := range u.runs {
-				delete(p.runs, r.key)
-			}
-			delete(p.ups, id)
 		}
 	}
-	p.order = p.order[:0]
-	for _, u := range p.ups {
-		p.order = append(p.order, u)
+	for _, u := range gone {
+		p.drop(u)
 	}
-	sort.Slice(p.order, func(i, j int) bool { return p.order[i].id < p.order[j].id })
 	return gone
 }
 
+// put takes an instance, new or with another entry.
+func (p *pool) put(inst routing.Instance) {
+	id := version.IDOf(inst.Start())
+	if u := p.ups[id]; u != nil {
+		u.inst = inst
+		return
+	}
+	u := newUpstream(inst, p.engine)
+	if region, known := p.regions[inst.Place]; known {
+		u.region = version.IDOf(region)
+	}
+	if u.cache != nil {
+		u.cache.keep = p.holders.of(u)
+	}
+	p.ups[id] = u
+	p.order = inserted(p.order, u)
+	p.placeOf(inst.Place).add(u)
+}
+
+// drop forgets an upstream and what runs there.
+func (p *pool) drop(u *upstream) {
+	for _, r := range u.runs {
+		delete(p.runs, r.key)
+	}
+	if u.cache != nil {
+		u.cache.clear()
+	}
+	delete(p.ups, u.id)
+	p.order = removed(p.order, u)
+	set := u.set
+	set.remove(u)
+	if len(set.all) == 0 {
+		delete(p.places, set.id)
+		p.placeOrder = nil
+	}
+}
+
 // note takes the news of a run.
 func (p *pool) note(from wire.NodeID, n wire.WorkNote, now time.Time) {
 	r := p.runs[runKey{from, n.No}]
@@ -164,19 +200,46 @@
 	r.up.end(r, whole, now)
 }
 
-// lost forgets everything a router had placed: it is gone.
-func (p *pool) lost(id wire.NodeID, now time.Time) {
-	p.forgetAll(func(r *run) bool { return r.key.node == id }, now)
-	for _, u := range p.ups {
-		if u.nodes[id] != nil {
-			u.change(id, func(n *nodeUse) { n.load = wire.WorkLoad{} })
-		}
+// lost forgets everything that routers had placed or stated: they are gone.
+func (p *pool) lost(gone map[wire.NodeID]bool, now time.Time) {
+	p.forgetAll(func(r *run) bool { return gone[r.key.node] }, now)
+	for id := range gone {
+		p.applyLoads(id, nil, now)
 	}
 }
 
-// expire forgets runs whose end was not heard.
+// expire forgets runs whose end was not heard, and lets upstreams leave the working set.
 func (p *pool) expire(now time.Time) {
 	p.forgetAll(func(r *run) bool { return now.After(r.until) }, now)
+	for _, set := range p.places {
+		set.shrink(now)
+	}
+}
+
+// applyLoads replaces what a router states of its use of upstreams.
+func (p *pool) applyLoads(from wire.NodeID, loads []wire.WorkLoad, now time.Time) {
+	p.statedNo++
+	var stated []*upstream
+	for _, l := range loads {
+		u := p.ups[l.Upstream]
+		if u == nil {
+			continue
+		}
+		u.change(from, func(n *nodeUse) { n.load = l })
+		u.touch(now)
+		u.statedNo = p.statedNo
+		stated = append(stated, u)
+	}
+	for _, u := range p.statedBy[from] {
+		if u.statedNo != p.statedNo {
+			u.change(from, func(n *nodeUse) { n.load = wire.WorkLoad{} })
+		}
+	}
+	if len(stated) == 0 {
+		delete(p.statedBy, from)
+		return
+	}
+	p.statedBy[from] = stated
 }
 
 // forgetAll forgets runs in the order of their keys, so that the same inputs give the
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -27,11 +27,12 @@
 	Waits                    bool // others that have had much more are held back for it
 }
 
-// EngineReport is what this router believes of the engines of a service that it
+// EngineReport is what this router believes of the engines in use of a service that it
 // schedules: the parts of the wait at the least busy engine and at the median one.
 type EngineReport struct {
 	Service       string
-	Engines       int
+	Engines       int // in use
+	All           int
 	Least, Median WaitParts
 	BusyPercent   int // of the engines' time that is taken by reading that was placed lately
 }
@@ -166,7 +167,7 @@
 
 func (n *Node) reportEngines(p *pool, now time.Time) {
 	var all []WaitParts
-	for _, u := range p.order {
+	for _, u := range p.inUse() {
 		if u.cache != nil && !u.inst.Draining {
 			all = append(all, p.waitParts(u, now))
 		}
@@ -175,7 +176,7 @@
 		return
 	}
 	slices.SortFunc(all, func(a, b WaitParts) int { return cmp.Compare(a.WaitMS, b.WaitMS) })
-	n.out = append(n.out, EngineReport{Service: p.service, Engines: len(all), Least: all[0], Median: all[len(all)/2], BusyPercent: int(100 * p.busy.part(p.open(now), now))})
+	n.out = append(n.out, EngineReport{Service: p.service, Engines: len(all), Least: all[0], Median: all[len(all)/2], BusyPercent: int(100 * p.busy.part(p.open(now), now)), All: len(p.order)})
 }
 
 func (p *pool) waitParts(u *upstream, now time.Time) WaitParts {
--- /dev/null
+++ b/internal/dispatch/scale_bench_test.go
@@ -0,0 +1,116 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/silverswitch/silverswitch/internal/core/wire"
+	"github.com/silverswitch/silverswitch/internal/routing"
+)
+
+// What one router of a large fleet does for itself: 585 routers in five places before 5,820
+// engines and 180 plain upstreams, no requests.
+
+const (
+	scaleRouters = 585
+	scaleEngines = 5820
+)
+
+func scaleInstances() []routing.Instance {
+	var out []routing.Instance
+	for i := range scaleEngines {
+		out = append(out, routing.Instance{ID: fmt.Sprintf("e%d", i), Service: engines, Address: fmt.Sprintf("10.8.%d.%d:1", i/250, i%250), Place: fmt.Sprint("p", i%5)})
+	}
+	for i := range 180 {
+		out = append(out, routing.Instance{ID: fmt.Sprintf("c%d", i), Service: counter, Address: fmt.Sprintf("10.9.0.%d:1", i), Place: fmt.Sprint("p", i%5)})
+	}
+	return out
+}
+
+func scaleUpdate(i int) wire.Update {
+	return wire.Update{ID: wire.NodeID(fmt.Sprintf("10.1.%d.%d:1", i/250, i%250)), Inc: 1, Place: fmt.Sprint("p", i%5), Power: 192}
+}
+
+// scaleNode is a router that knows the whole fleet.
+func scaleNode(t testing.TB) (*Node, time.Time) {
+	n := New(Settings{ID: scaleUpdate(0).ID, Inc: 1, Place: "p0", Power: 800, Retry: DefaultRetryRules}, start)
+	now := start
+	tab := scaleTable(t)
+	n.Step(Catalogue{Table: tab, Instances: scaleInstances(), Revision: 5, AsOf: 9}, now)
+	greet(n, now)
+	n.Ready(now)
+	for range 300 {
+		now = now.Add(TickEvery)
+		n.Tick(now)
+		n.Ready(now)
+	}
+	return n, now
+}
+
+// greet lets a router hear of all others, from each.
+func greet(n *Node, now time.Time) {
+	for i := 1; i < scaleRouters; i++ {
+		u := scaleUpdate(i)
+		n.Step(Receive{Datagram: &wire.Datagram{From: u.ID, Inc: 1, Updates: []wire.Update{u, scaleUpdate((i + 7) % scaleRouters)}}}, now)
+	}
+}
+
+func scaleTable(t testing.TB) *routing.Table {
+	b := routing.Builder{Number: 1, Limits: routing.Limits{TokensPerSecond: 225_000_000}, Services: []*routing.Service{
+		{Name: engines, Engine: &routing.Engine{Slots: 64, MemoryTokens: 232_000, TokenBytes: 1, EventTokens: 7}},
+		{Name: counter},
+	}}
+	tab, err := b.Build()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return tab
+}
+
+// BenchmarkScaleIdleSecond is a second without requests: 100 ticks.
+func BenchmarkScaleIdleSecond(b *testing.B) {
+	n, now := scaleNode(b)
+	b.ReportAllocs()
+	for b.Loop() {
+		for range 100 {
+			now = now.Add(TickEvery)
+			n.Tick(now)
+			n.Ready(now)
+		}
+	}
+}
+
+// BenchmarkScaleRegularMessage is what a router that schedules does for each regular message
+// of another one.
+func BenchmarkScaleRegularMessage(b *testing.B) {
+	n, now := scaleNode(b)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		from := scaleUpdate(1 + i%(scaleRouters-1))
+		n.Step(Receive{Datagram: &wire.Datagram{From: from.ID, Inc: 1, Work: &wire.Work{Beat: uint32(i + 1), Revision: 5}}}, now)
+		n.Ready(now)
+	}
+}
+
+// BenchmarkScaleStart is a router that hears of 584 others, each by a datagram of its own,
+// with a tick after every tenth.
+func BenchmarkScaleStart(b *testing.B) {
+	b.ReportAllocs()
+	tab := scaleTable(b)
+	list := scaleInstances()
+	for b.Loop() {
+		now := start
+		n := New(Settings{ID: scaleUpdate(0).ID, Inc: 1, Place: "p0", Power: 800, Retry: DefaultRetryRules}, now)
+		n.Step(Catalogue{Table: tab, Instances: list[:200], Revision: 5, AsOf: 9}, now)
+		for i := 1; i < scaleRouters; i++ {
+			u := scaleUpdate(i)
+			n.Step(Receive{Datagram: &wire.Datagram{From: u.ID, Inc: 1, Updates: []wire.Update{u, scaleUpdate((i + 7) % scaleRouters)}}}, now)
+			if i%10 == 0 {
+				now = now.Add(TickEvery)
+				n.Tick(now)
+			}
+			n.Ready(now)
+		}
+	}
+}
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -92,6 +92,9 @@
 func (p *pool) snapshot(now time.Time) wire.ServiceSnapshot {
 	s := wire.ServiceSnapshot{Service: p.id, Orgs: p.meter.window(now), Model: p.learned()}
 	for _, u := range p.order {
+		if u.cache.used == 0 && !u.rest.resting(now) {
+			continue // nothing is known of it
+		}
 		s.Engines = append(s.Engines, wire.EngineSnapshot{Upstream: u.id, RestMS: leftMS(u.rest.until, now), Kept: u.cache.list()})
 	}
 	return s
@@ -162,6 +165,7 @@
 
 // inherit takes another router's belief of an engine where this one has none.
 func (u *upstream) inherit(e wire.EngineSnapshot, now time.Time) {
+	u.touch(now)
 	for _, k := range slices.Backward(e.Kept) {
 		if u.cache.parts[k.Part] == nil {
 			u.cache.add(k.Part, int(k.Tokens), k.Ready, now)
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -44,6 +44,12 @@
 	cold   coldState
 	// evacuated says that its place is.
 	evacuated bool
+
+	set      *placeSet
+	used     time.Time // last
+	inUse    int       // its place in the working set, notInUse outside it
+	lookedAt uint64    // number of the last decision that looked at it
+	statedNo uint64    // number of the last statement of a load here
 }
 
 // runKey names a request placed anywhere in the fleet.
@@ -79,6 +85,7 @@
 		runs:  map[runKey]*run{},
 		nodes: map[wire.NodeID]*nodeUse{},
 		slow:  1,
+		inUse: notInUse,
 	}
 	if engine != nil {
 		u.cache = newCache(int(float64(engine.MemoryTokens) * memoryUsable))
@@ -159,6 +166,7 @@
 // placeRun adds a run at the end of the queue.
 func (u *upstream) placeRun(r *run, now time.Time) {
 	r.up = u
+	u.touch(now)
 	u.runs[r.key] = r
 	u.conns.take(r.key.node, now)
 	u.unread = append(u.unread, r)
--- a/internal/process/kept.go
+++ b/internal/process/kept.go
@@ -35,6 +35,7 @@
 // gaps no more often than keptListAgain.
 const (
 	keptEvery     = 700 * time.Millisecond
+	keptLeast     = 5 * time.Millisecond  // between two reads, however many engines are in use
 	keptIdle      = 50 * time.Millisecond // while this router schedules nothing
 	keptFirst     = 5 * time.Millisecond  // between two engines of which nothing is known
 	keptTimeout   = 400 * time.Millisecond
@@ -79,7 +80,7 @@
 			continue
 		}
 		for _, e := range engines {
-			pause := keptEvery / time.Duration(len(engines))
+			pause := max(keptEvery/time.Duration(len(engines)), keptLeast)
 			if s := f.take(e.Start()); s != nil {
 				if s.listed.IsZero() {
 					pause = min(pause, keptFirst)
