An upstream's 503 without its word that it did not run is no promise

Cause: a status 429, 503, 408 or 421 tells the caller that its request has not run and never will. An upstream that did not run a request says so in a header besides; one that answers 503 without it may have run. For requests that may not be repeated that status was passed on (REFUSED).

Change: such an answer becomes 502 of the router's own, without the upstream's proof. Requests that may be repeated get the answer as it is.

Every other path on which one of these is written was read: before a send (headers, body, door, no decision in time), after a send only where no attempt may have run (run.ran), after the upstream's own header.

--- a/internal/request/forward/answer.go
+++ b/internal/request/forward/answer.go
@@ -36,8 +36,9 @@
 }
 
 var (
-	errForeign    = errors.New("the answer is not the upstream's own")
-	errNotResumed = errors.New("the upstream did not resume the stream")
+	errForeign      = errors.New("the answer is not the upstream's own")
+	errNotResumed   = errors.New("the upstream did not resume the stream")
+	errFalsePromise = errors.New("the upstream's status says that the request did not run, which it may have")
 )
 
 // deliver judges the answer's headers and passes it on.
@@ -53,10 +54,23 @@
 		return a.stream(res)
 	case a.begun:
 		return a.broken(errNotResumed) // its end must not pass for the stream's
+	case isPromise(res.StatusCode) && !a.route.MayRepeat():
+		return a.broken(errFalsePromise)
 	}
 	return a.plain(res)
 }
 
+// isPromise reports whether a status tells a caller that its request has not run and never
+// will. An upstream that did not run a request says so in a header besides; without it the
+// request may have run.
+func isPromise(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 func isEvents(res *http.Response) bool {
 	return strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream")
 }
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -114,6 +114,29 @@
 	assert.Equal(t, 502, res.StatusCode)
 }
 
+// An upstream ran an order and answered 503 with its proof, without the header that says it
+// did not run it. Passed on, that status promised the caller that the order never ran, and
+// the caller placed it again.
+func TestUpstreamsOwnRefusalIsNoPromiseWhereTheRequestMayHaveRun(t *testing.T) {
+	for _, status := range []string{"429 Too Many Requests", "503 Service Unavailable", "408 Request Timeout"} {
+		answer := "HTTP/1.1 " + status + "\r\nX-Id: %ID\r\nX-Proof: p\r\nRetry-After: 1\r\nContent-Length: 2\r\n\r\nno"
+		up, _ := script(t, answer)
+		res, _, err := newRig(t, up).do(t, "POST", "/once/x", "body")
+		require.NoError(t, err)
+		assert.Equal(t, 502, res.StatusCode, status)
+		assert.Empty(t, res.Header.Get("X-Proof"), "the status is not the upstream's")
+		assert.Empty(t, res.Header.Get("Retry-After"))
+
+		safe, _ := script(t, answer)
+		res, body, err := newRig(t, safe).do(t, "GET", "/safe/x", "")
+		require.NoError(t, err)
+		if status[:3] != "503" { // which is tried elsewhere
+			assert.Equal(t, status[:3], res.Status[:3], "a request that may be repeated gets the answer as it is")
+			assert.Equal(t, "no", body)
+		}
+	}
+}
+
 func TestIdempotentRequestsAreRepeated(t *testing.T) {
 	for name, answer := range map[string]string{
 		"cut":     "\x00",
