--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -29,8 +29,8 @@
 	maxAllSent = 400 // updates in one answer, 60 bytes each
 	// spreadTimes is how many times each router that hears of an update sends it on, for
 	// each tenfold of the fleet. Every router sends it on that often, so each is reached
-	// many times over; by doublings in place of tenfolds, updates of a common start of 195
-	// routers took 38 MB of the datagrams of the first 15 s (a sum: 350 bytes on each).
+	// many times over; by doublings in place of tenfolds, a common start would spend most of
+	// what it sends on that.
 	spreadTimes = 4
 )
 
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -10,20 +10,16 @@
 )
 
 // Limits of admission, in parts of the time within which an answer counts as
-// fully useful. Source: docs/BENCH.md.
+// fully useful.
 const (
 	waitUnder = 0.80 // for an organisation that has had nothing of its share
-	// waitAtShare is the part for an organisation at its share. Beyond it, what it adds
-	// slows the streams of all others at an engine: with 0.35 in place of 0.15 the
-	// worst-served tenth of organisations got 0.005 and 0.016 less of what they are owed on
-	// two of three services, and as much on the third (means of 12 runs of 50 s each).
+	// waitAtShare is the part for an organisation at its share: beyond it, what it adds
+	// slows the streams of all others at an engine.
 	waitAtShare = 0.15
 	// overPrice is how many times the prices of a place, a fetch and a connection
 	// count as wait for what is over its share: it gets what is left over where that
 	// costs nobody anything. The wait allowed falls in proportion to how far over it is
 	// and has no floor, so that of two that are far over the farther one waits less.
-	// Source: the token table of docs/BENCH.md; with the cube in place of the
-	// proportion, engines stood idle while a tenth more requests were refused.
 	overPrice = 2.0
 	// largeOwn is the part of the aim beyond which a prompt's own reading makes it
 	// late in any case; such prompts take their turn behind half the wait.
@@ -37,9 +33,7 @@
 	// an organisation over its share to get more: mostBusy at its share, less by the root
 	// of how far it is over, but half of the time in any case. A step of a batch takes five
 	// times as long with a chunk of a prompt in it, so what is read beyond shares slows
-	// every stream there, and makes those under their shares late: of what they are owed
-	// the worst-served tenth of organisations got 0.81 and 0.87 with this bound and 0.76
-	// and 0.85 without (two services, means of 12 runs of 50 s each).
+	// every stream there, and makes those under their shares late.
 	mostBusy  = 0.9
 	leastBusy = 0.5
 	// mostOver bounds how far over its share an organisation is told to be.
--- a/internal/dispatch/beat.go
+++ b/internal/dispatch/beat.go
@@ -15,8 +15,7 @@
 // the whole fleet is asked for. So what a router sends does not grow with the fleet.
 //
 // Load pattern: 195 routers, each telling all others 40 times a second. That is 7,800
-// datagrams a second in the fleet, a fifth of all processor time in its first 15 s (76.9
-// and 61.6 s), and loads were 4.9 s old when they were heard.
+// datagrams a second in the fleet, and loads are 5 s old when they are heard.
 const (
 	// meshUpTo is the largest fleet in which every router tells every other one.
 	meshUpTo = 12
@@ -211,11 +210,8 @@
 }
 
 // loadsFor is this router's use of upstreams, less what the receiver placed: that one
-// knows it better. A load is up to 200 ms old. Counted against what was placed, prompts
-// that had been read meanwhile seemed to wait, 50 to 100 ms of reading at each of nine
-// engines that had nothing to read; without it 850,000 tokens a second were begun where
-// 700,000 were, and 3,200 requests of 14,800 refused where 4,800 were (one run of 50 s
-// under a flood, same seed).
+// knows it better. A load is up to 200 ms old: counted against what was placed, prompts
+// that have been read meanwhile would seem to wait.
 func (n *Node) loadsFor(to wire.NodeID) []wire.WorkLoad {
 	sums := map[version.ID]*wire.WorkLoad{}
 	var out []wire.WorkLoad
--- a/internal/dispatch/evacuation.go
+++ b/internal/dispatch/evacuation.go
@@ -33,8 +33,8 @@
 // in places that are evacuated.
 //
 // Load pattern: two of three engines are evacuated under a flood. By the stated capacity
-// nobody had had its share, and an organisation that asked for an eighth of what the flood
-// did was refused as often (0.86 and 0.84 of what they asked).
+// nobody has had its share, and an organisation that asks for an eighth of what the flood
+// does is refused as often.
 func (p *pool) setCapacity(tokensPerSecond float64) {
 	all, open := 0, 0
 	for _, u := range p.order {
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -12,8 +12,7 @@
 // Where a request runs: at the upstream where its answer is expected first, with what
 // else a place costs reckoned as time.
 
-// Weights of a choice, in milliseconds of a first event's time. Sources: the
-// prices in the users' site files, and docs/BENCH.md.
+// Weights of a choice, in milliseconds of a first event's time.
 const (
 	otherPlaceMS = 8.0 // an engine in another place: bytes between places are priced
 	// stayMS and keepMS are what another place and a fetch cost on top of that while an
@@ -22,8 +21,7 @@
 	stayMS = 30.0
 	keepMS = 20.0
 	// nearWait is the part of the target up to which a wait is little. Behind more, a
-	// request goes where it is served soonest: with 60 ms for another place at any wait,
-	// 0.5 to 1 in a hundred fewer of what was owed were served (15 runs, 6 to 8 routers).
+	// request goes where it is served soonest: late answers cost more than crossing.
 	nearWait     = 0.1
 	moveMS       = 10.0 // a fetch is priced, and keeps the same parts twice
 	wakeMS       = 10.0 // an engine that is not in use: what later requests share is read there anew
--- a/internal/dispatch/prefill/model.go
+++ b/internal/dispatch/prefill/model.go
@@ -3,8 +3,7 @@
 //
 // Load pattern: engines of unknown make behind one service, some ten times faster than
 // others, whose prompts differ by a thousand times in length. With fixed figures the
-// expected wait was wrong by three times on engines that nobody had measured, and
-// requests were refused before idle engines.
+// expected wait is wrong by several times, and requests are refused before idle engines.
 //
 // Time is an argument; nothing here reads a clock.
 package prefill
@@ -20,9 +19,7 @@
 }
 
 // Prior is believed before anything is seen. It lies in the middle, by ratio, of
-// engines that read 3 to 300 tokens a millisecond; 25 samples outweigh it
-// (TestAnyEngineIsLearnedInAFewSeconds draws engines up to ten times off in each
-// figure). A prior three times faster served nobody better in the first seconds.
+// engines that read 3 to 300 tokens a millisecond; a few samples outweigh it.
 var Prior = Model{Base: 25, PerToken: 1.0 / 30, PerPair: 0.5, PerFetched: 1.0 / 400}
 
 // Prompt is what an engine has to read.
--- a/internal/dispatch/prefill/queue.go
+++ b/internal/dispatch/prefill/queue.go
@@ -9,9 +9,7 @@
 // each will have been read, corrected by each first event.
 //
 // Counting tokens that have no first event is not enough: an engine that needs 50 ms
-// beyond reading seems to have a backlog though it reads nothing. On engines of 112
-// tokens a millisecond the median error of the expected time fell from 11 to 5 ms
-// against that count (decisions replayed from a log of 12,000 requests).
+// beyond reading seems to have a backlog though it reads nothing.
 type Queue struct {
 	entries []*Entry
 	begin   time.Time // the head has been read from then on at the earliest
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -11,7 +11,7 @@
 	"github.com/silverswitch/silverswitch/internal/version"
 )
 
-// Figures of the model of an upstream that are not learned. Source: docs/BENCH.md.
+// Figures of the model of an upstream that are not learned.
 const (
 	slowWeight   = 0.25 // of one sample in a plain upstream's own slowness
 	maxSlow      = 12.0
--- a/internal/process/strain.go
+++ b/internal/process/strain.go
@@ -16,15 +16,14 @@
 	// lagFrom and lagFull bound the wait for the processor between which the part
 	// refused grows from nothing to shedMost. A request wakes some twenty goroutines
 	// until its first byte is passed on, so each millisecond makes it later by that
-	// many. Source: docs/BENCH.md.
+	// many.
 	lagFrom  = 4 * time.Millisecond
 	lagFull  = 20 * time.Millisecond
 	shedMost = 0.9
 
 	// busyFrom is the part of its processor from which a router refuses more and
 	// more, shedStep of all arrivals each strainEvery; below busyUnder it refuses
-	// less again. A router that is at its limit shows 1.0 to 1.15 of the settings'
-	// figure, one that keeps up with a busy day under 0.5 (docs/BENCH.md).
+	// less again.
 	busyFrom  = 0.92
 	busyUnder = 0.8
 	shedStep  = 0.08
