--- a/internal/routing/changes.go
+++ b/internal/routing/changes.go
@@ -30,12 +30,20 @@
 type journal struct {
 	put   map[string]bool // IDs, since the changes were taken last
 	ended []Ended         // the same
-	// removed holds the revision at which an instance was found gone, by ID, and floor is
-	// the revision before which removals are not remembered.
+	// removed holds the revision at which an instance was found gone, by ID. Removals before
+	// floor are not remembered, nor those within gaps.
 	removed map[string]uint64
 	floor   uint64
+	gaps    []gap
 }
 
+// gap is a span of revisions that was passed over by reading a whole list: an instance that
+// came and went within it is not known.
+type gap struct{ after, upTo uint64 }
+
+// maxGaps is how many gaps are remembered: a store that forgets its history for a minute.
+const maxGaps = 64
+
 // maxRemoved is how many removals are remembered for peers: those of a release of a whole
 // fleet of thousands of upstreams. A peer that is further behind reads the whole list.
 const maxRemoved = 16384
@@ -70,6 +78,29 @@
 	clear(j.removed)
 }
 
+// skipped notes that a whole list was read as of a revision, after everything up to another
+// one was known.
+func (j *journal) skipped(after, upTo uint64) {
+	switch {
+	case upTo == after:
+	case after == 0 || len(j.gaps) == maxGaps:
+		j.floor = max(j.floor, upTo)
+		j.gaps = nil
+	default:
+		j.gaps = append(j.gaps, gap{after, upTo})
+	}
+}
+
+// covers reports whether every removal after a revision is remembered.
+func (j *journal) covers(rev uint64) bool {
+	for _, g := range j.gaps {
+		if rev > g.after && rev < g.upTo {
+			return false
+		}
+	}
+	return rev != 0 && rev >= j.floor
+}
+
 // TakeChanges returns what happened to the instances since the last call.
 func (v *View) TakeChanges() Changes {
 	j := &v.journal
@@ -92,11 +123,11 @@
 // after a revision up to which a peer knows everything. It returns false when removals
 // since then may have been forgotten, or were never known here.
 func (v *View) Since(rev uint64) (put []Instance, removed []string, known bool) {
-	if rev == 0 || rev < v.journal.floor {
+	if !v.journal.covers(rev) {
 		return nil, nil, false
 	}
 	for _, e := range v.instances {
-		if e.rev > rev {
+		if e.changed > rev {
 			put = append(put, e.inst)
 		}
 	}
--- a/internal/routing/changes_test.go
+++ b/internal/routing/changes_test.go
@@ -62,6 +62,30 @@
 	assert.False(t, known)
 }
 
+// A store that has lost its history is listed anew each second. Only what changed counts as
+// changed, and only those who know a part of what was passed over read all.
+func TestListReadAnewPassesOverASpan(t *testing.T) {
+	v := NewView()
+	v.Replace([]Instance{{ID: "a"}, {ID: "b"}}, 10, now)
+	v.Replace([]Instance{{ID: "a"}, {ID: "c"}}, 20, now)
+	put, removed, known := v.Since(10)
+	require.True(t, known)
+	assert.Equal(t, []Instance{{ID: "c"}}, put)
+	assert.Equal(t, []string{"b"}, removed)
+	_, _, known = v.Since(15)
+	assert.False(t, known, "it may list one that came at 12 and went at 18")
+	put, removed, known = v.Since(20)
+	assert.True(t, known)
+	assert.Empty(t, put)
+	assert.Empty(t, removed)
+	for rev := uint64(21); rev < 30+2*maxGaps; rev += 2 {
+		v.Replace([]Instance{{ID: "a"}}, rev, now)
+	}
+	assert.LessOrEqual(t, len(v.journal.gaps), maxGaps)
+	_, _, known = v.Since(10)
+	assert.False(t, known)
+}
+
 // Removals are remembered up to a bound; a peer that is further behind reads all.
 func TestRemovalsAreRememberedWithinABound(t *testing.T) {
 	v := NewView()
--- a/internal/routing/view.go
+++ b/internal/routing/view.go
@@ -57,7 +57,8 @@
 
 type entry struct {
 	inst    Instance
-	rev     uint64
+	rev     uint64 // as of which it is listed
+	changed uint64 // as of which it was found to be as it is
 	lapsing time.Time // zero, or when a missing entry counts as gone
 }
 
@@ -100,7 +101,11 @@
 		v.lapsing--
 	}
 	v.journal.entered(i, e)
-	v.instances[i.ID] = &entry{inst: i, rev: rev}
+	changed := rev
+	if e != nil && e.inst == i {
+		changed = e.changed
+	}
+	v.instances[i.ID] = &entry{inst: i, rev: rev, changed: changed}
 }
 
 // drop takes an entry out that was found gone at a revision.
@@ -160,7 +165,7 @@
 			v.lose(id, e, asOf, now)
 		}
 	}
-	v.journal.floor = max(v.journal.floor, asOf) // what was removed before is not in a list
+	v.journal.skipped(v.AsOf, asOf)
 	v.Complete(asOf)
 }
 
