Both control goroutines run one loop

Cause: the driver of the product's own interface and the steerer of the routed one each had the same loop, queue, clock and way to hand work over, and four questions to the control goroutine were written out one by one.

Change: controlLoop drives a machine that receives, ticks and flushes; ask lets it answer a question within a time.

--- a/internal/process/driver.go
+++ b/internal/process/driver.go
@@ -17,14 +17,7 @@
 	"github.com/silverswitch/silverswitch/internal/version"
 )
 
-const (
-	opsQueue      = 1024
-	opsBatch      = 256
-	progressTicks = 4 // ticks between two looks at running requests
-)
-
-// op is work for the control goroutine.
-type op func(now time.Time)
+const progressTicks = 4 // ticks between two looks at running requests
 
 // Driver runs a core.Node: it is the one goroutine that touches control state,
 // and the adapter through which all others ask it. It implements
@@ -36,12 +29,8 @@
 	route  *conn.Route
 	sealer *conn.Sealer
 	log    zerolog.Logger
-	ops    chan op
-	mail   chan *wire.Datagram
 	nextID atomic.Uint64
-	base   time.Time // process start
-	clock  *clock.Clock
-	done   chan struct{}
+	controlLoop
 
 	version atomic.Pointer[version.Version]
 	held    heldRequests
@@ -68,57 +57,23 @@
 		route:   route,
 		sealer:  sealer,
 		log:     log,
-		ops:     make(chan op, opsQueue),
-		mail:    make(chan *wire.Datagram, opsQueue),
-		base:    now,
-		clock:   clock.System,
-		done:    make(chan struct{}),
 		tickets: map[uint64]*ticketState{},
+
+		controlLoop: newControlLoop(now),
 	}
 	d.watches.Store(true)
 	return d
 }
 
-// now is wall time at the start plus the time since: it never jumps when the wall clock
-// is set, and goes on while the VM is suspended.
-func (d *Driver) now() time.Time { return d.base.Add(d.clock.Since(d.base)) }
-
 // Run is the control goroutine. It ends with the context.
-func (d *Driver) Run(ctx context.Context) {
-	defer close(d.done)
-	tick := time.NewTicker(core.TickEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case f := <-d.ops:
-			f(d.now())
-		case m := <-d.mail:
-			d.node.Step(core.Receive{Datagram: m}, d.now())
-		case <-tick.C:
-			lookAtClock(d.clock, d.log)
-			d.tick(d.now())
-		}
-		d.drain()
-		d.act(d.node.Ready(d.now()))
-	}
-}
+func (d *Driver) Run(ctx context.Context) { d.run(ctx, core.TickEvery, d, d.log) }
 
-// drain takes what else is already there, so that one report carries it all.
-func (d *Driver) drain() {
-	for range opsBatch {
-		select {
-		case f := <-d.ops:
-			f(d.now())
-		case m := <-d.mail:
-			d.node.Step(core.Receive{Datagram: m}, d.now())
-		default:
-			return
-		}
-	}
+func (d *Driver) receive(m *wire.Datagram, now time.Time) {
+	d.node.Step(core.Receive{Datagram: m}, now)
 }
 
+func (d *Driver) flush(now time.Time) { d.act(d.node.Ready(now)) }
+
 func (d *Driver) tick(now time.Time) {
 	d.ticks++
 	if d.ticks%progressTicks == 0 {
@@ -206,28 +161,11 @@
 	})
 }
 
-// do hands work to the control goroutine; it is dropped after its end.
-func (d *Driver) do(f op) {
-	select {
-	case d.ops <- f:
-	case <-d.done:
-	}
-}
-
 // Step gives the core one input.
 func (d *Driver) Step(in core.Input) {
 	d.do(func(now time.Time) { d.node.Step(in, now) })
 }
 
-// Deliver hands over a datagram. When the control goroutine lags, datagrams are
-// dropped, as a network would.
-func (d *Driver) Deliver(m *wire.Datagram) {
-	select {
-	case d.mail <- m:
-	default:
-	}
-}
-
 // View returns the control state as of a few ticks ago, or nil at the start.
 func (d *Driver) View() *core.View { return d.view.Load() }
 
--- a/internal/process/handover.go
+++ b/internal/process/handover.go
@@ -17,21 +17,17 @@
 
 // PackedSnapshot returns the state of the services of which this router is an heir, or nil.
 func (s *Steerer) PackedSnapshot(q conn.Question) []byte {
-	answer := make(chan *wire.Snapshot, 1)
-	go s.do(func(now time.Time) { answer <- s.node.Snapshot(wire.NodeID(q.Asker), now) })
-	select {
-	case state := <-answer:
-		raw, err := wire.EncodeSnapshot(state)
-		if err != nil {
-			s.log.Error().Err(err).Msg("snapshot-not-encoded")
-			return nil
-		}
-		s.log.Info().Str("peer", q.Asker).Int("services", len(state.Services)).Int("bytes", len(raw)).Msg("snapshot-told")
-		return raw
-	case <-time.After(snapshotWait):
-	case <-s.done:
+	state, answered := ask(&s.controlLoop, snapshotWait, func(now time.Time) *wire.Snapshot { return s.node.Snapshot(wire.NodeID(q.Asker), now) })
+	if !answered {
+		return nil
 	}
-	return nil
+	raw, err := wire.EncodeSnapshot(state)
+	if err != nil {
+		s.log.Error().Err(err).Msg("snapshot-not-encoded")
+		return nil
+	}
+	s.log.Info().Str("peer", q.Asker).Int("services", len(state.Services)).Int("bytes", len(raw)).Msg("snapshot-told")
+	return raw
 }
 
 // fetchSnapshot reads a scheduler's state from an heir.
--- a/internal/process/peercontent.go
+++ b/internal/process/peercontent.go
@@ -89,7 +89,7 @@
 	if p, known := s.packs.last[h]; known && now.Sub(p.at) < packedFor {
 		return p.raw
 	}
-	c := s.askContent(h)
+	c, _ := ask(&s.controlLoop, contentWait, func(now time.Time) *content { return s.contentFor(h, now) })
 	if c == nil {
 		return nil
 	}
@@ -115,19 +115,6 @@
 	p.last[h] = new
 }
 
-// askContent asks the control goroutine for the content.
-func (s *Steerer) askContent(h held) *content {
-	answer := make(chan *content, 1)
-	go s.do(func(now time.Time) { answer <- s.contentFor(h, now) })
-	select {
-	case c := <-answer:
-		return c
-	case <-time.After(contentWait):
-	case <-s.done:
-	}
-	return nil
-}
-
 // have is the part of the content that this router has.
 func (s *Steerer) have() held {
 	if s.wantsWhole {
--- a/internal/process/steer.go
+++ b/internal/process/steer.go
@@ -29,12 +29,8 @@
 	sealer *conn.Sealer
 	ups    *conn.Exchanges
 	log    zerolog.Logger
-	ops    chan op
-	mail   chan *wire.Datagram
 	nextID atomic.Uint64
-	base   time.Time
-	clock  *clock.Clock
-	done   chan struct{}
+	controlLoop
 
 	table   atomic.Pointer[routing.Table]
 	ready   atomic.Bool
@@ -89,24 +85,17 @@
 		sealer:  sealer,
 		ups:     ups,
 		log:     log,
-		ops:     make(chan op, opsQueue),
-		mail:    make(chan *wire.Datagram, opsQueue),
-		base:    now,
-		clock:   clock.System,
-		done:    make(chan struct{}),
 		tickets: map[uint64]*forward.Ticket{},
 		strain:  strainMeter{cores: float64(set.Power) / 1000},
 		unnamed: map[string]bool{},
 		sent:    newSentCounts(metrics.NewRegistry()),
+
+		controlLoop: newControlLoop(now),
 	}
 	s.watches.Store(s.node.Watches(now))
 	return s
 }
 
-// now is wall time at the start plus the time since: it never jumps when the wall clock
-// is set, and goes on while the VM is suspended.
-func (s *Steerer) now() time.Time { return s.base.Add(s.clock.Since(s.base)) }
-
 // lookAtClock logs a suspension. The node takes it for a pause: what it believes of
 // others is older by that much.
 func lookAtClock(c *clock.Clock, log zerolog.Logger) {
@@ -117,41 +106,16 @@
 
 // Run is the control goroutine. It ends with the context.
 func (s *Steerer) Run(ctx context.Context) {
-	defer close(s.done)
 	go s.strain.run(ctx)
-	tick := time.NewTicker(dispatch.TickEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case f := <-s.ops:
-			f(s.now())
-		case m := <-s.mail:
-			s.node.Step(dispatch.Receive{Datagram: m}, s.now())
-		case <-tick.C:
-			lookAtClock(s.clock, s.log)
-			s.tick(s.now())
-		}
-		s.drain()
-		s.act(s.node.Ready(s.now()))
-	}
+	s.run(ctx, dispatch.TickEvery, s, s.log)
 }
 
-// drain takes what else is already there, so that one datagram carries it all.
-func (s *Steerer) drain() {
-	for range opsBatch {
-		select {
-		case f := <-s.ops:
-			f(s.now())
-		case m := <-s.mail:
-			s.node.Step(dispatch.Receive{Datagram: m}, s.now())
-		default:
-			return
-		}
-	}
+func (s *Steerer) receive(m *wire.Datagram, now time.Time) {
+	s.node.Step(dispatch.Receive{Datagram: m}, now)
 }
 
+func (s *Steerer) flush(now time.Time) { s.act(s.node.Ready(now)) }
+
 // readyTicks is how many ticks lie between two judgements of readiness.
 const readyTicks = 25
 
@@ -278,14 +242,6 @@
 	}
 }
 
-// do hands work to the control goroutine; it is dropped after its end.
-func (s *Steerer) do(f op) {
-	select {
-	case s.ops <- f:
-	case <-s.done:
-	}
-}
-
 // Step gives the node one input.
 func (s *Steerer) Step(in dispatch.Input) {
 	s.do(func(now time.Time) { s.node.Step(in, now) })
@@ -299,15 +255,6 @@
 	return nil
 }
 
-// Deliver hands over a datagram. When the control goroutine lags, datagrams are
-// dropped, as a network would.
-func (s *Steerer) Deliver(m *wire.Datagram) {
-	select {
-	case s.mail <- m:
-	default:
-	}
-}
-
 // Leave begins the planned stop.
 func (s *Steerer) Leave() {
 	s.leaving.Store(true)
@@ -319,16 +266,8 @@
 
 // Open returns the requests that have no outcome yet, 0 after the end.
 func (s *Steerer) Open() int {
-	n := make(chan int, 1)
-	go s.do(func(time.Time) { n <- len(s.tickets) })
-	select {
-	case c := <-n:
-		return c
-	case <-time.After(openWait):
-		return 0
-	case <-s.done:
-		return 0
-	}
+	n, _ := ask(&s.controlLoop, openWait, func(time.Time) int { return len(s.tickets) })
+	return n
 }
 
 // Ready reports whether the balancer may send callers here.
@@ -347,15 +286,8 @@
 // put together when it is asked for: a list of thousands of upstreams is too much to copy
 // all the time.
 func (s *Steerer) Status() *Status {
-	answer := make(chan *Status, 1)
-	go s.do(func(now time.Time) { answer <- s.statusAt(now) })
-	select {
-	case status := <-answer:
-		return status
-	case <-time.After(statusWait):
-	case <-s.done:
-	}
-	return nil
+	status, _ := ask(&s.controlLoop, statusWait, s.statusAt)
+	return status
 }
 
 func (s *Steerer) statusAt(now time.Time) *Status {
--- a/internal/process/usable_test.go
+++ b/internal/process/usable_test.go
@@ -16,7 +16,7 @@
 // since.
 func TestPlacementIsHeldBackByLaterNews(t *testing.T) {
 	now := clock.System.Now()
-	s := &Steerer{base: now, clock: clock.System}
+	s := &Steerer{controlLoop: newControlLoop(now)}
 	i := routing.Instance{ID: "a", Place: "p", Born: 7}
 	p := &dispatch.Place{Instance: i}
 	assert.Equal(t, forward.MaySend, s.Unusable(p), "nothing is known yet")
--- a/internal/routing/view.go
+++ b/internal/routing/view.go
@@ -57,8 +57,8 @@
 
 type entry struct {
 	inst    Instance
-	rev     uint64 // as of which it is listed
-	changed uint64 // as of which it was found to be as it is
+	rev     uint64    // as of which it is listed
+	changed uint64    // as of which it was found to be as it is
 	lapsing time.Time // zero, or when a missing entry counts as gone
 }
 
