Status shows roles and working sets

Cause: with relays, readers and schedulers chosen among hundreds of routers an operator could not see who does what, nor why an engine gets no work.

Measured: TestStatusShowsRolesAndWorkingSets.

--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -11,7 +11,7 @@
 	for _, p := range n.pools {
 		for _, u := range p.order {
 			s := UpstreamState{Service: p.service, ID: u.inst.ID, Address: u.inst.Address, Place: u.inst.Place, Draining: u.inst.Draining,
-				Running: u.running(), Slow: u.slowness(p.learner.Model(), now), Resting: u.rest.resting(now), Evacuated: u.evacuated}
+				InUse: u.inUse != notInUse, Running: u.running(), Slow: u.slowness(p.learner.Model(), now), Resting: u.rest.resting(now), Evacuated: u.evacuated}
 			if p.isCold(u, now) {
 				until, why := u.coldUntil()
 				s.Cold = &ColdUpstream{ForMS: int(until.Sub(now).Milliseconds()), Why: why.String(), Allowed: n.coldMost(p, now), Placed: len(u.cold.placed)}
@@ -27,6 +27,25 @@
 	return out
 }
 
+// Role is what this router does for others.
+type Role struct {
+	Schedules  []string `json:"schedules"` // services
+	Relays     bool     `json:"relays"`    // passes news of the store on to its place
+	ReadsStore bool     `json:"reads_store"`
+}
+
+// Role returns this router's role, for status pages.
+func (n *Node) Role(now time.Time) Role {
+	r := Role{Relays: n.isRelay(now), ReadsStore: n.Watches(now)}
+	for _, p := range n.pools {
+		if n.schedulerOf(p.id, now) == n.set.ID {
+			r.Schedules = append(r.Schedules, p.service)
+		}
+	}
+	sort.Strings(r.Schedules)
+	return r
+}
+
 // UpstreamState is one upstream as this router models it.
 type UpstreamState struct {
 	Service   string `json:"service"`
@@ -36,6 +55,7 @@
 	Draining  bool   `json:"draining"`
 	Resting   bool   `json:"resting"`
 	Evacuated bool   `json:"evacuated"`
+	InUse     bool   `json:"in_use"` // it is in the working set
 	// Cold is nil for one that is not believed to be cold.
 	Cold       *ColdUpstream `json:"cold,omitempty"`
 	Running    int           `json:"running"`
--- a/internal/process/steer.go
+++ b/internal/process/steer.go
@@ -71,6 +71,7 @@
 	Evacuated []routing.Evacuation     `json:"evacuated"`
 	Held      []quarantine.HeldRequest `json:"held"`
 	Counts    dispatch.Counts          `json:"counts"`
+	Role      dispatch.Role            `json:"role"`
 }
 
 // NewSteerer returns a steerer that is not running yet.
@@ -293,6 +294,6 @@
 func (s *Steerer) statusAt(now time.Time) *Status {
 	return &Status{
 		Router: s.id, Ready: s.ready.Load(), Leaving: s.leaving.Load(), Version: s.number(), Revision: s.view.Revision,
-		Running: len(s.tickets), Routers: s.node.Routers(), Upstreams: s.node.Upstreams(now), Evacuated: s.view.Evacuations(), Held: s.node.Held(now), Counts: s.node.Counts,
+		Running: len(s.tickets), Routers: s.node.Routers(), Upstreams: s.node.Upstreams(now), Evacuated: s.view.Evacuations(), Held: s.node.Held(now), Counts: s.node.Counts, Role: s.node.Role(now),
 	}
 }
--- a/internal/tool/routed.go
+++ b/internal/tool/routed.go
@@ -15,18 +15,61 @@
 )
 
 // printRouted prints the status of routers of the routed interface: each router, then the
-// places that are evacuated and the upstreams that are cold by any of them.
+// working set of each service, the places that are evacuated and the upstreams that are cold
+// by any of them.
 func printRouted(out io.Writer, views []process.Status, now time.Time) {
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	defer w.Flush()
-	fmt.Fprintln(w, "ROUTER\tREADY\tVERSION\tREVISION\tROUTERS\tREQUESTS\tPLACED\tREFUSED")
+	fmt.Fprintln(w, "ROUTER\tREADY\tVERSION\tREVISION\tROUTERS\tREQUESTS\tPLACED\tREFUSED\tROLE")
 	for _, v := range views {
-		fmt.Fprintf(w, "%s\t%t\t%d\t%d\t%d\t%d\t%d\t%d\n", v.Router, v.Ready, v.Version, v.Revision, len(v.Routers), v.Running, v.Counts.Placed, v.Counts.Refused)
+		fmt.Fprintf(w, "%s\t%t\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n", v.Router, v.Ready, v.Version, v.Revision, len(v.Routers), v.Running, v.Counts.Placed, v.Counts.Refused, describeRole(v.Role))
 	}
+	printInUse(w, views)
 	printEvacuated(w, views, now)
 	printCold(w, views)
 }
 
+// describeRole names what a router does for others.
+func describeRole(r dispatch.Role) string {
+	var out []string
+	if r.ReadsStore {
+		out = append(out, "reads store")
+	}
+	if r.Relays {
+		out = append(out, "relay")
+	}
+	for _, service := range r.Schedules {
+		out = append(out, "schedules "+service)
+	}
+	return cmp.Or(strings.Join(out, ", "), "-")
+}
+
+// printInUse prints how many upstreams of each service and place its scheduler uses.
+func printInUse(w io.Writer, views []process.Status) {
+	type counts struct{ used, all int }
+	sets := map[string]counts{}
+	for _, v := range views {
+		for _, u := range v.Upstreams {
+			if !slices.Contains(v.Role.Schedules, u.Service) {
+				continue
+			}
+			c := sets[u.Service+"\t"+u.Place]
+			c.all++
+			if u.InUse {
+				c.used++
+			}
+			sets[u.Service+"\t"+u.Place] = c
+		}
+	}
+	if len(sets) == 0 {
+		return
+	}
+	fmt.Fprintln(w, "\nSERVICE\tPLACE\tIN USE\tOF")
+	for _, name := range sortedKeys(sets) {
+		fmt.Fprintf(w, "%s\t%d\t%d\n", name, sets[name].used, sets[name].all)
+	}
+}
+
 // evacuatedPlace is a place as some routers see it.
 type evacuatedPlace struct {
 	revision uint64
--- a/internal/tool/routed_test.go
+++ b/internal/tool/routed_test.go
@@ -33,6 +33,22 @@
 	assert.Contains(t, text, "e7 llm p place-returned 1200 ms 9 4", "as the scheduler sees it")
 }
 
+func TestStatusShowsRolesAndWorkingSets(t *testing.T) {
+	up := func(id string, used bool) dispatch.UpstreamState {
+		return dispatch.UpstreamState{Service: "llm", ID: id, Place: "p", InUse: used}
+	}
+	views := []process.Status{
+		{Router: "r1", Role: dispatch.Role{Schedules: []string{"llm"}, Relays: true}, Upstreams: []dispatch.UpstreamState{up("a", true), up("b", false), up("c", false)}},
+		{Router: "r2", Role: dispatch.Role{ReadsStore: true}, Upstreams: []dispatch.UpstreamState{up("a", false)}},
+	}
+	var out bytes.Buffer
+	printRouted(&out, views, time.Time{})
+	text := strings.Join(strings.Fields(out.String()), " ")
+	assert.Contains(t, text, "relay, schedules llm")
+	assert.Contains(t, text, "reads store")
+	assert.Contains(t, text, "llm p 1 3", "by its scheduler alone")
+}
+
 func TestStatusTellsTheInterfacesApart(t *testing.T) {
 	serve := func(body string) string {
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(body)) }))
