A router tells up to where it knows everything, not the latest it knows

Cause: a list of the store is as of its first page and may hold later entries. Routers told the latest revision that they knew; two relays of a place that knew such a list took each other for ahead and read from each other four times a second, and never from those that knew more.

Change: what is told is the smaller of the latest change and the revision up to which everything is known.

--- a/internal/dispatch/beat.go
+++ b/internal/dispatch/beat.go
@@ -143,12 +143,20 @@
 func (n *Node) tellStore(to wire.NodeID, now time.Time) {
 	w := n.work(to)
 	n.stateHeld(to)
-	if n.cat.Table != nil {
-		w.Revision = n.cat.Revision
-	}
+	w.Revision = n.complete()
 	w.Sight, w.Blind = n.store.told(now), n.store.isBlind(now)
 }
 
+// complete is the last change of the store's content up to which this router knows all of
+// them, 0 without a table. Others read from it what they lack: a change that it knows by
+// itself, as one of a page that was read late, is nothing to read.
+func (n *Node) complete() uint64 {
+	if n.cat.Table == nil {
+		return 0
+	}
+	return min(n.cat.Revision, n.cat.AsOf)
+}
+
 // tellRound tells everyone in turn, if this router is one of those that do: one router
 // each beatPerRouter, the tellers as far apart in the round as their number allows, so
 // that each router hears one of them every few hundred milliseconds.
--- a/internal/dispatch/relay_test.go
+++ b/internal/dispatch/relay_test.go
@@ -98,6 +98,31 @@
 	assert.Positive(t, crossed)
 }
 
+// A list is as of its first page, and may hold later entries. Two relays of a place that knew
+// such a list took each other for ahead, read from each other four times a second, and never
+// from the routers of other places that knew all changes since.
+func TestLaterEntriesOfAListAreNothingToRead(t *testing.T) {
+	f := newPlacedFleet(t, 60, 5)
+	f.see(6 * time.Second)
+	for _, id := range f.order {
+		n := f.nodes[id]
+		n.Step(Catalogue{Table: n.cat.Table, Part: true, Revision: 40, AsOf: 20}, f.now)
+	}
+	reads := 0
+	fetch := f.onFetch
+	f.onFetch = func(id, from wire.NodeID) {
+		reads++
+		fetch(id, from)
+	}
+	f.see(2 * time.Second)
+	assert.Zero(t, reads, "all know the same")
+	f.know(f.watching()[0], 45)
+	for range 40 {
+		f.see(100 * time.Millisecond)
+	}
+	assert.Zero(t, f.behind(45))
+}
+
 // Where the relays of a place are gone and nobody has noticed yet, its routers read the
 // table from elsewhere.
 func TestTableIsReadWhereRelaysAreGone(t *testing.T) {
