A new table is taken without going through the list of upstreams

Change: where a table names the same services as the one before, only what the services and routes say is taken anew.

--- a/internal/dispatch/catalogue.go
+++ b/internal/dispatch/catalogue.go
@@ -28,6 +28,9 @@
 	before := n.cat
 	n.cat = c
 	n.cat.Instances, n.cat.Ended, n.cat.Part = nil, nil, false // the pools keep them
+	if c.Table != nil && c.Table != before.Table {
+		n.reports.setNames(c)
+	}
 	if c.Table == nil {
 		n.noteEvacuations(before.Evacuated, c.Evacuated)
 		return
@@ -48,6 +51,9 @@
 
 // takeChanges takes what was put and what ended since the last catalogue.
 func (n *Node) takeChanges(c Catalogue, now time.Time) {
+	for _, s := range c.Table.Services {
+		n.poolOf(s, c.Table)
+	}
 	for _, i := range c.Instances {
 		if p := n.pools[serviceID(i.Service)]; p != nil {
 			p.put(i)
@@ -72,7 +78,6 @@
 
 // takeWhole takes a whole catalogue: what is not in it has ended.
 func (n *Node) takeWhole(c Catalogue, now time.Time) {
-	n.reports.setNames(c)
 	by, born := map[string][]routing.Instance{}, map[string]int64{}
 	for _, i := range c.Instances {
 		by[i.Service] = append(by[i.Service], i)
--- a/internal/dispatch/io.go
+++ b/internal/dispatch/io.go
@@ -84,7 +84,7 @@
 	Revision  uint64 // of the last change known
 	AsOf      uint64 // every change up to this is known
 	// Part says that Instances are those that were put since the last catalogue, Ended those
-	// that ended, and that the table is the same.
+	// that ended, and that the table names the same services as the last one.
 	Part  bool
 	Ended []routing.Ended
 }
--- a/internal/process/content.go
+++ b/internal/process/content.go
@@ -165,21 +165,22 @@
 func (s *Steerer) publish(now time.Time) {
 	changes, evacuated := s.view.TakeChanges(), s.view.Evacuations()
 	c := dispatch.Catalogue{Table: s.view.Table, Evacuated: evacuated, Revision: s.view.Revision, AsOf: s.view.AsOf}
-	if s.view.Table != s.published {
-		s.published = s.view.Table
+	tableChanged := s.view.Table != s.published
+	if tableChanged && s.OnTable != nil {
+		s.OnTable(s.view.Table.Limits)
+	}
+	if tableChanged && !s.view.Table.SameServices(s.published) {
 		list := s.view.Instances()
 		c.Instances = list
 		s.publishUsable(list, evacuated)
 		clear(s.unnamed)
 		s.logUnnamed(list)
-		if s.OnTable != nil {
-			s.OnTable(s.view.Table.Limits)
-		}
 	} else {
 		c.Part, c.Instances, c.Ended = true, changes.Put, changes.Ended
 		s.updateUsable(changes, evacuated)
 		s.logUnnamed(changes.Put)
 	}
+	s.published = s.view.Table
 	s.node.Step(c, now)
 	s.table.Store(s.view.Table)
 	s.judgeReady(now)
--- a/internal/process/peercontent_test.go
+++ b/internal/process/peercontent_test.go
@@ -12,6 +12,7 @@
 	"github.com/silverswitch/silverswitch/internal/conn"
 	"github.com/silverswitch/silverswitch/internal/core/wire"
 	"github.com/silverswitch/silverswitch/internal/dispatch"
+	"github.com/silverswitch/silverswitch/internal/request/forward"
 	"github.com/silverswitch/silverswitch/internal/routing"
 )
 
@@ -84,6 +85,29 @@
 	assert.False(t, b.wantsWhole)
 }
 
+// A new table that names the same services leaves the list of upstreams alone: at a fifth of
+// a core going through 6,000 of them took a quarter of a second, in which the router refused
+// callers. One that names another service lets its upstreams in.
+func TestNewTableIsTakenWithoutTheList(t *testing.T) {
+	s := viewer(t)
+	now := s.now()
+	list := append(manyInstances(3), routing.Instance{ID: "x", Service: "other", Address: "10.4.0.1:1"})
+	s.take(listing(10, builtTable(t, 1), list), true, false, now)
+	upstreams := func() int { return len(s.statusAt(now).Upstreams) }
+	assert.Equal(t, 3, upstreams())
+	s.take(listing(11, builtTable(t, 2), nil), false, false, now)
+	assert.Equal(t, uint64(2), s.number())
+	assert.Equal(t, 3, upstreams())
+	assert.Equal(t, uint64(2), s.Table().Number)
+	both, err := (&routing.Builder{Number: 3, Services: []*routing.Service{{Name: "llm"}, {Name: "other"}}}).Build()
+	require.NoError(t, err)
+	s.take(listing(12, both, nil), false, false, now)
+	assert.Equal(t, 4, upstreams())
+	assert.Equal(t, forward.MaySend, s.Unusable(&dispatch.Place{Instance: list[3]}))
+	s.take(listing(13, builtTable(t, 4), nil), false, false, now)
+	assert.Equal(t, 3, upstreams())
+}
+
 // A router that has missed something notices it by the checksum of the list, and reads all.
 func TestDifferenceThatDoesNotFitIsReadWhole(t *testing.T) {
 	a, b := viewer(t), viewer(t)
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -230,3 +230,16 @@
 
 // Organisations returns every organisation, with keys or without.
 func (t *Table) Organisations() []*Organisation { return t.orgs }
+
+// SameServices reports whether another table names the same services; nil names none.
+func (t *Table) SameServices(other *Table) bool {
+	if other == nil || len(t.Services) != len(other.Services) {
+		return false
+	}
+	for name := range t.Services {
+		if other.Services[name] == nil {
+			return false
+		}
+	}
+	return true
+}
