--- a/internal/process/routed.go
+++ b/internal/process/routed.go
@@ -281,6 +281,7 @@
 		d.log.Warn().Int("requests", cut).Msg("requests-cut")
 	}
 	d.close()
+	d.st.sent.log(d.log)
 	d.log.Info().Int("cut", cut).Int64("took_ms", time.Since(began).Milliseconds()).Msg("stopped")
 	return cut
 }
--- a/internal/process/sent.go
+++ b/internal/process/sent.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
 
 	"github.com/silverswitch/silverswitch/internal/core/wire"
 )
@@ -58,6 +59,15 @@
 	return c
 }
 
+// log writes the totals.
+func (c *sentCounts) log(log zerolog.Logger) {
+	e := log.Info()
+	for p, name := range purposeNames {
+		e.Int64(name+"_bytes", c.bytes[p].Count()).Int64(name, c.datagrams[p].Count())
+	}
+	e.Int64("other_places_bytes", c.otherPlaces.Count()).Msg("control-sent")
+}
+
 // count takes a datagram that was sent.
 func (c *sentCounts) count(d *wire.Datagram, bytes int, near bool) {
 	p := purposeOf(d)
