What is packed for peers is as new as the view

Cause: content packed for one router was given to others for 150 ms.

Change: a pack holds for the publication that it was made of.

--- a/internal/process/content.go
+++ b/internal/process/content.go
@@ -181,6 +181,7 @@
 		s.logUnnamed(changes.Put)
 	}
 	s.published = s.view.Table
+	s.publications.Add(1)
 	s.node.Step(c, now)
 	s.table.Store(s.view.Table)
 	s.judgeReady(now)
--- a/internal/process/peercontent.go
+++ b/internal/process/peercontent.go
@@ -68,6 +68,7 @@
 type pack struct {
 	raw []byte
 	at  time.Time
+	no  uint64 // of the publication that it holds
 }
 
 // packedFor is how long a packed answer is given again. Cold times in it are old by as much,
@@ -85,8 +86,8 @@
 	}
 	s.packs.mu.Lock()
 	defer s.packs.mu.Unlock()
-	now := s.now()
-	if p, known := s.packs.last[h]; known && now.Sub(p.at) < packedFor {
+	now, no := s.now(), s.publications.Load()
+	if p, known := s.packs.last[h]; known && p.no == no && now.Sub(p.at) < packedFor {
 		return p.raw
 	}
 	c, _ := ask(&s.controlLoop, contentWait, func(now time.Time) *content { return s.contentFor(h, now) })
@@ -98,7 +99,7 @@
 		s.log.Error().Err(err).Msg("content-not-encoded")
 		return nil
 	}
-	s.packs.keep(h, pack{raw, now})
+	s.packs.keep(h, pack{raw, now, no})
 	return raw
 }
 
--- a/internal/process/peercontent_test.go
+++ b/internal/process/peercontent_test.go
@@ -1,8 +1,10 @@
 package process
 
 import (
+	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
@@ -124,6 +126,25 @@
 	assert.Equal(t, a.view.Instances(), b.view.Instances())
 }
 
+// A router that starts just after a place was evacuated was given what had been packed for
+// another one before that, said that it was ready, and sent requests there.
+func TestPackedContentIsNoOlderThanTheView(t *testing.T) {
+	s := viewer(t)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go s.Run(ctx)
+	places := func() int {
+		var c content
+		require.NoError(t, cbor.Unmarshal(s.Packed(conn.Question{}), &c))
+		return len(c.Places)
+	}
+	s.TakeListing(listing(10, builtTable(t, 1), manyInstances(2)), true, false)
+	assert.Zero(t, places())
+	s.TakeListing(Listing{AsOf: 11, Changes: []Change{{Revision: 11, Place: &PlaceChange{Place: "p", Evacuated: true}}}}, false, false)
+	_, _ = ask(&s.controlLoop, time.Second, func(time.Time) bool { return true }) // it has been taken
+	assert.Equal(t, 1, places())
+}
+
 // Changes since a revision that a router does not have say nothing to it.
 func TestDifferenceWithoutItsBaseIsNotTaken(t *testing.T) {
 	a := viewer(t)
--- a/internal/process/steer.go
+++ b/internal/process/steer.go
@@ -53,9 +53,11 @@
 	unnamed    map[string]bool // control goroutine only: starts whose service no table names
 	published  *routing.Table  // control goroutine only: the last that was handed on
 	packs      packs
-	wantsWhole bool // control goroutine only: the next read of a peer's content is of all of it
-	sent       sentCounts
-	watchPause atomic.Int64 // nanoseconds
+
+	publications atomic.Uint64 // how often the view was published
+	wantsWhole   bool          // control goroutine only: the next read of a peer's content is of all of it
+	sent         sentCounts
+	watchPause   atomic.Int64 // nanoseconds
 }
 
 // Status is what operators see of the control state.
