Routers that know nothing list the store one after the other

Change: in a large fleet in which nobody has read the store, the readers and seeds look first and the others 50 ms apart, by the order in which readers are chosen.

Measured: of 60 routers that start again 14 list it where a listing takes 0.7 s, 60 before; 1 and 3 where it takes 80 ms. Sum at 1,170 routers and 12,000 entries: 20 listings a second of 4.8 MB, 96 MB/s of the store's 125.

--- a/internal/dispatch/beat_test.go
+++ b/internal/dispatch/beat_test.go
@@ -183,6 +183,13 @@
 // All routers lose power and start again together: a few list the store, and all others read
 // its content from them. Each of 585 listed 6,000 entries, 12 calls for each.
 func TestFleetThatStartsAgainListsTheStoreAFewTimes(t *testing.T) {
+	for _, listing := range []time.Duration{80 * time.Millisecond, 700 * time.Millisecond} {
+		startAgain(t, listing)
+	}
+}
+
+// startAgain starts a fleet again, in which a listing takes a time.
+func startAgain(t *testing.T, listing time.Duration) {
 	const routers = 60
 	f := newPlacedFleet(t, routers, 5)
 	for i, id := range f.order {
@@ -198,9 +205,8 @@
 			take(id)
 		}
 	}
-	const listing = 80 * time.Millisecond
 	began := map[wire.NodeID]time.Time{}
-	for range 60 {
+	for range 60 + int(listing/TickEvery) {
 		f.run(TickEvery)
 		for _, id := range f.order {
 			at, lists := began[id]
@@ -216,5 +222,6 @@
 	for _, id := range f.order {
 		require.NotNil(t, f.nodes[id].cat.Table, id)
 	}
+	t.Logf("%s: %d listings", listing, len(began))
 	assert.Less(t, len(began), routers/3)
 }
--- a/internal/dispatch/store.go
+++ b/internal/dispatch/store.go
@@ -104,11 +104,30 @@
 		return true
 	}
 	if n.store.at.IsZero() {
-		return now.Sub(n.begun) >= n.firstLook
+		return now.Sub(n.begun) >= n.firstLook+n.lookTurn(now)
 	}
 	return now.Sub(n.store.at) >= sightLimit(len(live))
 }
 
+// lookApart is the time between the first looks of two routers of a large fleet in which
+// nobody has read the store yet: 20 listings a second fit well into the store's link, each of
+// some megabytes.
+//
+// Load pattern: 585 routers lose power before 6,000 entries. A listing takes longer than
+// they waited for it, so all listed at once, 1.4 GB; each page took longer than its time, and
+// none had a table ten seconds later.
+const lookApart = 50 * time.Millisecond
+
+// lookTurn is how long a router leaves the store to those before it in the order in which
+// routers are chosen to read it.
+func (n *Node) lookTurn(now time.Time) time.Duration {
+	if !n.isLarge() {
+		return 0
+	}
+	turn := slices.Index(n.ranked(storeService, now), n.set.ID) - watchers + 1
+	return time.Duration(max(0, turn)) * lookApart
+}
+
 // firstLookOf is how long a router that has heard of no reading of the store waits.
 func firstLookOf(set Settings, rnd *rand.Rand) time.Duration {
 	switch {
