A first list of upstreams is put in the order of their IDs

Cause: a router that starts before 6,000 upstreams put each in the midst of sorted lists, and made two maps for each that most never use.

Change: in order, at the end; the maps when they are used.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -75,13 +76,16 @@
 // setInstances takes the list of the service's instances. It returns those that
 // have left it.
 func (p *pool) setInstances(list []routing.Instance) (gone []*upstream) {
-	listed := make(map[version.ID]bool, len(list))
+	listed := make(map[version.ID]routing.Instance, len(list))
 	for _, inst := range list {
-		listed[version.IDOf(inst.Start())] = true
-		p.put(inst)
+		listed[version.IDOf(inst.Start())] = inst
+	}
+	// In the order of IDs, each is put at the end of the sorted lists.
+	for _, id := range slices.Sorted(maps.Keys(listed)) {
+		p.put(listed[id])
 	}
 	for _, u := range p.order {
-		if !listed[u.id] {
+		if _, still := listed[u.id]; !still {
 			gone = append(gone, u)
 		}
 	}
--- a/internal/dispatch/scale_bench_test.go
+++ b/internal/dispatch/scale_bench_test.go
@@ -114,3 +114,14 @@
 		}
 	}
 }
+
+// BenchmarkScaleFirstCatalogue is a router that takes its first table, with all entries.
+func BenchmarkScaleFirstCatalogue(b *testing.B) {
+	b.ReportAllocs()
+	tab, list := scaleTable(b), scaleInstances()
+	for b.Loop() {
+		n := New(Settings{ID: scaleUpdate(0).ID, Inc: 1, Place: "p0", Power: 800, Retry: DefaultRetryRules}, start)
+		n.Step(Catalogue{Table: tab, Instances: list, Revision: 5, AsOf: 9}, start)
+		n.Ready(start)
+	}
+}
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -26,9 +26,9 @@
 	id     version.ID
 	inst   routing.Instance
 	place  version.ID
-	region version.ID // 0 when it is not known
-	runs   map[runKey]*run
-	nodes  map[wire.NodeID]*nodeUse
+	region version.ID               // 0 when it is not known
+	runs   map[runKey]*run          // nil while it was never used
+	nodes  map[wire.NodeID]*nodeUse // the same
 	total  use
 	unread []*run // without a first event, in order of placing
 	queue  prefill.Queue
@@ -82,8 +82,6 @@
 		id:    version.IDOf(inst.Start()),
 		inst:  inst,
 		place: version.IDOf(inst.Place),
-		runs:  map[runKey]*run{},
-		nodes: map[wire.NodeID]*nodeUse{},
 		slow:  1,
 		inUse: notInUse,
 	}
@@ -116,6 +114,9 @@
 	n := u.nodes[node]
 	if n == nil {
 		n = &nodeUse{}
+		if u.nodes == nil {
+			u.nodes = map[wire.NodeID]*nodeUse{}
+		}
 		u.nodes[node] = n
 	}
 	old := n.sum()
@@ -167,6 +168,9 @@
 func (u *upstream) placeRun(r *run, now time.Time) {
 	r.up = u
 	u.touch(now)
+	if u.runs == nil {
+		u.runs = map[runKey]*run{}
+	}
 	u.runs[r.key] = r
 	u.conns.take(r.key.node, now)
 	u.unread = append(u.unread, r)
