One read of a peer's content at a time, and no answer without a table

Change: another peer is asked beside a read after a second, or 0.1 s after it has ended; a router without a table does not answer.

--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -117,6 +117,7 @@
 					if f.onFetch != nil {
 						f.onFetch(id, o.From)
 					}
+					f.nodes[id].Step(FetchEnded{}, f.now)
 				case Place:
 					f.got[id][o.ID] = o
 				case Refuse:
--- a/internal/dispatch/io.go
+++ b/internal/dispatch/io.go
@@ -167,6 +167,8 @@
 func (Strained) input()  {}
 func (Looked) input()    {}
 
+func (FetchEnded) input() {}
+
 func (NewSettings) input() {}
 
 func (Leave) input() {}
@@ -234,6 +236,9 @@
 	Delta *wire.StoreDelta
 }
 
+// FetchEnded says that a read which Fetch asked for has ended, with or without content.
+type FetchEnded struct{}
+
 // StoreBack says that a peer found the store back after an outage, at a time: what
 // is missing there may have lapsed meanwhile.
 type StoreBack struct {
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -41,8 +41,11 @@
 	silentFor = 2 * time.Second
 	// noteDelay is how long news wait for company on the way to the scheduler.
 	noteDelay = 8 * time.Millisecond
-	// fetchAgain is the pause between two reads of the store's content from peers.
-	fetchAgain = 300 * time.Millisecond
+	// fetchAgain is the pause between two reads of the store's content from peers, and
+	// fetchPatience how long one may take before another peer is asked beside it: hundreds of
+	// routers read some megabytes from the same few at once.
+	fetchAgain    = 100 * time.Millisecond
+	fetchPatience = time.Second
 	// fetchAfter is how long the own watch has to tell what a peer knows already;
 	// fetchSpread is over how long routers that do not watch spread their reads.
 	fetchAfter  = 200 * time.Millisecond
@@ -212,6 +215,8 @@
 		n.crashes.Answered(in.Content, now)
 	case Looked:
 		n.looked(in, now)
+	case FetchEnded:
+		n.fetchDue = now.Add(fetchAgain)
 	case Leave:
 		n.leave()
 	}
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -111,7 +111,14 @@
 }
 
 // answer decides for another router. One ask asked twice gets the same answer.
+//
+// A router without a table has no answer: the other one decides by itself. Load pattern: all
+// routers lose power, and some have read the table before their scheduler has. It told them
+// that the service had no upstream, and they refused their callers.
 func (n *Node) answer(from wire.NodeID, a *wire.WorkAsk, now time.Time) {
+	if n.cat.Table == nil {
+		return
+	}
 	w := n.work(from)
 	p := n.pools[a.Service]
 	if p == nil {
--- a/internal/dispatch/relay_test.go
+++ b/internal/dispatch/relay_test.go
@@ -141,6 +141,47 @@
 	assert.Zero(t, f.behind(13))
 }
 
+// A scheduler that has just started and has no table says nothing. It said that the service
+// had no upstream, and callers were refused while all engines stood idle.
+func TestSchedulerWithoutATableIsPassedOver(t *testing.T) {
+	f := newPlacedFleet(t, 30, 5)
+	f.see(6 * time.Second)
+	scheduler := f.scheduler()
+	set := f.nodes[scheduler].set
+	set.Inc = 2
+	f.nodes[scheduler] = New(set, f.now)
+	other := f.other()
+	f.arrive(other, 1, engines, "a", 500)
+	f.run(100 * time.Millisecond)
+	f.placed(other, 1)
+}
+
+// A read of the whole content takes longer than the pause between two reads. Routers that
+// started again asked anew every 0.3 s while the answer was on its way, and the relays served
+// each of them several times.
+func TestOneReadIsUnderWayAtATime(t *testing.T) {
+	f := newPlacedFleet(t, 30, 5)
+	f.see(6 * time.Second)
+	id := f.order[7]
+	n := New(Settings{ID: id, Inc: 2, Place: f.nodes[id].set.Place, Seeds: f.nodes[id].set.Seeds, Retry: DefaultRetryRules}, f.now)
+	reads := func(d time.Duration) (count int) {
+		for end := f.now.Add(d); f.now.Before(end); {
+			f.now = f.now.Add(TickEvery)
+			n.Tick(f.now)
+			for _, o := range n.Ready(f.now) {
+				if _, is := o.(Fetch); is {
+					count++
+				}
+			}
+		}
+		return count
+	}
+	n.Step(Receive{Datagram: &wire.Datagram{From: f.order[0], Inc: 1, Work: &wire.Work{Revision: 9}}}, f.now)
+	assert.Equal(t, 1, reads(fetchPatience-TickEvery))
+	n.Step(FetchEnded{}, f.now)
+	assert.Equal(t, 1, reads(fetchAgain+TickEvery), "it brought nothing")
+}
+
 // Routers that start together before the first table read it within their place too.
 func TestFirstTableIsReadWithinThePlace(t *testing.T) {
 	const routers, places = 60, 5
--- a/internal/dispatch/store.go
+++ b/internal/dispatch/store.go
@@ -279,12 +279,12 @@
 	if best == "" {
 		return
 	}
-	n.fetchDue = now.Add(fetchAgain)
+	n.fetchDue = now.Add(fetchPatience)
 	n.store.fetching = true
 	n.out = append(n.out, Fetch{From: n.sourceFor(best, now), Revision: n.ahead[best].revision})
 	// The next read, if this one fails, is from another.
 	a := n.ahead[best]
-	a.due = now.Add(2 * fetchAgain)
+	a.due = now.Add(2 * fetchPatience)
 	n.ahead[best] = a
 }
 
--- a/internal/process/peercontent.go
+++ b/internal/process/peercontent.go
@@ -9,6 +9,7 @@
 
 	"github.com/silverswitch/silverswitch/internal/conn"
 	"github.com/silverswitch/silverswitch/internal/core/wire"
+	"github.com/silverswitch/silverswitch/internal/dispatch"
 	"github.com/silverswitch/silverswitch/internal/routing"
 )
 
@@ -126,6 +127,7 @@
 
 // fetch reads the content from a peer that knows more.
 func (s *Steerer) fetch(from wire.NodeID, have held) {
+	defer s.Step(dispatch.FetchEnded{})
 	raw, err := cbor.Marshal(have)
 	if err != nil {
 		s.log.Error().Err(err).Msg("question-not-encoded")
