--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -13,9 +13,9 @@
 // reads it from whoever knows it, and tells its place, whose routers read it from the relay.
 // So each change and each table crosses into a place a few times at any size.
 //
-// Load pattern: 585 routers in five places before 6,000 upstreams. Each read each new table
-// from one of the three that read the store, with all entries, and each of the three told
-// each change to all: 0.76 GB between places in 23 s of a quiet day.
+// Load pattern: hundreds of routers in a few places before thousands of upstreams. If each
+// reads each new table from one of the three that read the store, and each of the three
+// tells each change to all, what crosses between places grows with routers times upstreams.
 
 const (
 	// relayCount is how many relays a place has: one may be gone, or be lost with a
--- a/internal/dispatch/store.go
+++ b/internal/dispatch/store.go
@@ -39,8 +39,8 @@
 	firstLookSpread = 400 * time.Millisecond
 	// againLookMost is the longest that a router which is no seed waits for a reading of
 	// others when it starts again and callers wait for it: a listing by one of them, and the
-	// way of its news. Load pattern: 585 routers lose power; each listed 6,000 entries, 12
-	// calls for each. And 24 do, and the seeds come back last: some of the others look early.
+	// way of its news. Load pattern: all routers of a fleet lose power, and the seeds come back
+	// last: some of the others look early, and not all of them.
 	againLookMost = 300 * time.Millisecond
 )
 
@@ -113,9 +113,9 @@
 // nobody has read the store yet: 20 listings a second fit well into the store's link, each of
 // some megabytes.
 //
-// Load pattern: 585 routers lose power before 6,000 entries. A listing takes longer than
-// they waited for it, so all listed at once, 1.4 GB; each page took longer than its time, and
-// none had a table ten seconds later.
+// Load pattern: hundreds of routers lose power before thousands of entries. A listing takes
+// longer than they wait for one another, so all list at once, the store's link is full, each
+// page takes longer than its time, and none has a table.
 const lookApart = 50 * time.Millisecond
 
 // lookTurn is how long a router leaves the store to those before it in the order in which
--- a/internal/dispatch/workingset.go
+++ b/internal/dispatch/workingset.go
@@ -14,9 +14,9 @@
 // keep, and no connection is held to them. One of them is among those that each decision
 // looks at, so that the set grows by as many requests as come, at once, and it shrinks slowly.
 //
-// Load pattern: 5,820 engines, 98 of 100 idle, and 1,300 requests a second that share parts.
-// Strewn over all engines, shared parts are read again at each, and a decision that looks at
-// all takes the whole of the scheduler's processor.
+// Load pattern: thousands of engines, 98 of 100 idle, and a thousand requests a second that
+// share parts. Strewn over all engines, shared parts are read again at each, and decisions
+// that look at all take the whole of the scheduler's processor.
 
 // unusedFor is how long an upstream stays in the working set without work: a few times as
 // long as shared parts of prompts are asked for again.
--- a/internal/routing/changes.go
+++ b/internal/routing/changes.go
@@ -9,9 +9,8 @@
 // What changed in a view: for this router's own state since it was taken last, and for a
 // peer since a revision that it names. Both cost what has changed, not the whole list.
 //
-// Load pattern: 6,000 upstreams, a fiftieth of which is replaced one by one. Each change
-// was worked into the routers' state as a whole new list, and each new table was read from
-// peers with the whole list.
+// Load pattern: thousands of upstreams, a fiftieth of which is replaced one by one, and a new
+// table every few seconds.
 
 // Ended is an instance that is no longer there. Restarted says that another start of the
 // same upstream is listed in its place.
