Changes elsewhere are left to the relays: a test and its guard

Cause: the guard of that wait was not caught by the test of tables, in which nobody hears of a change from another place.

Change: a test of one router that does.

--- a/internal/dispatch/relay_test.go
+++ b/internal/dispatch/relay_test.go
@@ -123,6 +123,34 @@
 	assert.Zero(t, f.behind(45))
 }
 
+// A router that hears from another place that it is behind leaves that to its relays for a
+// while, and reads from there only then.
+func TestChangesElsewhereAreLeftToTheRelays(t *testing.T) {
+	f := newPlacedFleet(t, 60, 5)
+	f.see(6 * time.Second)
+	var id, far wire.NodeID
+	for _, other := range f.order {
+		n := f.nodes[other]
+		switch {
+		case n.set.Place == "p0" && !n.isRelay(f.now) && !n.Watches(f.now):
+			id = other
+		case n.set.Place == "p1":
+			far = other
+		}
+	}
+	reads := 0
+	f.onFetch = func(by, _ wire.NodeID) {
+		if by == id {
+			reads++
+		}
+	}
+	f.nodes[id].Step(Receive{Datagram: &wire.Datagram{From: far, Inc: 1, Work: &wire.Work{Revision: 50}}}, f.now)
+	f.run(relayWait - 2*TickEvery)
+	assert.Zero(t, reads)
+	f.run(2*fetchSpread + 2*TickEvery)
+	assert.Equal(t, 1, reads)
+}
+
 // Where the relays of a place are gone and nobody has noticed yet, its routers read the
 // table from elsewhere.
 func TestTableIsReadWhereRelaysAreGone(t *testing.T) {
