Choosing schedulers leaves the list of routers alone

Cause: the product's own interface sorted the list of live routers of its membership in place.

Change: the choice sorts a copy.

Measured: TestGapIsBounded* pass; TestChoosingSchedulers... fails without the copy.

--- a/internal/core/pools.go
+++ b/internal/core/pools.go
@@ -42,9 +42,9 @@
 }
 
 func (n *Node) rank(pool version.ID) []wire.NodeID {
-	live := n.members.Live(false)
+	live := slices.Clone(n.members.Live(false))
 	if len(live) == 0 {
-		live = n.members.Live(true)
+		live = slices.Clone(n.members.Live(true))
 	}
 	region := ""
 	if p := n.ver.Pools[pool]; p != nil {
