An older list from a peer does not settle that something was missed

Cause, seen when the change was read again: a router whose list did not come out as a peer's reads all of it from another one. A whole list older than what it knew itself was not taken, and yet ended the matter.

Measured: TestOlderListDoesNotSettleADifference failed before.

--- a/internal/process/peercontent.go
+++ b/internal/process/peercontent.go
@@ -179,8 +179,8 @@
 func (s *Steerer) takeEntries(c content, list []routing.Instance, now time.Time) {
 	switch {
 	case c.Base == 0:
+		s.wantsWhole = s.wantsWhole && c.AsOf < s.view.AsOf // an older list is not taken
 		s.view.Replace(list, c.AsOf, now)
-		s.wantsWhole = false
 	case c.AsOf > s.view.AsOf:
 		s.applyChanges(list, c.Removed, c.AsOf, now)
 	}
--- a/internal/process/peercontent_test.go
+++ b/internal/process/peercontent_test.go
@@ -126,6 +126,20 @@
 	assert.Equal(t, a.view.Instances(), b.view.Instances())
 }
 
+// A whole list that is older than what a router knows is not taken, and does not settle that
+// something was missed: it did, and the router never read the list again.
+func TestOlderListDoesNotSettleADifference(t *testing.T) {
+	a, b := viewer(t), viewer(t)
+	now := a.now()
+	a.take(listing(10, builtTable(t, 1), manyInstances(3)), true, false, now)
+	older := a.contentFor(held{}, now)
+	b.take(listing(20, builtTable(t, 1), manyInstances(2)), true, false, now)
+	b.wantsWhole = true
+	b.adopt("peer", *older, nil, 0, now)
+	assert.True(t, b.wantsWhole)
+	assert.Len(t, b.view.Instances(), 2)
+}
+
 // A router that starts just after a place was evacuated was given what had been packed for
 // another one before that, said that it was ready, and sent requests there.
 func TestPackedContentIsNoOlderThanTheView(t *testing.T) {
