Lines and counters on what upstreams say of themselves on their answers

Each answer's head is now read for both, also that of a health question and of a late answer on the same connection; a line (upstream-notice) and two counters say so. No decision changes.

--- a/internal/conn/exchange.go
+++ b/internal/conn/exchange.go
@@ -145,6 +145,7 @@
 		if res.StatusCode >= 100 && res.StatusCode < 200 {
 			continue
 		}
+		x.hear(res)
 		if own(res) {
 			x.Response = res
 			return nil
@@ -158,6 +159,14 @@
 	}
 }
 
+// hear passes on the head of an answer: what an upstream says of itself holds whichever
+// request it answers.
+func (x *Exchange) hear(res *http.Response) {
+	if x.pool.Heard != nil && x.owner != "" {
+		x.pool.Heard(x.owner, res)
+	}
+}
+
 // Close ends the exchange. whole says that the answer's body was read to its end;
 // only then is the connection kept.
 func (x *Exchange) Close(whole bool) {
--- a/internal/conn/idle.go
+++ b/internal/conn/idle.go
@@ -49,6 +49,9 @@
 	clock  *clock.Clock
 	Opened func()                         // counts new connections, may be nil
 	Fell   func(addr string, dropped int) // a kept connection fell silent, may be nil
+	// Heard is told of the head of every answer and of the start of the upstream that it
+	// was asked of, Message.Owner; may be nil.
+	Heard func(owner string, head *http.Response)
 }
 
 // silence is the last kept connection that fell silent.
--- a/internal/request/forward/dialect.go
+++ b/internal/request/forward/dialect.go
@@ -29,6 +29,7 @@
 	LengthHint     string   // the caller's estimate of the output
 	CacheSource    string   // set by the router: fetch kept parts from this address
 	ColdFor        string   // of an upstream's health answers: milliseconds that it is cold
+	Leaving        string   // on every answer of an upstream that leaves: 1
 	RouterOnly     []string // other headers that only a router may set
 }
 
--- /dev/null
+++ b/internal/request/forward/notice.go
@@ -0,0 +1,59 @@
+package forward
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// headerRetryAfter is RFC 9110's, in seconds; upstreams and routers may send fractions.
+const headerRetryAfter = "Retry-After"
+
+// notice is what an upstream says of itself on an answer, whatever it answers.
+type notice struct {
+	leaving bool
+	rest    time.Duration // it wants nothing of this router for so long, 0 when it does not say
+}
+
+// mostRest bounds what an upstream may ask for: a time that is wrong by orders of magnitude
+// must not keep it out of use until it starts again.
+const mostRest = 10 * time.Minute
+
+// noticeOf reads the notice on an answer. A misdirected request was answered by another
+// upstream than the one it was sent to, so its answer says nothing of that one.
+func (d *Dialect) noticeOf(res *http.Response) notice {
+	if res.StatusCode == http.StatusMisdirectedRequest {
+		return notice{}
+	}
+	n := notice{leaving: res.Header.Get(d.Leaving) == "1"}
+	if res.StatusCode == http.StatusServiceUnavailable {
+		n.rest = restOf(res.Header)
+	}
+	return n
+}
+
+// restOf reads a time in seconds; one that cannot be read says nothing.
+func restOf(h http.Header) time.Duration {
+	s, err := strconv.ParseFloat(h.Get(headerRetryAfter), 64)
+	if err != nil || !(s > 0) {
+		return 0
+	}
+	return time.Duration(min(s, mostRest.Seconds()) * float64(time.Second))
+}
+
+// heard counts and logs the notice on an answer of an upstream's start.
+func (s *Server) heard(start string, res *http.Response) {
+	n := s.names.noticeOf(res)
+	if n.leaving {
+		s.count.leavingHeard.Inc(1)
+	}
+	if n.rest > 0 {
+		s.count.restHeard.Inc(1)
+	}
+	if n == (notice{}) {
+		return
+	}
+	if e := s.lines.failure(); e != nil {
+		e.Str("upstream", start).Bool("leaving", n.leaving).Int64("rest_ms", n.rest.Milliseconds()).Int("status", res.StatusCode).Msg("upstream-notice")
+	}
+}
--- a/internal/request/forward/rig_test.go
+++ b/internal/request/forward/rig_test.go
@@ -27,7 +27,7 @@
 
 var testDialect = Dialect{
 	RequestID: "X-Id", Deadline: "X-Left-Ms", Proof: "X-Proof", Organisation: "X-Org", ExpectInstance: "X-Expect",
-	NotExecuted: "X-Not-Run", PromptParts: "X-Parts", TokenUsage: "X-Usage", LengthHint: "X-Hint", CacheSource: "X-Fetch", ColdFor: "X-Cold",
+	NotExecuted: "X-Not-Run", PromptParts: "X-Parts", TokenUsage: "X-Usage", LengthHint: "X-Hint", CacheSource: "X-Fetch", ColdFor: "X-Cold", Leaving: "X-Leaving",
 	RouterOnly: []string{"X-Router-Only"},
 }
 
--- a/internal/request/forward/server.go
+++ b/internal/request/forward/server.go
@@ -46,6 +46,7 @@
 func NewServer(ctl Control, ups *conn.Exchanges, names Dialect, key *fingerprint.Key, most Bounds, reg metrics.Registry, log zerolog.Logger) *Server {
 	s := &Server{ctl: ctl, ups: ups, names: names, key: key, clock: clock.System, most: most.Requests, answers: heldBytes{most: most.Answers}, door: newDoor(), count: newCounters(reg), lines: newReqLog(log), tracer: otel.Tracer("silverswitch")}
 	s.looks = newLooks(ups, names, s.clock)
+	ups.Heard = s.heard
 	ups.Opened = func() { s.count.opened.Inc(1) }
 	ups.Fell = func(addr string, dropped int) {
 		log.Info().Str("address", addr).Int("closed", dropped).Msg("kept-connection-silent")
