An upstream that says on its answers that it leaves gets nothing more

Cause: a router knew of an upstream that leaves by its entry in the store alone.

Change: the notice is a change of belief like a draining entry, in the pure state machine (dispatch/leaving.go): no placement, repeat, resume or read of kept parts, and what was placed and not sent is placed elsewhere. All routers of a small fleet, the heirs in a large one, are told at once and again with regular messages. A start that leaves does not come back, so an entry that was written before and arrives late does not take it back.

--- a/internal/dispatch/beat.go
+++ b/internal/dispatch/beat.go
@@ -139,10 +139,12 @@
 }
 
 // tellStore tells a router what this one knows of the store: without a table it has
-// nothing that another could read from it. What it holds goes with it.
+// nothing that another could read from it. What it holds, and which upstreams have said that
+// they leave, goes with it.
 func (n *Node) tellStore(to wire.NodeID, now time.Time) {
 	w := n.work(to)
 	n.stateHeld(to)
+	n.tellLeaving(to)
 	w.Revision = n.complete()
 	w.Sight, w.Blind = n.store.told(now), n.store.isBlind(now)
 }
--- a/internal/dispatch/io.go
+++ b/internal/dispatch/io.go
@@ -136,6 +136,9 @@
 // a token generated twice (the platform's measure of what its engines produce).
 func Cost(input, output int) float64 { return float64(input) + 2*float64(output) }
 
+// SaysLeaving says that an instance has told this router itself that it leaves.
+type SaysLeaving struct{ Instance routing.Instance }
+
 // Looked says that an instance takes no request now, by its own health: it is cold for a
 // time, or was not reached when that is 0.
 type Looked struct {
@@ -167,6 +170,8 @@
 func (Strained) input()  {}
 func (Looked) input()    {}
 
+func (SaysLeaving) input() {}
+
 func (FetchEnded) input() {}
 
 func (NewSettings) input() {}
--- /dev/null
+++ b/internal/dispatch/leaving.go
@@ -0,0 +1,91 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/silverswitch/silverswitch/internal/core/wire"
+	"github.com/silverswitch/silverswitch/internal/routing"
+	"github.com/silverswitch/silverswitch/internal/version"
+)
+
+// Upstreams that say themselves that they leave, before their entries in the platform's store
+// do. Whoever hears it tells the routers that place at the upstream; a start that leaves does
+// not come back.
+//
+// Load pattern: the store is away while upstreams are replaced one by one. A router hears
+// from its callers' answers that one leaves, and the scheduler, which has sent it nothing
+// itself, places the next request there.
+
+// leavers are the upstreams that have said that they leave, with their services.
+type leavers map[version.ID]version.ID
+
+// Leaving says that an upstream leaves, by its own word or, with From, by a peer's.
+type Leaving struct {
+	Instance routing.Instance
+	From     wire.NodeID
+}
+
+func (Leaving) output() {}
+
+// saysLeaving takes an upstream's own word, and tells those who place at it at once.
+func (n *Node) saysLeaving(i routing.Instance, now time.Time) {
+	p := n.pools[serviceID(i.Service)]
+	if p == nil {
+		return
+	}
+	if u := p.ups[version.IDOf(i.Start())]; u == nil || !n.drain(p, u, "") {
+		return
+	}
+	for _, id := range n.placersOf(p.id, now) {
+		n.tellLeaving(id)
+	}
+}
+
+// placersOf returns the other routers that place at a service's upstreams: all in a small
+// fleet, its heirs in a large one.
+func (n *Node) placersOf(service version.ID, now time.Time) []wire.NodeID {
+	to := n.members.Live(true)
+	if n.isLarge() {
+		to = n.ranked(service, now)
+		to = to[:min(heirCount, len(to))]
+	}
+	return slices.DeleteFunc(slices.Clone(to), func(id wire.NodeID) bool { return id == n.set.ID })
+}
+
+// drain takes an upstream out of use. It reports whether that is news.
+func (n *Node) drain(p *pool, u *upstream, from wire.NodeID) bool {
+	n.leavers[u.id] = p.id
+	if u.inst.Draining {
+		return false
+	}
+	u.inst.Draining = true
+	p.setCapacity(n.cat.Table.Limits.TokensPerSecond)
+	n.out = append(n.out, Leaving{Instance: u.inst, From: from})
+	return true
+}
+
+// heardLeaving takes a peer's word on upstreams that leave.
+func (n *Node) heardLeaving(from wire.NodeID, list []version.ID) {
+	for _, id := range list {
+		for _, p := range n.pools {
+			if u := p.ups[id]; u != nil {
+				n.drain(p, u, from)
+			}
+		}
+	}
+}
+
+// tellLeaving tells a router which upstreams have said that they leave.
+func (n *Node) tellLeaving(to wire.NodeID) {
+	var list []version.ID
+	for id, service := range n.leavers {
+		if p := n.pools[service]; p == nil || p.ups[id] == nil {
+			delete(n.leavers, id) // it has ended
+			continue
+		}
+		list = append(list, id)
+	}
+	slices.Sort(list)
+	n.box.To(to).Drains = list
+}
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -105,6 +105,7 @@
 	reports reports
 	crashes *quarantine.Tracker
 	quorum  quorum
+	leavers leavers
 
 	upstreamPlaces map[string]bool // in which upstreams stand
 
@@ -167,6 +168,7 @@
 		words:     newWords(),
 		gaveUp:    map[uint64]givenUp{},
 		reports:   newReports(),
+		leavers:   leavers{},
 		crashes:   quarantine.NewTracker(set.ID),
 		begun:     now,
 		firstLook: firstLookOf(set, rnd),
@@ -215,6 +217,8 @@
 		n.crashes.Answered(in.Content, now)
 	case Looked:
 		n.looked(in, now)
+	case SaysLeaving:
+		n.saysLeaving(in.Instance, now)
 	case FetchEnded:
 		n.fetchDue = now.Add(fetchAgain)
 	case Leave:
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -99,6 +99,7 @@
 func (p *pool) put(inst routing.Instance) {
 	id := version.IDOf(inst.Start())
 	if u := p.ups[id]; u != nil {
+		inst.Draining = inst.Draining || u.inst.Draining
 		u.inst = inst
 		return
 	}
--- a/internal/process/requests.go
+++ b/internal/process/requests.go
@@ -87,6 +87,23 @@
 	s.Step(dispatch.Looked{Instance: i, ColdFor: coldFor})
 }
 
+// UpstreamLeaves implements forward.Control.
+func (s *Steerer) UpstreamLeaves(start string) {
+	i, listed, _, _ := s.usable.of(start)
+	if !listed {
+		return // it is known to leave, or to have ended
+	}
+	s.Step(dispatch.SaysLeaving{Instance: i})
+}
+
+// drain takes an instance out of use that has said that it leaves.
+func (s *Steerer) drain(o dispatch.Leaving) {
+	s.log.Info().Str("upstream", o.Instance.ID).Str("address", o.Instance.Address).Str("peer", string(o.From)).Uint64("revision", s.view.Revision).Msg("upstream-says-it-leaves")
+	if s.view.Drain(o.Instance) {
+		s.publish(s.now())
+	}
+}
+
 // Table implements forward.Control.
 func (s *Steerer) Table() *routing.Table { return s.table.Load() }
 
--- a/internal/process/steer.go
+++ b/internal/process/steer.go
@@ -219,6 +219,8 @@
 			}
 			s.log.Info().Str("upstream", o.Instance.ID).Str("address", o.Instance.Address).Int64("born", o.Instance.Born).Bool("restarted", o.Restarted).Int("cut", cut).
 				Uint64("revision", s.view.Revision).Msg("upstream-gone")
+		case dispatch.Leaving:
+			s.drain(o)
 		case dispatch.Probe:
 			go s.probe(o.Instance)
 		case dispatch.ShareReport, dispatch.EngineReport, dispatch.AloneReport, dispatch.UpstreamEnded, dispatch.QuarantineReport:
--- a/internal/request/forward/control.go
+++ b/internal/request/forward/control.go
@@ -47,6 +47,8 @@
 	// Looked says that an upstream does not take a request now, by its health: it is cold
 	// for a time, or cannot be reached when that is 0.
 	Looked(i routing.Instance, coldFor time.Duration)
+	// UpstreamLeaves says that a start of an upstream has told that it leaves.
+	UpstreamLeaves(start string)
 	// Leaving reports whether a planned stop has begun.
 	Leaving() bool
 }
--- a/internal/request/forward/notice.go
+++ b/internal/request/forward/notice.go
@@ -41,11 +41,12 @@
 	return time.Duration(min(s, mostRest.Seconds()) * float64(time.Second))
 }
 
-// heard counts and logs the notice on an answer of an upstream's start.
+// heard passes on the notice on an answer of an upstream's start.
 func (s *Server) heard(start string, res *http.Response) {
 	n := s.names.noticeOf(res)
 	if n.leaving {
 		s.count.leavingHeard.Inc(1)
+		s.ctl.UpstreamLeaves(start)
 	}
 	if n.rest > 0 {
 		s.count.restHeard.Inc(1)
--- a/internal/request/forward/rig_test.go
+++ b/internal/request/forward/rig_test.go
@@ -55,8 +55,9 @@
 	whole    []fingerprint.Fingerprint
 	onAgain  func() // called before another upstream is given; may be nil
 	looked   []lookedAt
-	look     bool // upstreams are to be looked at first
-	slow     bool // no other upstream is given
+	leavers  []string // starts that said that they leave
+	look     bool     // upstreams are to be looked at first
+	slow     bool     // no other upstream is given
 }
 
 func (c *fakeControl) Table() *routing.Table { return c.table }
@@ -84,6 +85,12 @@
 	c.looked = append(c.looked, lookedAt{i.ID, coldFor})
 }
 
+func (c *fakeControl) UpstreamLeaves(start string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leavers = append(c.leavers, start)
+}
+
 func (c *fakeControl) Quarantined(string) map[fingerprint.Fingerprint]quarantine.State {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/routing/view.go
+++ b/internal/routing/view.go
@@ -94,6 +94,9 @@
 	if e != nil && (rev < e.rev || i.Born < e.inst.Born) {
 		return
 	}
+	if e != nil && e.inst.Draining && e.inst.Start() == i.Start() {
+		i.Draining = true // an entry that says otherwise was written before it said so itself
+	}
 	if e != nil && i.Revision != 0 && i.Revision == e.inst.Revision {
 		i.ColdUntil = e.inst.ColdUntil
 	}
@@ -108,6 +111,19 @@
 	v.instances[i.ID] = &entry{inst: i, rev: rev, changed: changed}
 }
 
+// Drain takes an instance's own word that it leaves, which its entry may not say yet. A start
+// that leaves stays so until it has ended. It reports whether that changes anything.
+func (v *View) Drain(i Instance) bool {
+	e := v.instances[i.ID]
+	if e == nil || e.inst.Draining || e.inst.Start() != i.Start() {
+		return false
+	}
+	before := *e
+	e.inst.Draining = true
+	v.journal.entered(e.inst, &before)
+	return true
+}
+
 // drop takes an entry out that was found gone at a revision.
 func (v *View) drop(id string, e *entry, rev uint64) {
 	if !e.lapsing.IsZero() {
--- a/internal/routing/view_test.go
+++ b/internal/routing/view_test.go
@@ -94,3 +94,22 @@
 	v.Put(Instance{ID: "a"}, 12)
 	assert.Equal(t, []string{"a", "b"}, ids(v))
 }
+
+// A draining server's entry was written again as ready, by a write of before that came late.
+func TestStartThatLeavesDoesNotComeBack(t *testing.T) {
+	v := NewView()
+	i := Instance{ID: "i-1", Service: "s", Born: 5}
+	v.Put(i, 1)
+	v.TakeChanges()
+	assert.True(t, v.Drain(i))
+	assert.False(t, v.Drain(i), "it is known")
+	changes := v.TakeChanges()
+	require.Len(t, changes.Put, 1)
+	assert.True(t, changes.Put[0].Draining)
+	v.Put(i, 2)
+	assert.True(t, v.Instances()[0].Draining)
+	i.Born = 6
+	v.Put(i, 3)
+	assert.False(t, v.Instances()[0].Draining, "another start")
+	assert.False(t, v.Drain(Instance{ID: "i-1", Born: 5}), "a word on a start that has ended")
+}
