An upstream that asks for rest gets nothing of that router for so long

Cause: Retry-After of an upstream was not read. What kept a router away were its own rests, 300 ms after two failures in a row; and where all upstreams rested one was tried rather than none (the second hypothesis, a fault too).

Change: the time that an upstream asks for is its word, not a guess, and binds the router that was asked alone. Asks carry it to the scheduler, which others' requests may still go to that upstream by; an answer of the scheduler that crossed with it is not used, and what was placed and not sent is placed elsewhere. Where every upstream that could serve a request rests, it is refused at once, until the first is back.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -206,6 +206,8 @@
 		return ReasonEvacuated
 	case p.hasCold(now) && p.open(now) == 0:
 		return ReasonCold
+	case p.allRest(a):
+		return ReasonResting
 	}
 	return ReasonCapacity
 }
@@ -217,6 +219,8 @@
 		return maxComeBack // nobody knows when that changes
 	case ReasonCold:
 		return min(max(p.warmIn(now), minComeBack), maxComeBack)
+	case ReasonResting:
+		return max(p.leastRest(a), minComeBack)
 	}
 	return p.comeBack(a, p.shortest(now), 0)
 }
--- /dev/null
+++ b/internal/dispatch/askedrest_test.go
@@ -0,0 +1,114 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/silverswitch/silverswitch/internal/core/wire"
+)
+
+// wantsRest lets an upstream ask a router for rest.
+func (f *fleet) wantsRest(id wire.NodeID, upstream string, d time.Duration) {
+	f.nodes[id].Step(WantsRest{Instance: f.instanceOf(id, upstream), For: d}, f.now)
+	f.deliver()
+}
+
+// The scheduler placed requests of a router at an upstream that had asked that router for
+// rest.
+func TestRestBindsTheRouterThatWasAskedAndNoOther(t *testing.T) {
+	for _, service := range []string{engines, counter} {
+		f := newFleet(t, 3, 2)
+		first, second := "e0", "e1"
+		if service == counter {
+			first, second = "c0", "c1"
+		}
+		id := f.other()
+		f.wantsRest(id, first, 3*time.Second)
+		seen := map[string]bool{}
+		for no := uint64(1); no <= 8; no++ {
+			for _, from := range f.order {
+				f.arrive(from, no, service, "a", 200)
+				at := f.placed(from, no).Instance.ID
+				if from == id {
+					assert.Equal(t, second, at)
+				} else {
+					seen[at] = true
+				}
+			}
+		}
+		assert.True(t, seen[first], "%s: others may use it", service)
+		f.run(3*time.Second + TickEvery)
+		for no := uint64(1); no <= 8; no++ {
+			for _, from := range f.order {
+				f.nodes[from].Step(End{ID: no, Event: wire.NoteDone}, f.now)
+			}
+		}
+		f.deliver()
+		seen = map[string]bool{}
+		for no := uint64(11); no <= 20; no++ {
+			f.arrive(id, no, service, "a", 200)
+			seen[f.placed(id, no).Instance.ID] = true
+		}
+		assert.True(t, seen[first], "%s: the time is over", service)
+	}
+}
+
+// A request that failed elsewhere was sent to the upstream that rests.
+func TestRepeatIsNotSentToAnUpstreamThatWantsRest(t *testing.T) {
+	f := newFleet(t, 3, 2)
+	id := f.other()
+	f.wantsRest(id, "e0", 3*time.Second)
+	f.arrive(id, 1, engines, "a", 200)
+	require.Equal(t, "e1", f.placed(id, 1).Instance.ID)
+	delete(f.got[id], 1)
+	f.nodes[id].Step(Again{ID: 1, Event: wire.NoteFailed}, f.now)
+	f.deliver()
+	r, refused := f.got[id][1].(Refuse)
+	require.True(t, refused, "%#v", f.got[id][1])
+	assert.Equal(t, ReasonResting, r.Reason)
+}
+
+// Of upstreams that all wanted rest one was tried rather than none.
+func TestServiceWhoseUpstreamsAllRestIsRefusedUntilTheFirstIsBack(t *testing.T) {
+	for _, service := range []string{engines, counter} {
+		f := newFleet(t, 3, 2)
+		id := f.other()
+		ups := map[string][2]string{engines: {"e0", "e1"}, counter: {"c0", "c1"}}[service]
+		f.wantsRest(id, ups[0], 700*time.Millisecond)
+		f.wantsRest(id, ups[1], 5*time.Second)
+		f.wantsRest(id, "c0", 300*time.Millisecond) // of the one service shorter, of the other no news
+		f.arrive(id, 1, service, "a", 200)
+		r, refused := f.got[id][1].(Refuse)
+		require.True(t, refused)
+		assert.Equal(t, ReasonResting, r.Reason)
+		assert.InDelta(t, 700, r.After.Milliseconds(), 1)
+		f.run(700*time.Millisecond + TickEvery)
+		f.arrive(id, 2, service, "a", 200)
+		assert.Equal(t, ups[0], f.placed(id, 2).Instance.ID)
+	}
+}
+
+// The scheduler's answer was on its way when the upstream asked for rest.
+func TestPlacementOnAnUpstreamThatHasSinceAskedForRestIsNotUsed(t *testing.T) {
+	f := newFleet(t, 2, 2)
+	id := f.other()
+	p := f.nodes[id].pools[serviceID(engines)]
+	f.wantsRest(id, "e0", time.Second)
+	for _, u := range p.order {
+		assert.Equal(t, u.inst.ID != "e0", p.acceptsAnswer(wire.WorkAnswer{Upstream: u.id}, nil, f.now))
+	}
+}
+
+func TestRestOfAnUpstreamThatHasEndedIsForgotten(t *testing.T) {
+	f := newFleet(t, 2, 2)
+	id := f.order[0]
+	f.wantsRest(id, "e0", time.Hour)
+	f.publishAll(instances(2)[1:])
+	assert.Empty(t, f.nodes[id].pools[serviceID(engines)].asked)
+	f.wantsRest(id, "e1", time.Second)
+	f.run(2 * time.Second)
+	assert.Empty(t, f.nodes[id].restsOf(serviceID(engines), f.now))
+}
--- a/internal/dispatch/io.go
+++ b/internal/dispatch/io.go
@@ -21,11 +21,12 @@
 	ReasonEvacuated         // all places of its upstreams are evacuated
 	ReasonCold              // its upstreams are cold, and have had what they take
 	ReasonRegions           // no upstream stands in the regions that are allowed
+	ReasonResting           // its upstreams have asked the router for rest
 )
 
 // String returns the reason as logs and answers show it.
 func (r Reason) String() string {
-	names := [...]string{"none", "no-upstream", "no-capacity-in-time", "retry-budget-spent", "share-used", "places-evacuated", "upstreams-cold", "no-upstream-in-allowed-regions"}
+	names := [...]string{"none", "no-upstream", "no-capacity-in-time", "retry-budget-spent", "share-used", "places-evacuated", "upstreams-cold", "no-upstream-in-allowed-regions", "upstreams-want-rest"}
 	if int(r) >= len(names) {
 		return "unknown" // of a router of another release
 	}
@@ -139,6 +140,12 @@
 // SaysLeaving says that an instance has told this router itself that it leaves.
 type SaysLeaving struct{ Instance routing.Instance }
 
+// WantsRest says that an instance has asked this router to send it nothing for a time.
+type WantsRest struct {
+	Instance routing.Instance
+	For      time.Duration
+}
+
 // Looked says that an instance takes no request now, by its own health: it is cold for a
 // time, or was not reached when that is 0.
 type Looked struct {
@@ -171,6 +178,7 @@
 func (Looked) input()    {}
 
 func (SaysLeaving) input() {}
+func (WantsRest) input()   {}
 
 func (FetchEnded) input() {}
 
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -50,6 +50,7 @@
 	coldMost int               // requests a second at a cold one in the decision being made
 
 	inherited inheritance
+	asked     askedRests // of this router
 }
 
 func newPool(s *routing.Service, tokensPerSecond float64) *pool {
@@ -68,6 +69,7 @@
 		here:    newMeter(tokensPerSecond),
 		busy:    newBusyMeter(),
 		late:    map[wire.NodeID]bool{},
+		asked:   askedRests{},
 
 		statedBy: map[wire.NodeID][]*upstream{},
 	}
@@ -124,6 +126,7 @@
 		u.cache.clear()
 	}
 	delete(p.ups, u.id)
+	delete(p.asked, u.id)
 	p.order = removed(p.order, u)
 	set := u.set
 	set.remove(u)
--- a/internal/process/requests.go
+++ b/internal/process/requests.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -22,6 +23,7 @@
 	mu        sync.RWMutex
 	starts    map[string]routing.Instance // by start, without those that leave; nil while nothing is known
 	evacuated map[string]bool             // places
+	rests     map[string]time.Time        // until when starts want nothing of this router
 }
 
 // publishUsable tells requests which instances may be sent work.
@@ -66,6 +68,26 @@
 	return i, listed, u.evacuated[i.Place], u.starts != nil
 }
 
+// rest keeps requests from a start until a time.
+func (u *usable) rest(start string, until, now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.rests == nil {
+		u.rests = map[string]time.Time{}
+	}
+	maps.DeleteFunc(u.rests, func(_ string, until time.Time) bool { return !now.Before(until) })
+	if until.After(u.rests[start]) {
+		u.rests[start] = until
+	}
+}
+
+// resting reports whether a start wants nothing of this router now.
+func (u *usable) resting(start string, now time.Time) bool {
+	u.mu.RLock()
+	defer u.mu.RUnlock()
+	return now.Before(u.rests[start])
+}
+
 // Unusable implements forward.Control.
 func (s *Steerer) Unusable(p *dispatch.Place) forward.Unusable {
 	i, listed, evacuated, known := s.usable.of(p.Instance.Start())
@@ -76,6 +98,8 @@
 		return forward.UpstreamLeft
 	case evacuated:
 		return forward.PlaceEvacuated
+	case s.usable.resting(p.Instance.Start(), s.now()):
+		return forward.UpstreamRests
 	case !p.MaySend(i.ColdUntil, s.now()):
 		return forward.UpstreamCold
 	}
@@ -96,6 +120,15 @@
 	s.Step(dispatch.SaysLeaving{Instance: i})
 }
 
+// UpstreamRests implements forward.Control.
+func (s *Steerer) UpstreamRests(start string, d time.Duration) {
+	now := s.now()
+	s.usable.rest(start, now.Add(d), now)
+	if i, listed, _, _ := s.usable.of(start); listed {
+		s.Step(dispatch.WantsRest{Instance: i, For: d})
+	}
+}
+
 // drain takes an instance out of use that has said that it leaves.
 func (s *Steerer) drain(o dispatch.Leaving) {
 	s.log.Info().Str("upstream", o.Instance.ID).Str("address", o.Instance.Address).Str("peer", string(o.From)).Uint64("revision", s.view.Revision).Msg("upstream-says-it-leaves")
--- a/internal/request/forward/control.go
+++ b/internal/request/forward/control.go
@@ -49,6 +49,8 @@
 	Looked(i routing.Instance, coldFor time.Duration)
 	// UpstreamLeaves says that a start of an upstream has told that it leaves.
 	UpstreamLeaves(start string)
+	// UpstreamRests says that a start of an upstream wants nothing of this router for a time.
+	UpstreamRests(start string, d time.Duration)
 	// Leaving reports whether a planned stop has begun.
 	Leaving() bool
 }
@@ -62,6 +64,7 @@
 	MaySend        Unusable = ""
 	UpstreamLeft   Unusable = "upstream-left-before-send"
 	PlaceEvacuated Unusable = "place-evacuated-before-send"
+	UpstreamRests  Unusable = "upstream-rests-before-send"
 	UpstreamCold   Unusable = "upstream-cold-before-send"
 	HealthSaysNo   Unusable = "upstream-not-ready-by-its-health"
 )
--- a/internal/request/forward/look.go
+++ b/internal/request/forward/look.go
@@ -119,8 +119,8 @@
 // lookFinds looks at the upstream of a placement that asks for it. It reports whether
 // the request is to go elsewhere, and tells the control state why.
 func (r *run) lookFinds(p *dispatch.Place) (elsewhere bool) {
-	if !p.Look {
-		return false
+	if !p.Look || r.s.ctl.Unusable(p) != MaySend {
+		return false // in the second case it is withdrawn before it is sent
 	}
 	path := r.table.HealthPath(r.service)
 	if path == "" {
--- a/internal/request/forward/notice.go
+++ b/internal/request/forward/notice.go
@@ -50,6 +50,7 @@
 	}
 	if n.rest > 0 {
 		s.count.restHeard.Inc(1)
+		s.ctl.UpstreamRests(start, n.rest)
 	}
 	if n == (notice{}) {
 		return
--- a/internal/request/forward/rig_test.go
+++ b/internal/request/forward/rig_test.go
@@ -37,6 +37,12 @@
 	coldFor time.Duration
 }
 
+// askedRest is a time for which an upstream wanted nothing.
+type askedRest struct {
+	start string
+	d     time.Duration
+}
+
 // fakeControl places requests at its upstreams in order, then refuses.
 type fakeControl struct {
 	mu    sync.Mutex
@@ -55,6 +61,7 @@
 	whole    []fingerprint.Fingerprint
 	onAgain  func() // called before another upstream is given; may be nil
 	looked   []lookedAt
+	rests    []askedRest
 	leavers  []string // starts that said that they leave
 	look     bool     // upstreams are to be looked at first
 	slow     bool     // no other upstream is given
@@ -91,6 +98,12 @@
 	c.leavers = append(c.leavers, start)
 }
 
+func (c *fakeControl) UpstreamRests(start string, d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.rests = append(c.rests, askedRest{start, d})
+}
+
 func (c *fakeControl) Quarantined(string) map[fingerprint.Fingerprint]quarantine.State {
 	c.mu.Lock()
 	defer c.mu.Unlock()
