Reads of what engines keep heed that an engine leaves or wants rest

Health questions were heard by the change before; reads of kept parts were neither heard, since they named no start of the engine, nor stopped: a draining engine was read until its entry went, every 0.7 s and router that schedules it, and one that wants rest as well. Without the start's name the new test fails: the engine's word is never known.

--- a/internal/process/kept.go
+++ b/internal/process/kept.go
@@ -17,9 +17,9 @@
 // by any goroutine.
 type KeptReader interface {
 	// KeptList returns everything; it costs the engine time.
-	KeptList(ctx context.Context, address string) (KeptNews, error)
+	KeptList(ctx context.Context, engine routing.Instance) (KeptNews, error)
 	// KeptSince returns what changed after a position of an earlier answer.
-	KeptSince(ctx context.Context, address string, since uint64) (KeptNews, error)
+	KeptSince(ctx context.Context, engine routing.Instance, since uint64) (KeptNews, error)
 }
 
 // KeptNews is what an engine says of its kept parts.
@@ -81,7 +81,7 @@
 		}
 		for _, e := range engines {
 			pause := max(keptEvery/time.Duration(len(engines)), keptLeast)
-			if s := f.take(e.Start()); s != nil {
+			if s := f.takeUsable(e.Start()); s != nil {
 				if s.listed.IsZero() {
 					pause = min(pause, keptFirst)
 				}
@@ -107,6 +107,15 @@
 	}
 }
 
+// takeUsable is take for an engine that may be asked: it may have come to leave, or to want
+// rest, since the list of those to read was made.
+func (f *keptFollower) takeUsable(id string) *keptState {
+	if !f.st.usable.mayAsk(id, f.st.now()) {
+		return nil
+	}
+	return f.take(id)
+}
+
 // take returns an engine's state, or nil while it is being read.
 func (f *keptFollower) take(id string) *keptState {
 	f.mu.Lock()
@@ -138,7 +147,7 @@
 		return
 	}
 	f.calls.Inc(1)
-	news, err := f.src.KeptSince(ctx, e.Address, s.next)
+	news, err := f.src.KeptSince(ctx, e, s.next)
 	if err != nil {
 		f.log.Debug().Err(err).Str("upstream", e.ID).Msg("kept-parts-not-read")
 		return
@@ -159,7 +168,7 @@
 func (f *keptFollower) list(ctx context.Context, e routing.Instance, s *keptState) {
 	s.listed = clock.System.Now()
 	f.lists.Inc(1)
-	news, err := f.src.KeptList(ctx, e.Address)
+	news, err := f.src.KeptList(ctx, e)
 	if err != nil {
 		f.log.Debug().Err(err).Str("upstream", e.ID).Msg("kept-parts-not-listed")
 		return
--- a/internal/process/requests.go
+++ b/internal/process/requests.go
@@ -88,6 +88,12 @@
 	return now.Before(u.rests[start])
 }
 
+// mayAsk reports whether a start may be asked anything: it neither leaves nor wants rest.
+func (u *usable) mayAsk(start string, now time.Time) bool {
+	_, listed, _, known := u.of(start)
+	return (listed || !known) && !u.resting(start, now)
+}
+
 // Unusable implements forward.Control.
 func (s *Steerer) Unusable(p *dispatch.Place) forward.Unusable {
 	i, listed, evacuated, known := s.usable.of(p.Instance.Start())
