--- a/internal/process/content.go
+++ b/internal/process/content.go
@@ -60,6 +60,7 @@
 		s.view.StoreReturned(now)
 	}
 	before, revision, asOf := s.number(), s.view.Revision, s.view.AsOf
+	s.logOlder(l, whole)
 	for _, c := range l.Changes {
 		s.takeChange(c, now)
 	}
@@ -81,6 +82,13 @@
 	}
 }
 
+// logOlder writes a line for content that is as of a lower revision than is known.
+func (s *Steerer) logOlder(l Listing, whole bool) {
+	if l.AsOf < s.view.AsOf {
+		s.log.Warn().Uint64("as_of", l.AsOf).Uint64("era", l.Era).Uint64("known", s.view.AsOf).Bool("whole", whole).Msg("source-older-than-known")
+	}
+}
+
 // takeChange takes one change of the store's content.
 func (s *Steerer) takeChange(c Change, now time.Time) {
 	switch {
--- a/internal/process/source.go
+++ b/internal/process/source.go
@@ -27,6 +27,7 @@
 // Listing is content, or changes, as of a revision.
 type Listing struct {
 	AsOf    uint64
+	Era     uint64 // how often the source has come back from a copy
 	Changes []Change
 }
 
