A store that comes back from a copy begins a new era of revisions

Cause: revisions were taken to rise for ever. After the store had come back as of revision 38 where 42 was known, its listing counted as older and was dropped, three routers listed and watched in turn for four seconds, and once the revisions given out since had passed 42 the watch went on from there: what was written between 38 and 42 was never asked for.

Change: the store's era goes before its count in every revision, at the one place where answers are read, so that all that is kept by revision (view, entries, removals, evacuations, deltas and content between routers, what peers know, watches) has one order that never goes back. The copy is older than what is known: it takes back no version, no start that leaves, no end of an upstream and no evacuation; the last two for 6 s, in which what the upstreams and operators wrote is written again.

--- a/internal/process/content.go
+++ b/internal/process/content.go
@@ -61,11 +61,14 @@
 	}
 	before, revision, asOf := s.number(), s.view.Revision, s.view.AsOf
 	s.logOlder(l, whole)
+	list, evacuated := listed(l, now)
+	if whole && s.enterEra(l.AsOf, list, now) {
+		back = true
+	}
 	for _, c := range l.Changes {
 		s.takeChange(c, now)
 	}
 	if whole {
-		list, evacuated := listed(l, now)
 		s.view.ReplaceEvacuations(evacuated, l.AsOf, now)
 		s.view.Replace(list, l.AsOf, now)
 	}
@@ -85,10 +88,21 @@
 // logOlder writes a line for content that is as of a lower revision than is known.
 func (s *Steerer) logOlder(l Listing, whole bool) {
 	if l.AsOf < s.view.AsOf {
-		s.log.Warn().Uint64("as_of", l.AsOf).Uint64("era", l.Era).Uint64("known", s.view.AsOf).Bool("whole", whole).Msg("source-older-than-known")
+		s.log.Warn().Uint64("as_of", l.AsOf).Uint64("known", s.view.AsOf).Bool("whole", whole).Msg("source-older-than-known")
 	}
 }
 
+// enterEra prepares the view for content of a later era than what it holds. It reports
+// whether it is.
+func (s *Steerer) enterEra(asOf uint64, list []routing.Instance, now time.Time) bool {
+	if s.view.AsOf == 0 || routing.EraOf(asOf) <= routing.EraOf(s.view.AsOf) {
+		return false
+	}
+	s.log.Warn().Uint64("as_of", asOf).Uint64("known", s.view.AsOf).Uint64("era", routing.EraOf(asOf)).Msg("source-restored")
+	s.view.Restored(list, now)
+	return true
+}
+
 // takeChange takes one change of the store's content.
 func (s *Steerer) takeChange(c Change, now time.Time) {
 	switch {
--- a/internal/process/peercontent.go
+++ b/internal/process/peercontent.go
@@ -164,6 +164,7 @@
 		list = append(list, instanceOf(e, now))
 	}
 	if c.Base <= s.view.AsOf {
+		s.enterEra(c.AsOf, list, now)
 		s.view.ReplaceEvacuations(evacuationsOf(c.Places), c.AsOf, now)
 		s.takeEntries(c, list, now)
 		s.view.Revision = max(s.view.Revision, c.Revision)
--- a/internal/process/source.go
+++ b/internal/process/source.go
@@ -24,10 +24,9 @@
 	Table(raw []byte) (*routing.Table, error)
 }
 
-// Listing is content, or changes, as of a revision.
+// Listing is content, or changes, as of a revision (routing.RevisionIn).
 type Listing struct {
 	AsOf    uint64
-	Era     uint64 // how often the source has come back from a copy
 	Changes []Change
 }
 
--- a/internal/routing/changes.go
+++ b/internal/routing/changes.go
@@ -29,13 +29,19 @@
 type journal struct {
 	put   map[string]bool // IDs, since the changes were taken last
 	ended []Ended         // the same
-	// removed holds the revision at which an instance was found gone, by ID. Removals before
-	// floor are not remembered, nor those within gaps.
-	removed map[string]uint64
+	// removed holds the instances that were found gone, by ID. Removals before floor are not
+	// remembered, nor those within gaps.
+	removed map[string]removal
 	floor   uint64
 	gaps    []gap
 }
 
+// removal is the end of an instance's entry.
+type removal struct {
+	rev  uint64 // at which it was found gone
+	born int64  // of the instance
+}
+
 // gap is a span of revisions that was passed over by reading a whole list: an instance that
 // came and went within it is not known.
 type gap struct{ after, upTo uint64 }
@@ -48,7 +54,7 @@
 const maxRemoved = 16384
 
 func newJournal() journal {
-	return journal{put: map[string]bool{}, removed: map[string]uint64{}}
+	return journal{put: map[string]bool{}, removed: map[string]removal{}}
 }
 
 // entered notes that an instance is listed, in place of a former entry, if there was one.
@@ -67,12 +73,12 @@
 func (j *journal) left(gone Instance, rev uint64) {
 	delete(j.put, gone.ID)
 	j.ended = append(j.ended, Ended{Instance: gone})
-	j.removed[gone.ID] = rev
+	j.removed[gone.ID] = removal{rev, gone.Born}
 	if len(j.removed) <= maxRemoved {
 		return
 	}
-	for _, at := range j.removed {
-		j.floor = max(j.floor, at)
+	for _, r := range j.removed {
+		j.floor = max(j.floor, r.rev)
 	}
 	clear(j.removed)
 }
@@ -130,8 +136,8 @@
 			put = append(put, e.inst)
 		}
 	}
-	for id, at := range v.journal.removed {
-		if at > rev {
+	for id, r := range v.journal.removed {
+		if r.rev > rev {
 			removed = append(removed, id)
 		}
 	}
--- a/internal/routing/evacuation.go
+++ b/internal/routing/evacuation.go
@@ -28,6 +28,7 @@
 	evacuated bool
 	rev       uint64
 	since     time.Time
+	unlisted  bool // it is evacuated, and a restored store's copy does not say so
 }
 
 // Evacuate takes the operators' word on a place, written at a revision. It reports whether
@@ -42,7 +43,7 @@
 	if rev < p.rev {
 		return false
 	}
-	p.rev = rev
+	p.rev, p.unlisted = rev, false
 	if p.evacuated == evacuated {
 		return false
 	}
@@ -61,7 +62,11 @@
 		v.Evacuate(e.Place, true, e.Revision, now)
 	}
 	for place, p := range v.places {
-		if !listed[place] && p.evacuated && p.rev <= asOf {
+		switch {
+		case listed[place] || !p.evacuated || p.rev > asOf:
+		case now.Before(v.restoredUntil):
+			p.unlisted = true
+		default:
 			v.Evacuate(place, false, asOf, now)
 		}
 	}
--- /dev/null
+++ b/internal/routing/restored.go
@@ -0,0 +1,62 @@
+package routing
+
+import "time"
+
+// A store that has come back from a copy. What it lists may be some seconds old: what was
+// known before is newer, until the operators and the upstreams have written it again. The
+// order of revisions does not tell the two apart, so what must not be undone is kept for a
+// while:
+//
+//   - a table of a higher number, and an upstream's word that it leaves, for good;
+//   - an upstream that has ended is not taken from the copy, unless its entry is written
+//     again;
+//   - an evacuated place that the copy does not have stays evacuated;
+//   - an upstream that the copy does not have is given time, as after any outage.
+
+// restoreGrace is how long what is known outweighs the copy: an entry whose upstream has
+// ended goes within three of its heartbeats, and the operators write again sooner.
+const restoreGrace = 6 * time.Second
+
+// Restored says that the store has come back from a copy, and what it lists. It must be
+// called before any of that is taken.
+func (v *View) Restored(list []Instance, now time.Time) {
+	v.StoreReturned(now)
+	v.restoredUntil = now.Add(restoreGrace)
+	for _, i := range list {
+		if r, ended := v.journal.removed[i.ID]; ended && i.Born <= r.born {
+			v.held[i.ID] = i
+		}
+	}
+}
+
+// holds reports whether an entry is the copy's, of an upstream that has ended. One that was
+// written since is not.
+func (v *View) holds(i Instance) bool {
+	held, found := v.held[i.ID]
+	if found && held.Revision != i.Revision {
+		delete(v.held, i.ID)
+		return false
+	}
+	return found
+}
+
+// settle takes the store at its word once it has had the time to be written again. It
+// reports whether that changes anything.
+func (v *View) settle(now time.Time) (changed bool) {
+	if v.restoredUntil.IsZero() || now.Before(v.restoredUntil) {
+		return false
+	}
+	v.restoredUntil = time.Time{}
+	for id, i := range v.held {
+		delete(v.held, id)
+		v.put(i, v.Revision)
+		changed = true
+	}
+	for place, p := range v.places {
+		if p.unlisted {
+			v.Evacuate(place, false, max(p.rev, v.Revision), now)
+			changed = true
+		}
+	}
+	return changed
+}
--- a/internal/routing/view.go
+++ b/internal/routing/view.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"maps"
 	"sort"
 	"strconv"
 	"time"
@@ -53,6 +54,9 @@
 	awayUntil time.Time // removals before this may be lapses, not ends
 	lapsing   int       // how many entries are missing and given time
 	journal   journal
+
+	restoredUntil time.Time           // what is known outweighs a restored store's copy before this
+	held          map[string]Instance // by ID: entries of that copy whose instances have ended
 }
 
 type entry struct {
@@ -64,7 +68,7 @@
 
 // NewView returns a view that knows nothing.
 func NewView() *View {
-	return &View{instances: map[string]*entry{}, places: map[string]*placeState{}, journal: newJournal()}
+	return &View{instances: map[string]*entry{}, places: map[string]*placeState{}, journal: newJournal(), held: map[string]Instance{}}
 }
 
 // StoreReturned says that the store answers again after it did not.
@@ -74,13 +78,22 @@
 // one is known.
 func (v *View) SetTable(t *Table, raw []byte, rev uint64) bool {
 	v.advance(rev)
-	if v.Table != nil && (rev <= v.TableRev || t.Number < v.Table.Number) {
+	if v.Table != nil && v.isNewer(t, rev) {
 		return false
 	}
 	v.Table, v.TableRaw, v.TableRev = t, raw, rev
 	return true
 }
 
+// isNewer reports whether the table known is newer than another. Between eras of the store
+// the number of a version tells, within one the revision too.
+func (v *View) isNewer(than *Table, rev uint64) bool {
+	if than.Number != v.Table.Number && EraOf(rev) != EraOf(v.TableRev) {
+		return than.Number < v.Table.Number
+	}
+	return than.Number < v.Table.Number || rev <= v.TableRev
+}
+
 // Put takes an instance's entry written at a revision. One of a former start is not taken:
 // it was written late. One that was read before keeps how long it is cold: that counts from
 // when it was written.
@@ -91,13 +104,13 @@
 
 func (v *View) put(i Instance, rev uint64) {
 	e := v.instances[i.ID]
-	if e != nil && (rev < e.rev || i.Born < e.inst.Born) {
+	if v.holds(i) || e != nil && (rev < e.rev || i.Born < e.inst.Born) {
 		return
 	}
 	if e != nil && e.inst.Draining && e.inst.Start() == i.Start() {
 		i.Draining = true // an entry that says otherwise was written before it said so itself
 	}
-	if e != nil && i.Revision != 0 && i.Revision == e.inst.Revision {
+	if e != nil && i.Revision != 0 && CountOf(i.Revision) == CountOf(e.inst.Revision) && e.inst.Start() == i.Start() {
 		i.ColdUntil = e.inst.ColdUntil
 	}
 	if e != nil && !e.lapsing.IsZero() {
@@ -136,6 +149,7 @@
 // Remove takes the removal of an instance's entry.
 func (v *View) Remove(id string, rev uint64, now time.Time) {
 	v.advance(rev)
+	delete(v.held, id)
 	e := v.instances[id]
 	if e == nil || rev < e.rev {
 		return
@@ -147,6 +161,7 @@
 // overwritten, and no outage of the store explains that.
 func (v *View) Reject(id string, rev uint64) {
 	v.advance(rev)
+	delete(v.held, id)
 	if e := v.instances[id]; e != nil && rev >= e.rev {
 		v.drop(id, e, rev)
 	}
@@ -181,6 +196,7 @@
 			v.lose(id, e, asOf, now)
 		}
 	}
+	maps.DeleteFunc(v.held, func(id string, _ Instance) bool { return !listed[id] })
 	v.journal.skipped(v.AsOf, asOf)
 	v.Complete(asOf)
 }
@@ -190,8 +206,14 @@
 
 func (v *View) advance(rev uint64) { v.Revision = max(v.Revision, rev) }
 
-// Tick drops entries whose grace is over. It reports whether any was.
+// Tick drops entries whose grace is over, and takes a restored store at its word when its
+// time has come. It reports whether that changed anything.
 func (v *View) Tick(now time.Time) bool {
+	dropped := v.dropLapsed(now)
+	return v.settle(now) || dropped
+}
+
+func (v *View) dropLapsed(now time.Time) bool {
 	if v.lapsing == 0 {
 		return false
 	}
