Failing test: a router that starts after a restore keeps the copy's table

Found while looking for the same cause elsewhere: what a router reads of its peers is decided by revision alone, and the copy's older table and the newer one of a peer are known as of the same revision. A router that lists the store first never hears of the newer one.

--- a/internal/dispatch/store_test.go
+++ b/internal/dispatch/store_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/silverswitch/silverswitch/internal/core/wire"
+	"github.com/silverswitch/silverswitch/internal/routing"
 )
 
 // see lets every router that watches read the store every so often.
@@ -199,3 +200,24 @@
 		assert.Greater(t, apply, back, "the changes come after")
 	}
 }
+
+// A router that started after the store had come back from a copy listed an older table than
+// its peers hold, as of the same revision, and never read theirs.
+func TestRouterWithTheCopysTableReadsTheNewerOneOfAPeer(t *testing.T) {
+	f := newFleet(t, 3, 2)
+	newer, id := f.order[0], f.order[1]
+	b := routing.Builder{Number: 2}
+	for _, s := range f.nodes[newer].cat.Table.Services {
+		b.Services = append(b.Services, s)
+	}
+	tab, err := b.Build()
+	require.NoError(t, err)
+	c := wholeCatalogue(f.nodes[newer])
+	c.Table = tab
+	f.nodes[newer].Step(c, f.now)
+	read := map[wire.NodeID]wire.NodeID{}
+	f.onFetch = func(id, from wire.NodeID) { read[id] = from }
+	f.run(time.Second)
+	assert.Equal(t, newer, read[id])
+	assert.NotContains(t, read, newer, "it has the newest")
+}
