A router reads a peer's newer table though no revision is new

What callers would have seen: at a router that started in the seconds after a restore of the store, and listed it before it heard its peers, routes answered 404 and revoked keys were served until the operators wrote again.

Change: the number of the table goes with the revision in regular messages (it rises with each version, in any era), and a peer with a higher one is read from.

--- a/internal/core/wire/work.go
+++ b/internal/core/wire/work.go
@@ -23,6 +23,7 @@
 	Booked   []Unasked       `cbor:"17,keyasint,omitempty"` // by the sender, as scheduler, since the last time; told to those who may take over
 	Doubts   []Doubt         `cbor:"19,keyasint,omitempty"` // of the sender, with regular messages
 	Rests    []Rest          `cbor:"20,keyasint,omitempty"` // upstreams that want nothing of the sender: none of Asks is to go there
+	Table    uint64          `cbor:"21,keyasint,omitempty"` // number of the routing table that the sender has
 	Late     bool            `cbor:"16,keyasint,omitempty"` // the sender is short of processor: times it tells are its own
 }
 
--- a/internal/dispatch/beat.go
+++ b/internal/dispatch/beat.go
@@ -145,7 +145,7 @@
 	w := n.work(to)
 	n.stateHeld(to)
 	n.tellLeaving(to)
-	w.Revision = n.complete()
+	w.Revision, w.Table = n.complete(), n.tableNumber()
 	w.Sight, w.Blind = n.store.told(now), n.store.isBlind(now)
 }
 
@@ -249,7 +249,7 @@
 // heardStore takes what a router knows of the store.
 func (n *Node) heardStore(from wire.NodeID, w *wire.Work, now time.Time) {
 	n.heardBlind(from, w.Blind, now)
-	n.compare(from, w.Revision, now)
+	n.compare(from, ahead{revision: w.Revision, table: w.Table}, now)
 }
 
 // heardBeat takes a router's regular message.
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -137,6 +137,7 @@
 // ahead is a peer's later knowledge of the store's content.
 type ahead struct {
 	revision uint64
+	table    uint64    // number, 0 when it was not told
 	due      time.Time // when to read from it, if the own watch has not told
 }
 
--- a/internal/dispatch/store.go
+++ b/internal/dispatch/store.go
@@ -251,23 +251,40 @@
 		n.out = append(n.out, Apply{From: from, Delta: d})
 		return
 	}
-	n.compare(from, d.To, now)
+	n.compare(from, ahead{revision: d.To}, now)
 }
 
 // compare notes whether a peer knows a later change of the store's content than
-// this router has had the chance to see itself.
-func (n *Node) compare(from wire.NodeID, revision uint64, now time.Time) {
-	if revision <= n.cat.AsOf && n.cat.Table != nil || revision == 0 {
+// this router has had the chance to see itself, or has a newer table.
+func (n *Node) compare(from wire.NodeID, told ahead, now time.Time) {
+	if told.revision == 0 || n.knows(told) {
 		delete(n.ahead, from)
 		return
 	}
-	if a, known := n.ahead[from]; !known || a.revision < revision {
-		due := now.Add(n.fetchWait(from, now))
-		if known && a.due.Before(due) {
-			due = a.due
-		}
-		n.ahead[from] = ahead{revision: revision, due: due}
+	a, known := n.ahead[from]
+	if known && a.revision >= told.revision && a.table >= told.table {
+		return
+	}
+	told.due = now.Add(n.fetchWait(from, now))
+	if known && a.due.Before(told.due) {
+		told.due = a.due
+	}
+	n.ahead[from] = told
+}
+
+// knows reports whether a peer has nothing that this router lacks. A router that has just
+// listed a store which came back from a copy may have an older table than its peers, as of
+// the same revision.
+func (n *Node) knows(a ahead) bool {
+	return n.cat.Table != nil && a.revision <= n.cat.AsOf && a.table <= n.tableNumber()
+}
+
+// tableNumber is the number of the table in force, 0 before any.
+func (n *Node) tableNumber() uint64 {
+	if n.cat.Table == nil {
+		return 0
 	}
+	return n.cat.Table.Number
 }
 
 // tickFetch reads the content from a peer that has been ahead for long enough.
@@ -292,7 +309,7 @@
 // those the one that knows most. It is empty when nobody has been ahead for long enough.
 func (n *Node) mostAhead(now time.Time) (best wire.NodeID) {
 	for id, a := range n.ahead {
-		if a.revision <= n.cat.AsOf && n.cat.Table != nil {
+		if n.knows(a) {
 			delete(n.ahead, id)
 			continue
 		}
