Lines on notices have a bound of their own

A leaving upstream says so on every answer: its lines shared the bound of those on failures, and would have displaced them under a flood. 20 a second, apart. A test that notices of health answers, refusals and answers are heard.

--- a/internal/request/forward/notice.go
+++ b/internal/request/forward/notice.go
@@ -55,7 +55,7 @@
 	if n == (notice{}) {
 		return
 	}
-	if e := s.lines.failure(); e != nil {
+	if e := s.lines.notice(); e != nil {
 		e.Str("upstream", start).Bool("leaving", n.leaving).Int64("rest_ms", n.rest.Milliseconds()).Int("status", res.StatusCode).Msg("upstream-notice")
 	}
 }
--- a/internal/request/forward/notice_test.go
+++ b/internal/request/forward/notice_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 func TestNoticesAreReadFromAnswers(t *testing.T) {
@@ -31,3 +32,18 @@
 		assert.Equal(t, want, restOf(http.Header{"Retry-After": {text}}), text)
 	}
 }
+
+// Notices on health answers and on refusals were passed over.
+func TestNoticesOfEveryAnswerAreHeard(t *testing.T) {
+	tired, _ := script(t,
+		"HTTP/1.1 200 OK\r\nX-Leaving: 1\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 503 Service Unavailable\r\nX-Id: %ID\r\nX-Not-Run: 1\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n")
+	other, _ := script(t, healthy, "HTTP/1.1 200 OK\r\nX-Id: %ID\r\nX-Proof: p\r\nX-Leaving: 1\r\nContent-Length: 5\r\n\r\nhello")
+	r := newRig(t, tired, other)
+	r.ctl.look = true
+	res, _, err := r.do(t, "POST", "/once/x", "text")
+	require.NoError(t, err)
+	assert.Equal(t, 200, res.StatusCode)
+	assert.Equal(t, []string{"i-0", "i-1"}, r.ctl.leavers, "the one by its health, the other by its answer")
+	assert.Equal(t, []askedRest{{"i-0", 3 * time.Second}}, r.ctl.rests)
+}
--- a/internal/request/forward/reqlog.go
+++ b/internal/request/forward/reqlog.go
@@ -12,6 +12,7 @@
 const (
 	failureLines = 150
 	successLines = 10
+	noticeLines  = 20
 	logPeriod    = time.Second
 )
 
@@ -20,6 +21,7 @@
 type reqLog struct {
 	failures lineBound
 	success  lineBound
+	notices  lineBound
 	log      zerolog.Logger
 }
 
@@ -47,7 +49,7 @@
 }
 
 func newReqLog(log zerolog.Logger) *reqLog {
-	return &reqLog{failures: lineBound{most: failureLines}, success: lineBound{most: successLines}, log: log}
+	return &reqLog{failures: lineBound{most: failureLines}, success: lineBound{most: successLines}, notices: lineBound{most: noticeLines}, log: log}
 }
 
 // failure returns an event for a line about what went wrong, or nil.
@@ -56,6 +58,9 @@
 // answered returns an event for a line about an answered request, or nil.
 func (l *reqLog) answered() *zerolog.Event { return l.event(&l.success, "answered") }
 
+// notice returns an event for a line about an upstream's notice, or nil.
+func (l *reqLog) notice() *zerolog.Event { return l.event(&l.notices, "notices") }
+
 func (l *reqLog) event(b *lineBound, what string) *zerolog.Event {
 	ok, leftOut := b.allow(time.Now())
 	if leftOut > 0 {
