Failing test: peers keep what a listing after an outage did not have

Found while looking for what else is kept by the store's revision. A router that lists the store after an outage, or a restored one, gives what is missing time and drops it then; those that read from it are told of neither, and go on sending to an upstream that has ended until a checksum differs.

--- a/internal/process/peercontent_test.go
+++ b/internal/process/peercontent_test.go
@@ -180,3 +180,27 @@
 	require.NoError(t, err)
 	assert.Less(t, len(raw), wire.MaxDatagram)
 }
+
+// An entry that was missing from a listing after an outage was given time by the router that
+// listed, and kept for good by those that read from it: when it was dropped there, no revision
+// told of that.
+func TestPeersDropWhatTheListingAfterAnOutageDidNotHave(t *testing.T) {
+	inNextEra, ok := routing.RevisionIn(1, 8)
+	require.True(t, ok)
+	for name, asOf := range map[string]uint64{"history gone": 30, "store restored": inNextEra} {
+		t.Run(name, func(t *testing.T) {
+			a, b := viewer(t), viewer(t)
+			now := a.now()
+			list := manyInstances(3)
+			a.take(listing(10, builtTable(t, 1), list), true, false, now)
+			carry(t, a, b, builtTable(t, 1))
+			a.take(listing(asOf, nil, list[1:]), true, true, now)
+			carry(t, a, b, nil)
+			for _, s := range []*Steerer{a, b} {
+				assert.Len(t, s.view.Instances(), 3, "it is given time")
+				s.view.Tick(now.Add(2 * routing.LapseGrace))
+				assert.Len(t, s.view.Instances(), 2)
+			}
+		})
+	}
+}
