Peers drop what a listing after an outage did not have

What callers would have seen: tries at an upstream that has ended, at every router that does not read the store itself, until a checksum of the list differed at the next table (502, or a repeat out of the retry budget).

Cause: the router that lists the store after its history was dropped, or a restored one, gives what is missing time and drops it then. Its revision did not rise by either, so peers were not told that there is something to read, and what they read did not say it.

Change: a listing in which something is missing is a change as of its revision; the content that routers give each other names the entries that are given time, and how much; a drop counts as of all that is known.

--- a/internal/process/content.go
+++ b/internal/process/content.go
@@ -56,14 +56,13 @@
 }
 
 func (s *Steerer) take(l Listing, whole, back bool, now time.Time) {
-	if back {
-		s.view.StoreReturned(now)
-	}
 	before, revision, asOf := s.number(), s.view.Revision, s.view.AsOf
 	s.logOlder(l, whole)
 	list, evacuated := listed(l, now)
-	if whole && s.enterEra(l.AsOf, list, now) {
-		back = true
+	restored := whole && s.enterEra(l.AsOf, list, now)
+	back = back || restored
+	if back {
+		s.view.StoreReturned(now)
 	}
 	for _, c := range l.Changes {
 		s.takeChange(c, now)
--- a/internal/process/peercontent.go
+++ b/internal/process/peercontent.go
@@ -33,6 +33,14 @@
 	Removed   []string             `cbor:"7,keyasint,omitempty"` // IDs
 	Places    []wire.PlaceEntry    `cbor:"8,keyasint,omitempty"` // that are evacuated
 	Sum       uint64               `cbor:"9,keyasint"`           // routing.View.Sum of the whole
+	Lapsing   []lapse              `cbor:"10,keyasint,omitempty"`
+}
+
+// lapse is an instance whose entry is missing and that is given time.
+type lapse struct {
+	_     struct{} `cbor:",toarray"`
+	ID    string
+	ForMS uint32
 }
 
 // contentFor is what a router lacks, or nil while there is no table.
@@ -53,6 +61,9 @@
 	for _, i := range list {
 		c.Instances = append(c.Instances, entryOf(i, now))
 	}
+	for _, l := range s.view.Lapsing(now) {
+		c.Lapsing = append(c.Lapsing, lapse{ID: l.ID, ForMS: uint32(l.For.Milliseconds())})
+	}
 	for _, e := range s.view.Evacuations() {
 		c.Places = append(c.Places, wire.PlaceEntry{Place: e.Place, Evacuated: true, Revision: e.Revision})
 	}
@@ -185,6 +196,9 @@
 	case c.AsOf > s.view.AsOf:
 		s.applyChanges(list, c.Removed, c.AsOf, now)
 	}
+	for _, l := range c.Lapsing {
+		s.view.Lapse(routing.Lapse{ID: l.ID, For: time.Duration(l.ForMS) * time.Millisecond}, c.AsOf, now)
+	}
 }
 
 // applyChanges takes what a peer knows of changes up to a revision.
--- a/internal/process/peercontent_test.go
+++ b/internal/process/peercontent_test.go
@@ -189,18 +189,22 @@
 	require.True(t, ok)
 	for name, asOf := range map[string]uint64{"history gone": 30, "store restored": inNextEra} {
 		t.Run(name, func(t *testing.T) {
-			a, b := viewer(t), viewer(t)
+			a, b, late := viewer(t), viewer(t), viewer(t)
 			now := a.now()
 			list := manyInstances(3)
 			a.take(listing(10, builtTable(t, 1), list), true, false, now)
 			carry(t, a, b, builtTable(t, 1))
+			carry(t, a, late, builtTable(t, 1))
 			a.take(listing(asOf, nil, list[1:]), true, true, now)
+			assert.Equal(t, asOf, a.view.Revision, "what is missing is a change that peers are told of")
 			carry(t, a, b, nil)
 			for _, s := range []*Steerer{a, b} {
 				assert.Len(t, s.view.Instances(), 3, "it is given time")
 				s.view.Tick(now.Add(2 * routing.LapseGrace))
 				assert.Len(t, s.view.Instances(), 2)
 			}
+			carry(t, a, late, nil)
+			assert.Len(t, late.view.Instances(), 2, "it reads after that")
 		})
 	}
 }
--- a/internal/routing/restored.go
+++ b/internal/routing/restored.go
@@ -11,7 +11,8 @@
 //   - an upstream that has ended is not taken from the copy, unless its entry is written
 //     again;
 //   - an evacuated place that the copy does not have stays evacuated;
-//   - an upstream that the copy does not have is given time, as after any outage.
+//   - an upstream that the copy does not have is given time, as after any outage
+//     (StoreReturned).
 
 // restoreGrace is how long what is known outweighs the copy: an entry whose upstream has
 // ended goes within three of its heartbeats, and the operators write again sooner.
@@ -20,7 +21,6 @@
 // Restored says that the store has come back from a copy, and what it lists. It must be
 // called before any of that is taken.
 func (v *View) Restored(list []Instance, now time.Time) {
-	v.StoreReturned(now)
 	v.restoredUntil = now.Add(restoreGrace)
 	for _, i := range list {
 		if r, ended := v.journal.removed[i.ID]; ended && i.Born <= r.born {
@@ -49,7 +49,7 @@
 	v.restoredUntil = time.Time{}
 	for id, i := range v.held {
 		delete(v.held, id)
-		v.put(i, v.Revision)
+		v.put(i, max(v.Revision, v.AsOf))
 		changed = true
 	}
 	for place, p := range v.places {
--- a/internal/routing/restored_test.go
+++ b/internal/routing/restored_test.go
@@ -45,6 +45,7 @@
 		prepare(v)
 	}
 	l := list(at(t, 1, 10), copied...)
+	v.StoreReturned(now)
 	v.Restored(l, now)
 	v.Replace(l, at(t, 1, 40), now)
 	return v
--- a/internal/routing/view.go
+++ b/internal/routing/view.go
@@ -169,16 +169,49 @@
 
 // lose drops an entry now, or after the grace when the store was just away.
 func (v *View) lose(id string, e *entry, rev uint64, now time.Time) {
+	v.advance(rev)
 	if !now.Before(v.awayUntil) {
 		v.drop(id, e, rev)
 		return
 	}
+	v.lapse(e, v.awayUntil)
+}
+
+// lapse gives an entry that is missing time.
+func (v *View) lapse(e *entry, until time.Time) {
 	if e.lapsing.IsZero() {
-		e.lapsing = v.awayUntil
+		e.lapsing = until
 		v.lapsing++
 	}
 }
 
+// Lapse is an instance whose entry is missing, and how much longer it is given time.
+type Lapse struct {
+	ID  string
+	For time.Duration
+}
+
+// Lapsing returns the instances whose entries are missing, for peers.
+func (v *View) Lapsing(now time.Time) (out []Lapse) {
+	if v.lapsing == 0 {
+		return nil
+	}
+	for id, e := range v.instances {
+		if !e.lapsing.IsZero() {
+			out = append(out, Lapse{id, max(0, e.lapsing.Sub(now))})
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// Lapse takes a peer's word that an entry is missing as of a revision.
+func (v *View) Lapse(l Lapse, rev uint64, now time.Time) {
+	if e := v.instances[l.ID]; e != nil && e.rev <= rev {
+		v.lapse(e, now.Add(l.For))
+	}
+}
+
 // Replace takes the whole list as of a revision; what is not in it has ended.
 func (v *View) Replace(list []Instance, asOf uint64, now time.Time) {
 	if asOf < v.AsOf {
@@ -220,7 +253,7 @@
 	dropped := false
 	for id, e := range v.instances {
 		if !e.lapsing.IsZero() && !now.Before(e.lapsing) {
-			v.drop(id, e, v.Revision)
+			v.drop(id, e, max(v.Revision, v.AsOf))
 			dropped = true
 		}
 	}
