--- a/internal/core/wire/work.go
+++ b/internal/core/wire/work.go
@@ -22,7 +22,7 @@
 	Words    []ShareWord     `cbor:"15,keyasint,omitempty"` // of the sender, as scheduler
 	Booked   []Unasked       `cbor:"17,keyasint,omitempty"` // by the sender, as scheduler, since the last time; told to those who may take over
 	Doubts   []Doubt         `cbor:"19,keyasint,omitempty"` // of the sender, with regular messages
-	Rests    []Rest          `cbor:"20,keyasint,omitempty"` // upstreams that want nothing of the sender: none of Asks is to go there
+	Backoffs []Backoff       `cbor:"20,keyasint,omitempty"` // upstreams that want nothing of the sender: none of Asks is to go there
 	Table    uint64          `cbor:"21,keyasint,omitempty"` // number of the routing table that the sender has
 	Late     bool            `cbor:"16,keyasint,omitempty"` // the sender is short of processor: times it tells are its own
 }
@@ -132,11 +132,11 @@
 	Parts    []PromptPart
 	Avoid    []version.ID // upstreams that failed this request
 	Regions  []version.ID // that may run it; none are all
-	Resting  []Rest       `cbor:"-"` // of the message that the ask came with
+	Backoffs []Backoff    `cbor:"-"` // of the message that the ask came with
 }
 
-// Rest says that an upstream has asked the sender for rest.
-type Rest struct {
+// Backoff says for how long an upstream wants nothing of the sender (Retry-After).
+type Backoff struct {
 	_        struct{} `cbor:",toarray"`
 	Upstream version.ID
 	ForMS    uint32
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -26,14 +26,12 @@
 	largeOwn = 1.0
 	// lessUrgent is the part of the wait that each further rank of priority is
 	// allowed: where routes or organisations of one service differ, the more urgent are
-	// served more often when there is not room for all. The users price the reverse
-	// from 5 in 100 on.
+	// served more often when there is not room for all.
 	lessUrgent = 0.7
 	// mostBusy and leastBusy bound the part of their time that engines may be reading for
 	// an organisation over its share to get more: mostBusy at its share, less by the root
-	// of how far it is over, but half of the time in any case. A step of a batch takes five
-	// times as long with a chunk of a prompt in it, so what is read beyond shares slows
-	// every stream there, and makes those under their shares late.
+	// of how far it is over, but half of the time in any case. What is read beyond shares
+	// slows every stream at the engine, and makes those under their shares late.
 	mostBusy  = 0.9
 	leastBusy = 0.5
 	// mostOver bounds how far over its share an organisation is told to be.
@@ -206,8 +204,8 @@
 		return ReasonEvacuated
 	case p.hasCold(now) && p.open(now) == 0:
 		return ReasonCold
-	case p.allRest(a):
-		return ReasonResting
+	case p.allBackOff(a):
+		return ReasonBackoff
 	}
 	return ReasonCapacity
 }
@@ -219,8 +217,8 @@
 		return maxComeBack // nobody knows when that changes
 	case ReasonCold:
 		return min(max(p.warmIn(now), minComeBack), maxComeBack)
-	case ReasonResting:
-		return max(p.leastRest(a), minComeBack)
+	case ReasonBackoff:
+		return max(p.leastBackoff(a), minComeBack)
 	}
 	return p.comeBack(a, p.shortest(now), 0)
 }
--- a/internal/dispatch/askedrest_test.go
+++ b/internal/dispatch/backoff_test.go
@@ -10,9 +10,9 @@
 	"github.com/silverswitch/silverswitch/internal/core/wire"
 )
 
-// wantsRest lets an upstream ask a router for rest.
-func (f *fleet) wantsRest(id wire.NodeID, upstream string, d time.Duration) {
-	f.nodes[id].Step(WantsRest{Instance: f.instanceOf(id, upstream), For: d}, f.now)
+// retryAfter lets an upstream ask a router for rest.
+func (f *fleet) retryAfter(id wire.NodeID, upstream string, d time.Duration) {
+	f.nodes[id].Step(RetryAfter{Instance: f.instanceOf(id, upstream), For: d}, f.now)
 	f.deliver()
 }
 
@@ -26,7 +26,7 @@
 			first, second = "c0", "c1"
 		}
 		id := f.other()
-		f.wantsRest(id, first, 3*time.Second)
+		f.retryAfter(id, first, 3*time.Second)
 		seen := map[string]bool{}
 		for no := uint64(1); no <= 8; no++ {
 			for _, from := range f.order {
@@ -60,7 +60,7 @@
 func TestRepeatIsNotSentToAnUpstreamThatWantsRest(t *testing.T) {
 	f := newFleet(t, 3, 2)
 	id := f.other()
-	f.wantsRest(id, "e0", 3*time.Second)
+	f.retryAfter(id, "e0", 3*time.Second)
 	f.arrive(id, 1, engines, "a", 200)
 	require.Equal(t, "e1", f.placed(id, 1).Instance.ID)
 	delete(f.got[id], 1)
@@ -68,7 +68,7 @@
 	f.deliver()
 	r, refused := f.got[id][1].(Refuse)
 	require.True(t, refused, "%#v", f.got[id][1])
-	assert.Equal(t, ReasonResting, r.Reason)
+	assert.Equal(t, ReasonBackoff, r.Reason)
 }
 
 // Of upstreams that all wanted rest one was tried rather than none.
@@ -77,13 +77,13 @@
 		f := newFleet(t, 3, 2)
 		id := f.other()
 		ups := map[string][2]string{engines: {"e0", "e1"}, counter: {"c0", "c1"}}[service]
-		f.wantsRest(id, ups[0], 700*time.Millisecond)
-		f.wantsRest(id, ups[1], 5*time.Second)
-		f.wantsRest(id, "c0", 300*time.Millisecond) // of the one service shorter, of the other no news
+		f.retryAfter(id, ups[0], 700*time.Millisecond)
+		f.retryAfter(id, ups[1], 5*time.Second)
+		f.retryAfter(id, "c0", 300*time.Millisecond) // of the one service shorter, of the other no news
 		f.arrive(id, 1, service, "a", 200)
 		r, refused := f.got[id][1].(Refuse)
 		require.True(t, refused)
-		assert.Equal(t, ReasonResting, r.Reason)
+		assert.Equal(t, ReasonBackoff, r.Reason)
 		assert.InDelta(t, 700, r.After.Milliseconds(), 1)
 		f.run(700*time.Millisecond + TickEvery)
 		f.arrive(id, 2, service, "a", 200)
@@ -96,7 +96,7 @@
 	f := newFleet(t, 2, 2)
 	id := f.other()
 	p := f.nodes[id].pools[serviceID(engines)]
-	f.wantsRest(id, "e0", time.Second)
+	f.retryAfter(id, "e0", time.Second)
 	for _, u := range p.order {
 		assert.Equal(t, u.inst.ID != "e0", p.acceptsAnswer(wire.WorkAnswer{Upstream: u.id}, nil, f.now))
 	}
@@ -105,10 +105,10 @@
 func TestRestOfAnUpstreamThatHasEndedIsForgotten(t *testing.T) {
 	f := newFleet(t, 2, 2)
 	id := f.order[0]
-	f.wantsRest(id, "e0", time.Hour)
+	f.retryAfter(id, "e0", time.Hour)
 	f.publishAll(instances(2)[1:])
-	assert.Empty(t, f.nodes[id].pools[serviceID(engines)].asked)
-	f.wantsRest(id, "e1", time.Second)
+	assert.Empty(t, f.nodes[id].pools[serviceID(engines)].backoffs)
+	f.retryAfter(id, "e1", time.Second)
 	f.run(2 * time.Second)
-	assert.Empty(t, f.nodes[id].restsOf(serviceID(engines), f.now))
+	assert.Empty(t, f.nodes[id].backoffsOf(serviceID(engines), f.now))
 }
--- a/internal/dispatch/catalogue.go
+++ b/internal/dispatch/catalogue.go
@@ -160,7 +160,7 @@
 			continue
 		}
 		for _, u := range p.inUse() {
-			if !u.closed() && !p.asked.has(u.id, now) {
+			if !u.closed() && !p.backoffs.has(u.id, now) {
 				out = append(out, u.inst)
 			}
 		}
--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -22,8 +22,8 @@
 	at time.Time
 }
 
-// fleetFor is how long an heir's sum is remembered: as long as the users' windows of the
-// retry budget. The largest one counts, since an heir that has just started has heard few.
+// fleetFor is how long an heir's sum is remembered: as long as the windows of the retry
+// budget. The largest one counts, since an heir that has just started has heard few.
 const fleetFor = 10 * time.Second
 
 // expire forgets sums that are too old, but for the latest one: a router that is cut off
--- a/internal/dispatch/flight.go
+++ b/internal/dispatch/flight.go
@@ -77,7 +77,7 @@
 	f.sent = now
 	w := n.work(f.by)
 	w.Asks = append(w.Asks, n.askOf(f, now))
-	w.Rests = n.allRests(now)
+	w.Backoffs = n.allBackoffs(now)
 	n.takeNotes(f.by, w)
 }
 
@@ -97,7 +97,7 @@
 		Parts:    r.Parts,
 		Avoid:    f.avoid,
 		Regions:  regionIDs(r.Regions),
-		Resting:  n.restsOf(f.pool, now),
+		Backoffs: n.backoffsOf(f.pool, now),
 	}
 }
 
--- a/internal/dispatch/io.go
+++ b/internal/dispatch/io.go
@@ -21,12 +21,12 @@
 	ReasonEvacuated         // all places of its upstreams are evacuated
 	ReasonCold              // its upstreams are cold, and have had what they take
 	ReasonRegions           // no upstream stands in the regions that are allowed
-	ReasonResting           // its upstreams have asked the router for rest
+	ReasonBackoff           // its upstreams want nothing of the router for a while (Retry-After)
 )
 
 // String returns the reason as logs and answers show it.
 func (r Reason) String() string {
-	names := [...]string{"none", "no-upstream", "no-capacity-in-time", "retry-budget-spent", "share-used", "places-evacuated", "upstreams-cold", "no-upstream-in-allowed-regions", "upstreams-want-rest"}
+	names := [...]string{"none", "no-upstream", "no-capacity-in-time", "retry-budget-spent", "share-used", "places-evacuated", "upstreams-cold", "no-upstream-in-allowed-regions", "upstreams-back-off"}
 	if int(r) >= len(names) {
 		return "unknown" // of a router of another release
 	}
@@ -140,8 +140,8 @@
 // SaysLeaving says that an instance has told this router itself that it leaves.
 type SaysLeaving struct{ Instance routing.Instance }
 
-// WantsRest says that an instance has asked this router to send it nothing for a time.
-type WantsRest struct {
+// RetryAfter says that an instance has asked this router to send it nothing for a time.
+type RetryAfter struct {
 	Instance routing.Instance
 	For      time.Duration
 }
@@ -178,7 +178,7 @@
 func (Looked) input()    {}
 
 func (SaysLeaving) input() {}
-func (WantsRest) input()   {}
+func (RetryAfter) input()  {}
 
 func (FetchEnded) input() {}
 
--- a/internal/dispatch/lead.go
+++ b/internal/dispatch/lead.go
@@ -11,8 +11,8 @@
 // another one waits.
 
 // mostLead is how many times what another one got that asks for more an organisation may
-// have had for what is over its share. The users find two times unfair; what was placed
-// and has not begun yet, or was told late, takes the rest.
+// have had for what is over its share: under two, so that what was placed and has not begun
+// yet, or was told late, does not make it twice as much.
 const mostLead = 1.5
 
 // wantsMore is how many times what it got an organisation asks for that counts as one that
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -218,8 +218,8 @@
 		n.crashes.Answered(in.Content, now)
 	case Looked:
 		n.looked(in, now)
-	case WantsRest:
-		n.wantsRest(in, now)
+	case RetryAfter:
+		n.retryAfter(in, now)
 	case SaysLeaving:
 		n.saysLeaving(in.Instance, now)
 	case FetchEnded:
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -51,7 +51,7 @@
 		n.heardUnasked(from, u, now)
 	}
 	for i := range w.Asks {
-		w.Asks[i].Resting = w.Rests
+		w.Asks[i].Backoffs = w.Backoffs
 		n.answer(from, &w.Asks[i], now)
 	}
 	n.heardBooked(w.Booked, now)
@@ -194,5 +194,5 @@
 // this router knows.
 func (p *pool) acceptsAnswer(a wire.WorkAnswer, regions []version.ID, now time.Time) bool {
 	u := p.ups[a.Upstream]
-	return u != nil && !u.closed() && !p.asked.has(u.id, now) && u.mayRun(regions) && (a.Cold || p.cold.PerSecond <= 0 || !u.isCold(coldLate, now))
+	return u != nil && !u.closed() && !p.backoffs.has(u.id, now) && u.mayRun(regions) && (a.Cold || p.cold.PerSecond <= 0 || !u.isCold(coldLate, now))
 }
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -36,7 +36,7 @@
 // after failures is passed over, unless rested says that all that could take it do:
 // a try there is better than a refusal. One that has asked the router for rest is not tried.
 func (u *upstream) takes(a *wire.WorkAsk, rested bool, now time.Time) bool {
-	if u.closed() || !u.mayRun(a.Regions) || u.rest.resting(now) && !rested || u.restsFor(a) {
+	if u.closed() || !u.mayRun(a.Regions) || u.rest.resting(now) && !rested || u.backsOff(a) {
 		return false
 	}
 	for _, id := range a.Avoid {
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -50,26 +50,26 @@
 	coldMost int               // requests a second at a cold one in the decision being made
 
 	inherited inheritance
-	asked     askedRests // of this router
+	backoffs  backoffs // of this router
 }
 
 func newPool(s *routing.Service, tokensPerSecond float64) *pool {
 	return &pool{
-		service: s.Name,
-		id:      version.IDOf(s.Name),
-		engine:  s.Engine,
-		ups:     map[version.ID]*upstream{},
-		places:  map[version.ID]*placeSet{},
-		holders: holders{},
-		runs:    map[runKey]*run{},
-		learner: prefill.NewLearner(),
-		logged:  prefill.Prior,
-		usual:   firstUsual,
-		meter:   newMeter(tokensPerSecond),
-		here:    newMeter(tokensPerSecond),
-		busy:    newBusyMeter(),
-		late:    map[wire.NodeID]bool{},
-		asked:   askedRests{},
+		service:  s.Name,
+		id:       version.IDOf(s.Name),
+		engine:   s.Engine,
+		ups:      map[version.ID]*upstream{},
+		places:   map[version.ID]*placeSet{},
+		holders:  holders{},
+		runs:     map[runKey]*run{},
+		learner:  prefill.NewLearner(),
+		logged:   prefill.Prior,
+		usual:    firstUsual,
+		meter:    newMeter(tokensPerSecond),
+		here:     newMeter(tokensPerSecond),
+		busy:     newBusyMeter(),
+		late:     map[wire.NodeID]bool{},
+		backoffs: backoffs{},
 
 		statedBy: map[wire.NodeID][]*upstream{},
 	}
@@ -126,7 +126,7 @@
 		u.cache.clear()
 	}
 	delete(p.ups, u.id)
-	delete(p.asked, u.id)
+	delete(p.backoffs, u.id)
 	p.order = removed(p.order, u)
 	set := u.set
 	set.remove(u)
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -9,8 +9,7 @@
 	"github.com/silverswitch/silverswitch/internal/version"
 )
 
-// Window in which an organisation's use is measured against its share: the
-// period in which the users count fairness (4 s), in steps.
+// Window in which an organisation's use is compared with its share, 4 s, in steps.
 const (
 	shareStep  = 250 * time.Millisecond
 	shareSteps = 16
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -11,7 +11,7 @@
 	for _, p := range n.pools {
 		for _, u := range p.order {
 			s := UpstreamState{Service: p.service, ID: u.inst.ID, Address: u.inst.Address, Place: u.inst.Place, Draining: u.inst.Draining,
-				InUse: u.inUse != notInUse, Running: u.running(), Slow: u.slowness(p.learner.Model(), now), Resting: u.rest.resting(now), AskedRestMS: int(leftMS(p.asked[u.id], now)), Evacuated: u.evacuated}
+				InUse: u.inUse != notInUse, Running: u.running(), Slow: u.slowness(p.learner.Model(), now), Resting: u.rest.resting(now), BackoffMS: int(leftMS(p.backoffs[u.id], now)), Evacuated: u.evacuated}
 			if p.isCold(u, now) {
 				until, why := u.coldUntil()
 				s.Cold = &ColdUpstream{ForMS: int(until.Sub(now).Milliseconds()), Why: why.String(), Allowed: n.coldMost(p, now), Placed: len(u.cold.placed)}
@@ -54,10 +54,10 @@
 	Place    string `json:"place"`
 	Draining bool   `json:"draining"`
 	Resting  bool   `json:"resting"`
-	// AskedRestMS is how much longer the upstream wants nothing of this router.
-	AskedRestMS int  `json:"asked_rest_ms"`
-	Evacuated   bool `json:"evacuated"`
-	InUse       bool `json:"in_use"` // it is in the working set
+	// BackoffMS is how much longer the upstream wants nothing of this router.
+	BackoffMS int  `json:"backoff_ms"`
+	Evacuated bool `json:"evacuated"`
+	InUse     bool `json:"in_use"` // it is in the working set
 	// Cold is nil for one that is not believed to be cold.
 	Cold       *ColdUpstream `json:"cold,omitempty"`
 	Running    int           `json:"running"`
--- a/internal/process/requests.go
+++ b/internal/process/requests.go
@@ -1,8 +1,6 @@
 package process
 
 import (
-	"maps"
-	"sync"
 	"time"
 
 	"github.com/silverswitch/silverswitch/internal/dispatch"
@@ -18,82 +16,6 @@
 // TurnedAway implements forward.Control.
 func (s *Steerer) TurnedAway(w dispatch.TurnedWork) { s.turned.add(w) }
 
-// usable is what requests need to know of where they may be sent.
-type usable struct {
-	mu        sync.RWMutex
-	starts    map[string]routing.Instance // by start, without those that leave; nil while nothing is known
-	evacuated map[string]bool             // places
-	rests     map[string]time.Time        // until when starts want nothing of this router
-}
-
-// publishUsable tells requests which instances may be sent work.
-func (s *Steerer) publishUsable(list []routing.Instance, evacuated []routing.Evacuation) {
-	starts := make(map[string]routing.Instance, len(list))
-	for _, i := range list {
-		if !i.Draining {
-			starts[i.Start()] = i
-		}
-	}
-	s.usable.mu.Lock()
-	defer s.usable.mu.Unlock()
-	s.usable.starts, s.usable.evacuated = starts, routing.EvacuatedPlaces(evacuated)
-}
-
-// updateUsable tells requests what has changed of that.
-func (s *Steerer) updateUsable(c routing.Changes, evacuated []routing.Evacuation) {
-	u := &s.usable
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if u.starts == nil {
-		u.starts = map[string]routing.Instance{}
-	}
-	for _, e := range c.Ended {
-		delete(u.starts, e.Instance.Start())
-	}
-	for _, i := range c.Put {
-		if i.Draining {
-			delete(u.starts, i.Start())
-			continue
-		}
-		u.starts[i.Start()] = i
-	}
-	u.evacuated = routing.EvacuatedPlaces(evacuated)
-}
-
-// of returns an instance as it is listed now. known says that any list was published.
-func (u *usable) of(start string) (i routing.Instance, listed, evacuated, known bool) {
-	u.mu.RLock()
-	defer u.mu.RUnlock()
-	i, listed = u.starts[start]
-	return i, listed, u.evacuated[i.Place], u.starts != nil
-}
-
-// rest keeps requests from a start until a time.
-func (u *usable) rest(start string, until, now time.Time) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if u.rests == nil {
-		u.rests = map[string]time.Time{}
-	}
-	maps.DeleteFunc(u.rests, func(_ string, until time.Time) bool { return !now.Before(until) })
-	if until.After(u.rests[start]) {
-		u.rests[start] = until
-	}
-}
-
-// resting reports whether a start wants nothing of this router now.
-func (u *usable) resting(start string, now time.Time) bool {
-	u.mu.RLock()
-	defer u.mu.RUnlock()
-	return now.Before(u.rests[start])
-}
-
-// mayAsk reports whether a start may be asked anything: it neither leaves nor wants rest.
-func (u *usable) mayAsk(start string, now time.Time) bool {
-	_, listed, _, known := u.of(start)
-	return (listed || !known) && !u.resting(start, now)
-}
-
 // Unusable implements forward.Control.
 func (s *Steerer) Unusable(p *dispatch.Place) forward.Unusable {
 	i, listed, evacuated, known := s.usable.of(p.Instance.Start())
@@ -104,8 +26,8 @@
 		return forward.UpstreamLeft
 	case evacuated:
 		return forward.PlaceEvacuated
-	case s.usable.resting(p.Instance.Start(), s.now()):
-		return forward.UpstreamRests
+	case s.usable.backsOff(p.Instance.Start(), s.now()):
+		return forward.UpstreamBacksOff
 	case !p.MaySend(i.ColdUntil, s.now()):
 		return forward.UpstreamCold
 	}
@@ -126,12 +48,12 @@
 	s.Step(dispatch.SaysLeaving{Instance: i})
 }
 
-// UpstreamRests implements forward.Control.
-func (s *Steerer) UpstreamRests(start string, d time.Duration) {
+// UpstreamBacksOff implements forward.Control.
+func (s *Steerer) UpstreamBacksOff(start string, d time.Duration) {
 	now := s.now()
-	s.usable.rest(start, now.Add(d), now)
+	s.usable.backOff(start, now.Add(d), now)
 	if i, listed, _, _ := s.usable.of(start); listed {
-		s.Step(dispatch.WantsRest{Instance: i, For: d})
+		s.Step(dispatch.RetryAfter{Instance: i, For: d})
 	}
 }
 
--- a/internal/request/forward/control.go
+++ b/internal/request/forward/control.go
@@ -49,8 +49,8 @@
 	Looked(i routing.Instance, coldFor time.Duration)
 	// UpstreamLeaves says that a start of an upstream has told that it leaves.
 	UpstreamLeaves(start string)
-	// UpstreamRests says that a start of an upstream wants nothing of this router for a time.
-	UpstreamRests(start string, d time.Duration)
+	// UpstreamBacksOff says that a start of an upstream wants nothing of this router for a time.
+	UpstreamBacksOff(start string, d time.Duration)
 	// Leaving reports whether a planned stop has begun.
 	Leaving() bool
 }
@@ -61,12 +61,12 @@
 
 // The reasons.
 const (
-	MaySend        Unusable = ""
-	UpstreamLeft   Unusable = "upstream-left-before-send"
-	PlaceEvacuated Unusable = "place-evacuated-before-send"
-	UpstreamRests  Unusable = "upstream-rests-before-send"
-	UpstreamCold   Unusable = "upstream-cold-before-send"
-	HealthSaysNo   Unusable = "upstream-not-ready-by-its-health"
+	MaySend          Unusable = ""
+	UpstreamLeft     Unusable = "upstream-left-before-send"
+	PlaceEvacuated   Unusable = "place-evacuated-before-send"
+	UpstreamBacksOff Unusable = "upstream-backs-off-before-send"
+	UpstreamCold     Unusable = "upstream-cold-before-send"
+	HealthSaysNo     Unusable = "upstream-not-ready-by-its-health"
 )
 
 // Decision is where a request runs, or why it does not.
--- a/internal/request/forward/count.go
+++ b/internal/request/forward/count.go
@@ -12,7 +12,7 @@
 type counters struct {
 	reg                                                                                 metrics.Registry
 	arrived, answered, opened, resumed, repeated, broken, shed, held, withdrawn, looked metrics.Counter
-	leavingHeard, restHeard                                                             metrics.Counter
+	leavingHeard, backoffHeard                                                          metrics.Counter
 	first, decision                                                                     metrics.Timer
 }
 
@@ -21,7 +21,7 @@
 	return counters{
 		reg: reg, arrived: c("arrived"), answered: c("answered"), opened: c("connections"), resumed: c("resumed"),
 		repeated: c("repeated"), broken: c("broken"), shed: c("shed"), held: c("held"), withdrawn: c("withdrawn"), looked: c("looked"),
-		leavingHeard: c("notices.leaving"), restHeard: c("notices.rest"),
+		leavingHeard: c("notices.leaving"), backoffHeard: c("notices.backoff"),
 		first:    metrics.GetOrRegisterTimer("forward.first", reg),
 		decision: metrics.GetOrRegisterTimer("forward.decision", reg),
 	}
--- a/internal/request/forward/notice.go
+++ b/internal/request/forward/notice.go
@@ -12,12 +12,12 @@
 // notice is what an upstream says of itself on an answer, whatever it answers.
 type notice struct {
 	leaving bool
-	rest    time.Duration // it wants nothing of this router for so long, 0 when it does not say
+	backoff time.Duration // it wants nothing of this router for so long, 0 when it does not say
 }
 
-// mostRest bounds what an upstream may ask for: a time that is wrong by orders of magnitude
+// mostBackoff bounds what an upstream may ask for: a time that is wrong by orders of magnitude
 // must not keep it out of use until it starts again.
-const mostRest = 10 * time.Minute
+const mostBackoff = 10 * time.Minute
 
 // noticeOf reads the notice on an answer. A misdirected request was answered by another
 // upstream than the one it was sent to, so its answer says nothing of that one.
@@ -27,18 +27,18 @@
 	}
 	n := notice{leaving: res.Header.Get(d.Leaving) == "1"}
 	if res.StatusCode == http.StatusServiceUnavailable {
-		n.rest = restOf(res.Header)
+		n.backoff = retryAfterOf(res.Header)
 	}
 	return n
 }
 
-// restOf reads a time in seconds; one that cannot be read says nothing.
-func restOf(h http.Header) time.Duration {
+// retryAfterOf reads a time in seconds; one that cannot be read says nothing.
+func retryAfterOf(h http.Header) time.Duration {
 	s, err := strconv.ParseFloat(h.Get(headerRetryAfter), 64)
 	if err != nil || !(s > 0) {
 		return 0
 	}
-	return time.Duration(min(s, mostRest.Seconds()) * float64(time.Second))
+	return time.Duration(min(s, mostBackoff.Seconds()) * float64(time.Second))
 }
 
 // heard passes on the notice on an answer of an upstream's start.
@@ -48,14 +48,14 @@
 		s.count.leavingHeard.Inc(1)
 		s.ctl.UpstreamLeaves(start)
 	}
-	if n.rest > 0 {
-		s.count.restHeard.Inc(1)
-		s.ctl.UpstreamRests(start, n.rest)
+	if n.backoff > 0 {
+		s.count.backoffHeard.Inc(1)
+		s.ctl.UpstreamBacksOff(start, n.backoff)
 	}
 	if n == (notice{}) {
 		return
 	}
 	if e := s.lines.notice(); e != nil {
-		e.Str("upstream", start).Bool("leaving", n.leaving).Int64("rest_ms", n.rest.Milliseconds()).Int("status", res.StatusCode).Msg("upstream-notice")
+		e.Str("upstream", start).Bool("leaving", n.leaving).Int64("backoff_ms", n.backoff.Milliseconds()).Int("status", res.StatusCode).Msg("upstream-notice")
 	}
 }
--- a/internal/request/forward/notice_test.go
+++ b/internal/request/forward/notice_test.go
@@ -21,15 +21,15 @@
 	assert.Equal(t, notice{}, read(answer(200)))
 	assert.Equal(t, notice{leaving: true}, read(answer(200, "X-Leaving", "1")))
 	assert.Equal(t, notice{leaving: true}, read(answer(500, "X-Leaving", "1")))
-	assert.Equal(t, notice{leaving: true, rest: 3 * time.Second}, read(answer(503, "X-Leaving", "1", "Retry-After", "3")))
+	assert.Equal(t, notice{leaving: true, backoff: 3 * time.Second}, read(answer(503, "X-Leaving", "1", "Retry-After", "3")))
 	assert.Equal(t, notice{}, read(answer(421, "X-Leaving", "1")), "another upstream's")
 	assert.Equal(t, notice{}, read(answer(200, "Retry-After", "3")), "it has not turned the request away")
 	assert.Equal(t, notice{}, read(answer(200, "X-Leaving", "0")))
 }
 
 func TestRestThatCannotBeReadSaysNothing(t *testing.T) {
-	for text, want := range map[string]time.Duration{"": 0, "x": 0, "-1": 0, "0": 0, "NaN": 0, "1e300": mostRest, "0.5": 500 * time.Millisecond} {
-		assert.Equal(t, want, restOf(http.Header{"Retry-After": {text}}), text)
+	for text, want := range map[string]time.Duration{"": 0, "x": 0, "-1": 0, "0": 0, "NaN": 0, "1e300": mostBackoff, "0.5": 500 * time.Millisecond} {
+		assert.Equal(t, want, retryAfterOf(http.Header{"Retry-After": {text}}), text)
 	}
 }
 
@@ -45,5 +45,5 @@
 	require.NoError(t, err)
 	assert.Equal(t, 200, res.StatusCode)
 	assert.Equal(t, []string{"i-0", "i-1"}, r.ctl.leavers, "the one by its health, the other by its answer")
-	assert.Equal(t, []askedRest{{"i-0", 3 * time.Second}}, r.ctl.rests)
+	assert.Equal(t, []askedBackoff{{"i-0", 3 * time.Second}}, r.ctl.rests)
 }
--- a/internal/request/forward/rig_test.go
+++ b/internal/request/forward/rig_test.go
@@ -37,8 +37,8 @@
 	coldFor time.Duration
 }
 
-// askedRest is a time for which an upstream wanted nothing.
-type askedRest struct {
+// askedBackoff is a time for which an upstream wanted nothing.
+type askedBackoff struct {
 	start string
 	d     time.Duration
 }
@@ -61,7 +61,7 @@
 	whole    []fingerprint.Fingerprint
 	onAgain  func() // called before another upstream is given; may be nil
 	looked   []lookedAt
-	rests    []askedRest
+	rests    []askedBackoff
 	leavers  []string // starts that said that they leave
 	look     bool     // upstreams are to be looked at first
 	slow     bool     // no other upstream is given
@@ -98,10 +98,10 @@
 	c.leavers = append(c.leavers, start)
 }
 
-func (c *fakeControl) UpstreamRests(start string, d time.Duration) {
+func (c *fakeControl) UpstreamBacksOff(start string, d time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.rests = append(c.rests, askedRest{start, d})
+	c.rests = append(c.rests, askedBackoff{start, d})
 }
 
 func (c *fakeControl) Quarantined(string) map[fingerprint.Fingerprint]quarantine.State {
