--- a/internal/dispatch/backoff_test.go
+++ b/internal/dispatch/backoff_test.go
@@ -31,7 +31,11 @@
 		for no := uint64(1); no <= 8; no++ {
 			for _, from := range f.order {
 				f.arrive(from, no, service, "a", 200)
-				at := f.placed(from, no).Instance.ID
+				p := f.placed(from, no)
+				at := p.Instance.ID
+				if service == engines {
+					assert.Equal(t, f.scheduler(), p.By, "it is told, and need not be overruled")
+				}
 				if from == id {
 					assert.Equal(t, second, at)
 				} else {
