--- a/internal/process/kept.go
+++ b/internal/process/kept.go
@@ -107,8 +107,8 @@
 	}
 }
 
-// takeUsable is take for an engine that may be asked: it may have come to leave, or to want
-// rest, since the list of those to read was made.
+// takeUsable is take for an engine that may be asked: it may have come to leave, or to back
+// off, since the list of those to read was made.
 func (f *keptFollower) takeUsable(id string) *keptState {
 	if !f.st.usable.mayAsk(id, f.st.now()) {
 		return nil
--- a/internal/process/usable.go
+++ b/internal/process/usable.go
@@ -71,7 +71,7 @@
 	}
 }
 
-// resting reports whether a start wants nothing of this router now.
+// backsOff reports whether a start wants nothing of this router now.
 func (u *usable) backsOff(start string, now time.Time) bool {
 	u.mu.RLock()
 	defer u.mu.RUnlock()
