Routers are told for five seconds that an upstream leaves

What it would have cost: a fleet whose upstreams are replaced by the hundred names all that have said that they leave in each message to each router, until the last of them has ended, those too whose entries say it by then.

Change: who learns it tells it for five seconds, a few rounds in which a large fleet tells everyone; each keeps what it was told. TestLeavingUpstreamIsToldForAWhile: 20 routers all know and nothing is told after ten seconds; before, every message named it.

--- a/internal/dispatch/beat.go
+++ b/internal/dispatch/beat.go
@@ -144,7 +144,7 @@
 func (n *Node) tellStore(to wire.NodeID, now time.Time) {
 	w := n.work(to)
 	n.stateHeld(to)
-	n.tellLeaving(to)
+	n.tellLeaving(to, now)
 	w.Revision, w.Table = n.complete(), n.tableNumber()
 	w.Sight, w.Blind = n.store.told(now), n.store.isBlind(now)
 }
--- a/internal/dispatch/leaving.go
+++ b/internal/dispatch/leaving.go
@@ -17,8 +17,18 @@
 // from its callers' answers that one leaves, and the scheduler, which has sent it nothing
 // itself, places the next request there.
 
-// leavers are the upstreams that have said that they leave, with their services.
-type leavers map[version.ID]version.ID
+// leaverToldFor is how long routers are told again: a few rounds in which everyone is told,
+// in a large fleet too. Each keeps what it was told until the upstream has ended.
+const leaverToldFor = 5 * time.Second
+
+// leavers are the upstreams that have lately said that they leave.
+type leavers map[version.ID]leaver
+
+// leaver is when this router came to know that an upstream leaves, and the upstream's service.
+type leaver struct {
+	service version.ID
+	since   time.Time
+}
 
 // Leaving says that an upstream leaves, by its own word or, with From, by a peer's.
 type Leaving struct {
@@ -34,11 +44,11 @@
 	if p == nil {
 		return
 	}
-	if u := p.ups[version.IDOf(i.Start())]; u == nil || !n.drain(p, u, "") {
+	if u := p.ups[version.IDOf(i.Start())]; u == nil || !n.drain(p, u, "", now) {
 		return
 	}
 	for _, id := range n.placersOf(p.id, now) {
-		n.tellLeaving(id)
+		n.tellLeaving(id, now)
 	}
 }
 
@@ -54,11 +64,11 @@
 }
 
 // drain takes an upstream out of use. It reports whether that is news.
-func (n *Node) drain(p *pool, u *upstream, from wire.NodeID) bool {
-	n.leavers[u.id] = p.id
+func (n *Node) drain(p *pool, u *upstream, from wire.NodeID, now time.Time) bool {
 	if u.inst.Draining {
 		return false
 	}
+	n.leavers[u.id] = leaver{p.id, now}
 	u.inst.Draining = true
 	p.setCapacity(n.cat.Table.Limits.TokensPerSecond)
 	n.out = append(n.out, Leaving{Instance: u.inst, From: from})
@@ -66,22 +76,22 @@
 }
 
 // heardLeaving takes a peer's word on upstreams that leave.
-func (n *Node) heardLeaving(from wire.NodeID, list []version.ID) {
+func (n *Node) heardLeaving(from wire.NodeID, list []version.ID, now time.Time) {
 	for _, id := range list {
 		for _, p := range n.pools {
 			if u := p.ups[id]; u != nil {
-				n.drain(p, u, from)
+				n.drain(p, u, from, now)
 			}
 		}
 	}
 }
 
-// tellLeaving tells a router which upstreams have said that they leave.
-func (n *Node) tellLeaving(to wire.NodeID) {
+// tellLeaving tells a router which upstreams have lately said that they leave.
+func (n *Node) tellLeaving(to wire.NodeID, now time.Time) {
 	var list []version.ID
-	for id, service := range n.leavers {
-		if p := n.pools[service]; p == nil || p.ups[id] == nil {
-			delete(n.leavers, id) // it has ended
+	for id, l := range n.leavers {
+		if p := n.pools[l.service]; p == nil || p.ups[id] == nil || now.Sub(l.since) >= leaverToldFor {
+			delete(n.leavers, id)
 			continue
 		}
 		list = append(list, id)
--- a/internal/dispatch/leaving_test.go
+++ b/internal/dispatch/leaving_test.go
@@ -88,3 +88,23 @@
 	f.arrive(id, 1, counter, "a", 10)
 	assert.Equal(t, "c0", f.placed(id, 1).Instance.ID)
 }
+
+// While thousands of upstreams are replaced each message named all that had said that they
+// leave, until the last of them had ended.
+func TestLeavingUpstreamIsToldForAWhile(t *testing.T) {
+	f := newFleet(t, 20, 2)
+	id := f.other()
+	told := 0
+	f.onSend = func(_ wire.NodeID, s Send) { told += len(s.Datagram.Drains) }
+	f.nodes[id].Step(SaysLeaving{Instance: f.instanceOf(id, "e0")}, f.now)
+	f.run(2 * leaverToldFor)
+	assert.Positive(t, told)
+	for _, other := range f.order {
+		assert.True(t, f.instanceOf(other, "e0").Draining, "everyone knows")
+	}
+	told = 0
+	f.run(time.Second)
+	assert.Zero(t, told)
+	f.arrive(f.other(), 1, engines, "a", 20)
+	assert.Equal(t, "e1", f.placed(f.other(), 1).Instance.ID, "and keeps to it")
+}
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -18,7 +18,7 @@
 		}
 	}
 	n.heardAt = now
-	n.heardLeaving(d.From, d.Drains)
+	n.heardLeaving(d.From, d.Drains, now)
 	for _, s := range n.members.Hear(d, now) {
 		n.box.Post(s)
 	}
