What stood twice is one: finding an upstream, heirs of a service, times in headers

Found when the change was read again; no decision changes.

The backoffs of an ask were formed for asks that carry them apart (only a decision made here needs them), a listing's entries were taken out of every watch's answer though only a whole listing needs them, and what a send may still use was looked up under two locks.

New test: a placement made before the upstream asked for backoff is held back.

--- a/internal/dispatch/backoff.go
+++ b/internal/dispatch/backoff.go
@@ -37,34 +37,22 @@
 
 // retryAfter takes an upstream's word that it wants nothing of this router for a time.
 func (n *Node) retryAfter(in RetryAfter, now time.Time) {
-	p := n.pools[serviceID(in.Instance.Service)]
-	if p == nil {
+	p, u := n.upstreamOf(in.Instance)
+	if u == nil {
 		return
 	}
-	id := version.IDOf(in.Instance.Start())
-	if p.ups[id] == nil {
-		return
-	}
-	if !p.backoffs.has(id, now) {
+	if !p.backoffs.has(u.id, now) {
 		n.event(Event{Name: "upstream-backs-off", Value: uint64(in.For.Milliseconds()), Detail: in.Instance.ID})
 	}
-	if until := now.Add(in.For); until.After(p.backoffs[id]) {
-		p.backoffs[id] = until
-	}
-}
-
-// backoffsOf returns the upstreams of a service that want nothing of this router.
-func (n *Node) backoffsOf(service version.ID, now time.Time) []wire.Backoff {
-	if p := n.pools[service]; p != nil {
-		return p.backoffs.list(now)
+	if until := now.Add(in.For); until.After(p.backoffs[u.id]) {
+		p.backoffs[u.id] = until
 	}
-	return nil
 }
 
 // allBackoffs returns the upstreams of every service that want nothing of this router.
 func (n *Node) allBackoffs(now time.Time) (out []wire.Backoff) {
-	for service := range n.pools {
-		out = append(out, n.backoffsOf(service, now)...)
+	for _, p := range n.pools {
+		out = append(out, p.backoffs.list(now)...)
 	}
 	return out
 }
--- a/internal/dispatch/backoff_test.go
+++ b/internal/dispatch/backoff_test.go
@@ -114,5 +114,5 @@
 	assert.Empty(t, f.nodes[id].pools[serviceID(engines)].backoffs)
 	f.retryAfter(id, "e1", time.Second)
 	f.run(2 * time.Second)
-	assert.Empty(t, f.nodes[id].backoffsOf(serviceID(engines), f.now))
+	assert.Empty(t, f.nodes[id].allBackoffs(f.now))
 }
--- a/internal/dispatch/beat.go
+++ b/internal/dispatch/beat.go
@@ -49,6 +49,17 @@
 	return max(beatEvery, time.Duration(routers)*beatPerRouter)
 }
 
+// heirsOf returns the routers that are, or may soon be, the scheduler of a service, in order.
+func (n *Node) heirsOf(service version.ID, now time.Time) []wire.NodeID {
+	ranked := n.ranked(service, now)
+	return ranked[:min(heirCount, len(ranked))]
+}
+
+// others returns a list of routers without this one.
+func (n *Node) others(list []wire.NodeID) []wire.NodeID {
+	return slices.DeleteFunc(slices.Clone(list), func(id wire.NodeID) bool { return id == n.set.ID })
+}
+
 // heirs returns the routers that are, or may soon be, the scheduler of some services.
 func (n *Node) heirs(now time.Time) map[wire.NodeID]bool {
 	out := map[wire.NodeID]bool{}
@@ -57,8 +68,7 @@
 		if p.engine == nil && !plain {
 			continue
 		}
-		ranked := n.ranked(p.id, now)
-		for _, id := range ranked[:min(heirCount, len(ranked))] {
+		for _, id := range n.heirsOf(p.id, now) {
 			out[id] = true
 		}
 	}
--- a/internal/dispatch/booked.go
+++ b/internal/dispatch/booked.go
@@ -65,8 +65,8 @@
 		if p.engine == nil {
 			continue
 		}
-		if ranked := n.ranked(p.id, now); len(ranked) > 0 && ranked[0] == n.set.ID {
-			for _, id := range ranked[1:min(heirCount, len(ranked))] {
+		if heirs := n.heirsOf(p.id, now); len(heirs) > 0 && heirs[0] == n.set.ID {
+			for _, id := range heirs[1:] {
 				w := n.work(id)
 				w.Booked = append(w.Booked, p.meter.booked.newsFor(id, p.id)...)
 			}
--- a/internal/dispatch/catalogue.go
+++ b/internal/dispatch/catalogue.go
@@ -62,11 +62,7 @@
 		}
 	}
 	for _, e := range c.Ended {
-		p := n.pools[serviceID(e.Instance.Service)]
-		if p == nil {
-			continue
-		}
-		if u := p.ups[version.IDOf(e.Instance.Start())]; u != nil {
+		if p, u := n.upstreamOf(e.Instance); u != nil {
 			p.drop(u)
 			n.ended(p, u, born[u.inst.ID], now)
 		}
@@ -126,6 +122,16 @@
 	p.startedAgain(u.inst, born, now)
 }
 
+// upstreamOf returns what this router knows of an instance, and its service's pool; nil where
+// there is none.
+func (n *Node) upstreamOf(i routing.Instance) (*pool, *upstream) {
+	p := n.pools[serviceID(i.Service)]
+	if p == nil {
+		return nil, nil
+	}
+	return p, p.ups[version.IDOf(i.Start())]
+}
+
 // countPlaces notes in which places upstreams stand.
 func (n *Node) countPlaces() {
 	n.upstreamPlaces = map[string]bool{}
--- a/internal/dispatch/coldreasons.go
+++ b/internal/dispatch/coldreasons.go
@@ -124,11 +124,7 @@
 
 // looked takes what an upstream's own health says.
 func (n *Node) looked(in Looked, now time.Time) {
-	p := n.pools[serviceID(in.Instance.Service)]
-	if p == nil {
-		return
-	}
-	u := p.ups[version.IDOf(in.Instance.Start())]
+	p, u := n.upstreamOf(in.Instance)
 	if u == nil {
 		return
 	}
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -78,11 +78,7 @@
 
 // isLeaving reports whether an instance is known to be leaving.
 func (n *Node) isLeaving(i routing.Instance) bool {
-	p := n.pools[serviceID(i.Service)]
-	if p == nil {
-		return false
-	}
-	u := p.ups[version.IDOf(i.Start())]
+	_, u := n.upstreamOf(i)
 	return u != nil && u.inst.Draining
 }
 
--- a/internal/dispatch/flight.go
+++ b/internal/dispatch/flight.go
@@ -97,7 +97,6 @@
 		Parts:    r.Parts,
 		Avoid:    f.avoid,
 		Regions:  regionIDs(r.Regions),
-		Backoffs: n.backoffsOf(f.pool, now),
 	}
 }
 
@@ -114,6 +113,7 @@
 // is plain, or the scheduler does not answer.
 func (n *Node) decideHere(f *flight, p *pool, now time.Time) {
 	a := n.askOf(f, now)
+	a.Backoffs = p.backoffs.list(now)
 	p.alone = !n.KnowsFleet(now) || n.schedulerOf(p.id, now) != n.set.ID
 	n.judgeCold(p, now)
 	v := p.decide(n.set.ID, &a, now)
--- a/internal/dispatch/leaving.go
+++ b/internal/dispatch/leaving.go
@@ -40,11 +40,8 @@
 
 // saysLeaving takes an upstream's own word, and tells those who place at it at once.
 func (n *Node) saysLeaving(i routing.Instance, now time.Time) {
-	p := n.pools[serviceID(i.Service)]
-	if p == nil {
-		return
-	}
-	if u := p.ups[version.IDOf(i.Start())]; u == nil || !n.drain(p, u, "", now) {
+	p, u := n.upstreamOf(i)
+	if u == nil || !n.drain(p, u, "", now) {
 		return
 	}
 	for _, id := range n.placersOf(p.id, now) {
@@ -55,12 +52,10 @@
 // placersOf returns the other routers that place at a service's upstreams: all in a small
 // fleet, its heirs in a large one.
 func (n *Node) placersOf(service version.ID, now time.Time) []wire.NodeID {
-	to := n.members.Live(true)
 	if n.isLarge() {
-		to = n.ranked(service, now)
-		to = to[:min(heirCount, len(to))]
+		return n.others(n.heirsOf(service, now))
 	}
-	return slices.DeleteFunc(slices.Clone(to), func(id wire.NodeID) bool { return id == n.set.ID })
+	return n.others(n.members.Live(true))
 }
 
 // drain takes an upstream out of use. It reports whether that is news.
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -34,7 +34,7 @@
 
 // takes reports whether an upstream may be given this work at all. One that rests
 // after failures is passed over, unless rested says that all that could take it do:
-// a try there is better than a refusal. One that has asked the router for rest is not tried.
+// a try there is better than a refusal. One that backs off is not tried.
 func (u *upstream) takes(a *wire.WorkAsk, rested bool, now time.Time) bool {
 	if u.closed() || !u.mayRun(a.Regions) || u.rest.resting(now) && !rested || u.backsOff(a) {
 		return false
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -54,8 +54,7 @@
 		if p.engine == nil {
 			continue
 		}
-		ranked := n.ranked(p.id, now)
-		heirs := ranked[:min(heirCount, len(ranked))]
+		heirs := n.heirsOf(p.id, now)
 		h := &p.inherited
 		if !slices.Contains(heirs, n.set.ID) {
 			*h = inheritance{}
@@ -64,7 +63,7 @@
 		if !h.heir {
 			*h = inheritance{heir: true, due: now}
 		}
-		others := slices.DeleteFunc(slices.Clone(heirs), func(id wire.NodeID) bool { return id == n.set.ID })
+		others := n.others(heirs)
 		if h.done || len(others) == 0 || h.tries >= inheritTries || now.Before(h.due) {
 			continue
 		}
--- a/internal/process/content.go
+++ b/internal/process/content.go
@@ -58,9 +58,12 @@
 func (s *Steerer) take(l Listing, whole, back bool, now time.Time) {
 	before, revision, asOf := s.number(), s.view.Revision, s.view.AsOf
 	s.logOlder(l, whole)
-	list, evacuated := listed(l, now)
-	restored := whole && s.enterEra(l.AsOf, list, now)
-	back = back || restored
+	var list []routing.Instance
+	var evacuated []routing.Evacuation
+	if whole {
+		list, evacuated = listed(l, now)
+		back = s.enterEra(l.AsOf, list, now) || back
+	}
 	if back {
 		s.view.StoreReturned(now)
 	}
--- a/internal/process/kept.go
+++ b/internal/process/kept.go
@@ -110,7 +110,7 @@
 // takeUsable is take for an engine that may be asked: it may have come to leave, or to back
 // off, since the list of those to read was made.
 func (f *keptFollower) takeUsable(id string) *keptState {
-	if !f.st.usable.mayAsk(id, f.st.now()) {
+	if !f.st.usable.of(id, f.st.now()).mayAsk() {
 		return nil
 	}
 	return f.take(id)
--- a/internal/process/requests.go
+++ b/internal/process/requests.go
@@ -18,17 +18,18 @@
 
 // Unusable implements forward.Control.
 func (s *Steerer) Unusable(p *dispatch.Place) forward.Unusable {
-	i, listed, evacuated, known := s.usable.of(p.Instance.Start())
+	now := s.now()
+	up := s.usable.of(p.Instance.Start(), now)
 	switch {
-	case !known:
+	case !up.known:
 		return forward.MaySend
-	case !listed:
+	case !up.listed:
 		return forward.UpstreamLeft
-	case evacuated:
+	case up.evacuated:
 		return forward.PlaceEvacuated
-	case s.usable.backsOff(p.Instance.Start(), s.now()):
+	case up.backsOff:
 		return forward.UpstreamBacksOff
-	case !p.MaySend(i.ColdUntil, s.now()):
+	case !p.MaySend(up.inst.ColdUntil, now):
 		return forward.UpstreamCold
 	}
 	return forward.MaySend
@@ -41,19 +42,19 @@
 
 // UpstreamLeaves implements forward.Control.
 func (s *Steerer) UpstreamLeaves(start string) {
-	i, listed, _, _ := s.usable.of(start)
-	if !listed {
+	up := s.usable.of(start, s.now())
+	if !up.listed {
 		return // it is known to leave, or to have ended
 	}
-	s.Step(dispatch.SaysLeaving{Instance: i})
+	s.Step(dispatch.SaysLeaving{Instance: up.inst})
 }
 
 // UpstreamBacksOff implements forward.Control.
 func (s *Steerer) UpstreamBacksOff(start string, d time.Duration) {
 	now := s.now()
 	s.usable.backOff(start, now.Add(d), now)
-	if i, listed, _, _ := s.usable.of(start); listed {
-		s.Step(dispatch.RetryAfter{Instance: i, For: d})
+	if up := s.usable.of(start, now); up.listed {
+		s.Step(dispatch.RetryAfter{Instance: up.inst, For: d})
 	}
 }
 
--- a/internal/process/usable.go
+++ b/internal/process/usable.go
@@ -50,14 +50,26 @@
 	u.evacuated = routing.EvacuatedPlaces(evacuated)
 }
 
-// of returns an instance as it is listed now. known says that any list was published.
-func (u *usable) of(start string) (i routing.Instance, listed, evacuated, known bool) {
+// standing is what requests know of one start.
+type standing struct {
+	inst      routing.Instance
+	known     bool // any list was published
+	listed    bool
+	evacuated bool // its place
+	backsOff  bool // it wants nothing of this router now
+}
+
+func (u *usable) of(start string, now time.Time) standing {
 	u.mu.RLock()
 	defer u.mu.RUnlock()
-	i, listed = u.starts[start]
-	return i, listed, u.evacuated[i.Place], u.starts != nil
+	i, listed := u.starts[start]
+	return standing{inst: i, known: u.starts != nil, listed: listed, evacuated: u.evacuated[i.Place], backsOff: now.Before(u.backoffs[start])}
 }
 
+// mayAsk reports whether a start may be asked anything: it neither leaves nor wants nothing
+// of this router for a while.
+func (s standing) mayAsk() bool { return (s.listed || !s.known) && !s.backsOff }
+
 // backOff keeps requests from a start until a time.
 func (u *usable) backOff(start string, until, now time.Time) {
 	u.mu.Lock()
@@ -70,17 +82,3 @@
 		u.backoffs[start] = until
 	}
 }
-
-// backsOff reports whether a start wants nothing of this router now.
-func (u *usable) backsOff(start string, now time.Time) bool {
-	u.mu.RLock()
-	defer u.mu.RUnlock()
-	return now.Before(u.backoffs[start])
-}
-
-// mayAsk reports whether a start may be asked anything: it neither leaves nor
-// wants nothing of this router for a while.
-func (u *usable) mayAsk(start string, now time.Time) bool {
-	_, listed, _, known := u.of(start)
-	return (listed || !known) && !u.backsOff(start, now)
-}
--- a/internal/process/usable_test.go
+++ b/internal/process/usable_test.go
@@ -35,3 +35,21 @@
 		assert.Equal(t, forward.UpstreamLeft, s.Unusable(p))
 	}
 }
+
+// A request that was placed before its upstream asked for backoff was sent there.
+func TestPlacementIsHeldBackByABackoff(t *testing.T) {
+	now := clock.System.Now()
+	s := &Steerer{controlLoop: newControlLoop(now)}
+	i := routing.Instance{ID: "a", Place: "p", Born: 7}
+	p := &dispatch.Place{Instance: i}
+	s.publishUsable([]routing.Instance{i}, nil)
+	s.usable.backOff(i.Start(), now.Add(time.Minute), now)
+	assert.Equal(t, forward.UpstreamBacksOff, s.Unusable(p))
+	s.usable.backOff(i.Start(), now.Add(time.Second), now)
+	assert.Equal(t, forward.UpstreamBacksOff, s.Unusable(p), "a shorter one does not end it")
+	assert.True(t, s.usable.of(i.Start(), now.Add(2*time.Second)).backsOff)
+	assert.False(t, s.usable.of(i.Start(), now.Add(2*time.Minute)).backsOff)
+	i.Born = 8
+	s.publishUsable([]routing.Instance{i}, nil)
+	assert.Equal(t, forward.MaySend, s.Unusable(&dispatch.Place{Instance: i}), "another start")
+}
--- a/internal/request/forward/failure.go
+++ b/internal/request/forward/failure.go
@@ -28,7 +28,7 @@
 		h.Set(v.s.names.RequestID, v.id)
 	}
 	if f.after > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(f.after.Seconds(), 'f', 3, 64))
+		h.Set(headerRetryAfter, strconv.FormatFloat(f.after.Seconds(), 'f', 3, 64))
 	}
 	body := f.reason + "\n"
 	h.Set("Content-Type", "text/plain; charset=utf-8")
--- a/internal/request/forward/look.go
+++ b/internal/request/forward/look.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -103,18 +102,13 @@
 	return health{reached: true, coldFor: l.names.coldFor(x.Response.Header)}
 }
 
-// coldFor reads how much longer an upstream is cold; a header that cannot be read says
-// nothing.
+// coldFor reads how much longer an upstream is cold.
 func (d *Dialect) coldFor(h http.Header) time.Duration {
-	ms, err := strconv.ParseFloat(h.Get(d.ColdFor), 64)
-	if err != nil || !(ms > 0) {
-		return 0
-	}
-	return time.Duration(min(ms, maxColdMS) * float64(time.Millisecond))
+	return timeOf(h.Get(d.ColdFor), time.Millisecond, mostCold)
 }
 
-// maxColdMS bounds how long an upstream may keep itself from its full load.
-const maxColdMS = 60_000
+// mostCold bounds how long an upstream may keep itself from its full load.
+const mostCold = time.Minute
 
 // lookFinds looks at the upstream of a placement that asks for it. It reports whether
 // the request is to go elsewhere, and tells the control state why.
--- a/internal/request/forward/notice.go
+++ b/internal/request/forward/notice.go
@@ -32,13 +32,18 @@
 	return n
 }
 
-// retryAfterOf reads a time in seconds; one that cannot be read says nothing.
 func retryAfterOf(h http.Header) time.Duration {
-	s, err := strconv.ParseFloat(h.Get(headerRetryAfter), 64)
-	if err != nil || !(s > 0) {
+	return timeOf(h.Get(headerRetryAfter), time.Second, mostBackoff)
+}
+
+// timeOf reads a time that an upstream states in a unit, up to a bound; one that cannot be
+// read says nothing.
+func timeOf(text string, unit, most time.Duration) time.Duration {
+	n, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(n > 0) {
 		return 0
 	}
-	return time.Duration(min(s, mostBackoff.Seconds()) * float64(time.Second))
+	return time.Duration(min(n*float64(unit), float64(most)))
 }
 
 // heard passes on the notice on an answer of an upstream's start.
--- a/internal/routing/restored_test.go
+++ b/internal/routing/restored_test.go
@@ -22,7 +22,7 @@
 	assert.Equal(t, uint64(3_000_000_000_042), at(t, 3, 42))
 	assert.Equal(t, uint64(3), EraOf(at(t, 3, 42)))
 	assert.Equal(t, uint64(42), CountOf(at(t, 3, 42)))
-	_, ok := RevisionIn(mostEras, 1)
+	_, ok := RevisionIn(MostEra+1, 1)
 	assert.False(t, ok)
 	_, ok = RevisionIn(1, revisionsPerEra)
 	assert.False(t, ok)
--- a/internal/routing/revision.go
+++ b/internal/routing/revision.go
@@ -8,13 +8,16 @@
 const (
 	// revisionsPerEra is a power of ten so that a revision in a log can be read.
 	revisionsPerEra = 1_000_000_000_000
-	mostEras        = 10_000_000
+
+	// MostRevision and MostEra are the largest that a store may state.
+	MostRevision = revisionsPerEra - 1
+	MostEra      = 10_000_000 - 1
 )
 
-// RevisionIn returns the revision of the store's own count in an era. It returns false for
-// numbers that no store reaches.
+// RevisionIn returns the revision of the store's own count in an era. It returns false where
+// one of them is too large.
 func RevisionIn(era, count uint64) (rev uint64, ok bool) {
-	return era*revisionsPerEra + count, era < mostEras && count < revisionsPerEra
+	return era*revisionsPerEra + count, era <= MostEra && count <= MostRevision
 }
 
 // EraOf returns the era of a revision.
