--- a/internal/core/wire/dispatch.go
+++ b/internal/core/wire/dispatch.go
@@ -24,6 +24,8 @@
 	ColdSuspicions    []ColdSuspicion    `cbor:"19,keyasint,omitempty"` // of the sender, sent with heartbeats
 	Backoffs          []Backoff          `cbor:"20,keyasint,omitempty"` // upstreams that refuse requests of the sender: none of PlacementRequests may go there
 	Table             uint64             `cbor:"21,keyasint,omitempty"` // number of the sender's routing table
+	Queued            []QueuedRequest    `cbor:"24,keyasint,omitempty"` // requests of the receiver that wait at the sender for a slot
+	Rejected          []uint64           `cbor:"25,keyasint,omitempty"` // numbers of requests among ProgressNotes that failed because the upstream rejected them as not run
 	Overloaded        bool               `cbor:"16,keyasint,omitempty"` // the sender is short of CPU: times that it reports include its own delay
 }
 
@@ -168,6 +170,15 @@
 	CheckHealth   bool   // check the upstream's health before sending: it has not answered anything recently
 }
 
+// QueuedRequest says that a request waits at the sender for a free slot of a plain service. The
+// placement reply follows; the receiver asks again only after WaitMS.
+type QueuedRequest struct {
+	_      struct{} `cbor:",toarray"`
+	No     uint64
+	Try    uint32
+	WaitMS uint32
+}
+
 // ProgressNote notifies the scheduler of the progress of a placed request.
 type ProgressNote struct {
 	_       struct{} `cbor:",toarray"`
@@ -183,10 +194,13 @@
 	ProgressFailed                      // ended by a failure of the upstream
 	ProgressUnused                      // the upstream did not run it, or it was never sent
 	ProgressRefused                     // ended because the upstream refused the connection
+	ProgressRejected                    // within a router only: the upstream stated that it did not run the request; sent as ProgressFailed, with the number in Dispatch.Rejected
 )
 
 // IsFailure reports whether an event is a failure of the upstream.
-func IsFailure(event uint8) bool { return event == ProgressFailed || event == ProgressRefused }
+func IsFailure(event uint8) bool {
+	return event == ProgressFailed || event == ProgressRefused || event == ProgressRejected
+}
 
 // UpstreamLoad is the sender's own use of one upstream.
 type UpstreamLoad struct {
--- a/internal/core/wire/wire_test.go
+++ b/internal/core/wire/wire_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -32,6 +33,32 @@
 	assert.Equal(t, fullDatagram(), back)
 }
 
+// slotDatagram has the fields about plain services with slots.
+func slotDatagram() *Datagram {
+	return &Datagram{Dispatch: &Dispatch{
+		Queued:        []QueuedRequest{{No: 7, Try: 2, WaitMS: 120}, {No: 1 << 40, Try: 1}},
+		Rejected:      []uint64{9},
+		ProgressNotes: []ProgressNote{{No: 9, Event: ProgressFailed}},
+	}}
+}
+
+// Guards against receivers of the previous release that fail on the fields, and against fields
+// that are not read back.
+func TestSlotFieldsAreReadAndIgnoredByOlderReceivers(t *testing.T) {
+	raw, err := Encode(slotDatagram())
+	require.NoError(t, err)
+	back, err := Decode(raw)
+	require.NoError(t, err)
+	assert.Equal(t, slotDatagram(), back)
+	part, err := cbor.Marshal(slotDatagram().Dispatch)
+	require.NoError(t, err)
+	var older struct {
+		ProgressNotes []ProgressNote `cbor:"5,keyasint,omitempty"`
+	}
+	require.NoError(t, decoder.Unmarshal(part, &older))
+	assert.Equal(t, slotDatagram().Dispatch.ProgressNotes, older.ProgressNotes)
+}
+
 func TestDecodeRejectsInvalidDatagrams(t *testing.T) {
 	for name, raw := range map[string][]byte{
 		"nothing":   {},
@@ -54,6 +81,9 @@
 	raw, err := Encode(fullDatagram())
 	require.NoError(f, err)
 	f.Add(raw)
+	raw, err = Encode(slotDatagram())
+	require.NoError(f, err)
+	f.Add(raw)
 	f.Add([]byte{0xa0})
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		d, err := Decode(raw)
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -51,6 +51,7 @@
 	limitMS    float64 // of a refusal: the longest wait allowed
 	ownMS      float64 // of a refusal: expected time to the first event beyond the wait
 	usedShare  uint32  // percentage of its share that the organisation has used
+	queued     bool    // neither placed nor refused: it waits for a slot
 }
 
 // decide places a request or refuses it.
@@ -63,6 +64,9 @@
 	usedPercent := usedSharePercent(usedShare)
 	best := p.choose(from, a, now)
 	if best == nil {
+		if d, ok := p.awaitSlot(from, a, now); ok {
+			return d
+		}
 		reason := p.noUpstreamReason(a, now)
 		return decision{retryAfter: p.noUpstreamRetryAfter(a, reason, now), reason: reason, usedShare: usedPercent}
 	}
@@ -150,6 +154,7 @@
 	}
 	p.forget(r.key, false, now)
 	c.up.placeRun(r, now)
+	p.takeSlot(r, now)
 	p.recordColdPlacement(c.up, now)
 	if p.overloaded[from] {
 		r.entry.MarkSuspect()
--- a/internal/dispatch/inflight.go
+++ b/internal/dispatch/inflight.go
@@ -23,6 +23,8 @@
 	requestedAt   time.Time
 	lastRequestAt time.Time // when the placement request was last sent
 	orphan        bool      // the router that placed it has ended and has lost all knowledge of it
+	queued        bool      // its scheduler, or this router, keeps it waiting for a slot
+	waitUntil     time.Time // until then the scheduler is not asked again
 	reported      bool      // it was placed here, and the scheduler has been informed
 }
 
@@ -43,7 +45,7 @@
 func (n *Node) findPlacement(f *inflightRequest, now time.Time) {
 	p := n.pools[f.service]
 	f.try++
-	f.upstreamID = 0
+	f.upstreamID, f.queued = 0, false
 	if p == nil {
 		n.refuse(f, decision{reason: ReasonNoUpstream, retryAfter: maxRetryAfter}, n.settings.ID)
 		return
@@ -117,8 +119,14 @@
 	a.Backoffs = p.backoffs.list(now)
 	p.withoutScheduler = !n.KnowsFleet(now) || n.schedulerOf(p.id, now) != n.settings.ID
 	n.prepareColdDecision(p, now)
+	n.prepareSlots(p, now)
 	v := p.decide(n.settings.ID, &a, now)
+	n.settleQueue(p, now)
 	p.withoutScheduler = false
+	if v.queued {
+		f.queued, f.scheduler = true, n.settings.ID
+		return
+	}
 	f.reported = n.countLocalDecision(p, &a, v.choice != nil, now)
 	if v.choice == nil {
 		n.refuse(f, v, n.settings.ID)
@@ -177,6 +185,7 @@
 func (n *Node) tickPlacementRequests(now time.Time) {
 	for _, f := range n.unplacedRequests() {
 		switch {
+		case n.waitsForSlot(f, now):
 		case now.Sub(f.requestedAt) >= n.replyTimeout(f):
 			n.decideWithoutScheduler(f, now)
 		case n.overloadState.announced:
@@ -197,6 +206,7 @@
 	if m := n.members.Get(f.scheduler); n.maySuspectScheduler(now) && (m == nil || m.Received.Before(f.requestedAt)) {
 		n.suspectScheduler(f.scheduler, now)
 	}
+	n.leaveQueue(f)
 	p := n.pools[f.service]
 	if p == nil {
 		n.refuse(f, decision{reason: ReasonNoUpstream, retryAfter: maxRetryAfter}, n.settings.ID)
@@ -268,6 +278,7 @@
 		return
 	}
 	f.firstEvent = true
+	n.observeOwnAnswer(f, in.After, now)
 	n.sendNote(f, wire.ProgressNote{No: f.req.ID, Event: wire.ProgressFirstEvent, FirstMS: uint32(in.After.Milliseconds())}, now)
 	if f.scheduler == n.settings.ID {
 		n.recordReadParts(f.upstreamID, f.req.Parts)
@@ -282,7 +293,9 @@
 	delete(n.inflight, in.ID)
 	if f.upstreamID != 0 {
 		n.sendNote(f, wire.ProgressNote{No: f.req.ID, Event: in.Event}, now)
+		return
 	}
+	n.leaveQueue(f)
 }
 
 // revertLocalGrant takes back what was counted here for a placement that was not used, and
@@ -297,6 +310,7 @@
 
 // sendNote reports progress of a run to the router that placed it.
 func (n *Node) sendNote(f *inflightRequest, note wire.ProgressNote, now time.Time) {
+	n.noteRejection(f, &note, now)
 	if !f.firstEvent && (note.Event == wire.ProgressUnused || wire.IsFailure(note.Event)) {
 		n.revertLocalGrant(f, now)
 	}
@@ -304,6 +318,7 @@
 	if f.scheduler == n.settings.ID {
 		if p := n.pools[f.service]; p != nil {
 			p.note(n.settings.ID, note, now)
+			n.placeWaiting(p, now)
 		}
 		return
 	}
@@ -317,6 +332,8 @@
 func (n *Node) attachNotes(id wire.NodeID, w *wire.Dispatch) {
 	w.ProgressNotes = append(w.ProgressNotes, n.notes[id]...)
 	delete(n.notes, id)
+	w.Rejected = append(w.Rejected, n.rejections[id]...)
+	delete(n.rejections, id)
 }
 
 func (n *Node) flushNotes() {
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -90,6 +90,8 @@
 	Scheduler bool // each router decides locally
 	ConnReuse bool // upstreams with an idle connection are not preferred
 	Learning  bool // the prior model of the engines' times stays in force
+	// PlainSlots places requests for plain services without regard to slots.
+	PlainSlots bool
 }
 
 // Node is one router's dispatch state. It is owned by one goroutine.
@@ -119,6 +121,7 @@
 
 	notes      map[wire.NodeID][]wire.ProgressNote
 	notesDue   time.Time
+	rejections map[wire.NodeID][]uint64 // requests that upstreams rejected, by the router to notify
 	heartbeats heartbeats
 	demandSums fleetDemands
 	startedAt  time.Time
@@ -151,7 +154,7 @@
 
 // Counts are totals since the start. They are encoded as JSON under these names.
 type Counts struct {
-	Placed, Refused, Asked, AskedAgain, OwnDecision, OwnPlaced, AnswersLate, Woke, Ended, PlacedCold uint64
+	Placed, Refused, Asked, AskedAgain, OwnDecision, OwnPlaced, AnswersLate, Woke, Ended, PlacedCold, Rejected uint64
 }
 
 // New returns a node that knows no other router yet.
@@ -170,6 +173,7 @@
 		newerContent:     map[wire.NodeID]newerContent{},
 		store:            newStoreReadings(),
 		notes:            map[wire.NodeID][]wire.ProgressNote{},
+		rejections:       map[wire.NodeID][]uint64{},
 		lastTick:         now,
 		rnd:              rnd,
 		unreportedUsage:  newLocalUsage(),
@@ -247,6 +251,7 @@
 	for _, s := range n.members.Tick(now) {
 		n.outbox.Add(s)
 	}
+	n.tickSlots(now)
 	n.tickPlacementRequests(now)
 	n.tickFetch(now)
 	n.tickLocalUsage(now)
@@ -334,6 +339,7 @@
 func (n *Node) forgetRouters(gone map[wire.NodeID]bool, now time.Time) {
 	for _, p := range n.pools {
 		p.dropRouters(gone, now)
+		p.releaseRouters(gone)
 	}
 	for _, f := range n.inflight {
 		f.orphan = f.orphan || gone[f.scheduler] && f.upstreamID != 0
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -44,6 +44,7 @@
 
 func (n *Node) handleDispatch(from wire.NodeID, w *wire.Dispatch, now time.Time) {
 	n.setOverloaded(from, w.Overloaded)
+	n.handleRejections(from, w.Rejected, now)
 	for _, note := range w.ProgressNotes {
 		n.handleNote(from, note, now)
 	}
@@ -56,6 +57,9 @@
 	}
 	n.handleRecordedUsage(w.RecordedUsage, now)
 	n.handleShareUpdates(w.ShareUpdates, now)
+	for _, q := range w.Queued {
+		n.handleQueued(from, q, now)
+	}
 	for _, a := range w.PlacementReplies {
 		n.handleReply(from, a, now)
 	}
@@ -89,8 +93,12 @@
 			n.unreportedUsage.add(serviceOrg{p.id, r.org}, 0, -r.cost)
 		}
 		p.note(from, note, now)
+		n.placeWaiting(p, now)
 		return
 	}
+	if note.Event == wire.ProgressUnused {
+		n.withdrawWaiting(from, note.No)
+	}
 }
 
 // decideFor decides a placement request of another router. reported says that this router is
@@ -108,7 +116,9 @@
 		return decision{reason: ReasonShare, retryAfter: minRetryAfter, usedShare: usedSharePercent(usedShare)}, true
 	}
 	n.prepareColdDecision(p, now)
+	n.prepareSlots(p, now)
 	v = p.decide(from, a, now)
+	n.settleQueue(p, now)
 	n.sendShareUpdate(from, p, a.Org, now)
 	return v, n.countLocalDecision(p, a, v.choice != nil, now)
 }
@@ -133,19 +143,36 @@
 		w.PlacementReplies = append(w.PlacementReplies, r.reply)
 		return
 	}
-	v, reported := n.decideFor(from, p, a, now)
-	if v.choice == nil {
-		w.PlacementReplies = append(w.PlacementReplies, wire.PlacementReply{No: a.No, Try: a.Try, RetryAfterMS: uint32(v.retryAfter.Milliseconds()), ReasonCode: uint8(v.reason),
-			WaitMS: uint32(v.bestWaitMS), WaitLimitMS: uint32(v.limitMS), PrefillMS: uint32(v.ownMS), SharePercent: v.usedShare})
+	if n.replyIfQueued(from, p, a, now) {
 		return
 	}
+	v, reported := n.decideFor(from, p, a, now)
+	switch {
+	case v.queued:
+		n.replyIfQueued(from, p, a, now)
+	case v.choice == nil:
+		n.replyRefused(from, a, v)
+	default:
+		n.replyPlaced(from, p, a, v, reported, now)
+	}
+}
+
+func (n *Node) replyRefused(to wire.NodeID, a *wire.PlacementRequest, v decision) {
+	w := n.work(to)
+	w.PlacementReplies = append(w.PlacementReplies, wire.PlacementReply{No: a.No, Try: a.Try, RetryAfterMS: uint32(v.retryAfter.Milliseconds()), ReasonCode: uint8(v.reason),
+		WaitMS: uint32(v.bestWaitMS), WaitLimitMS: uint32(v.limitMS), PrefillMS: uint32(v.ownMS), SharePercent: v.usedShare})
+}
+
+// replyPlaced replies with a placement, and keeps the reply for a repeated placement request.
+func (n *Node) replyPlaced(to wire.NodeID, p *pool, a *wire.PlacementRequest, v decision, reported bool, now time.Time) {
 	e := p.expectation(v.choice, now)
 	ans := wire.PlacementReply{No: a.No, Try: a.Try, Upstream: v.choice.up.id, PrefillTokens: uint32(e.work), WaitMS: uint32(e.waitMS), PrefillMS: uint32(e.ownMS), SharePercent: v.usedShare, Cold: e.cold, CheckHealth: e.needsHealthCheck}
 	if v.choice.source != nil {
 		ans.CacheSource = v.choice.source.id
 	}
-	r := p.runs[runKey{from, a.No}]
+	r := p.runs[runKey{to, a.No}]
 	r.try, r.reply, r.reported = a.Try, ans, reported
+	w := n.work(to)
 	w.PlacementReplies = append(w.PlacementReplies, ans)
 }
 
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -106,6 +106,9 @@
 	if c := p.chooseAmong(from, a, false, now); c != nil {
 		return c
 	}
+	if p.slots != nil && p.acceptsWhenFree(a, false, now) {
+		return nil // slots of upstreams that are not ejected will be free soon
+	}
 	return p.chooseAmong(from, a, true, now)
 }
 
@@ -113,7 +116,7 @@
 func (p *pool) chooseAmong(from wire.NodeID, a *wire.PlacementRequest, includeEjected bool, now time.Time) *choices {
 	upstreams := p.candidates(a, now)
 	best := p.bestOf(upstreams, from, a, includeEjected, now)
-	if best == nil && !p.isSmall() {
+	if best == nil && !p.isSmall() && !p.slotsExhausted() {
 		best = p.bestOf(p.furtherCandidates(a, includeEjected, now), from, a, includeEjected, now)
 	}
 	return best
@@ -146,7 +149,7 @@
 		return false
 	}
 	if p.engine == nil {
-		return true
+		return p.hasFreeSlot(u, now)
 	}
 	own := privateTokens(int(a.Input), int(a.Output), a.Parts)
 	usable := int(usableMemoryRatio * float64(p.engine.MemoryTokens))
@@ -256,6 +259,9 @@
 		u.fadeSlowness(now)
 		own := len(u.runs)
 		c := &choice{up: u, cost: (float64(own)*plainOwnRequestCostMS + float64(max(0, u.running()-own))*plainOtherRequestCostMS) * u.slowFactor}
+		if p.hasSlots(u) {
+			c.cost = p.slotCost(u, now)
+		}
 		if u.place != a.Place {
 			c.cost += plainCrossPlaceCostMS
 		}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -49,6 +49,7 @@
 	mayMissCold bool              // in the current decision: updates on cold upstreams may be missing
 	coldLimit   int               // in the current decision: requests per second at a cold upstream
 
+	slots    *slotPool // nil unless it is a plain service whose instances state slots
 	takeover takeoverState
 	backoffs backoffs // for this router
 }
@@ -100,6 +101,7 @@
 // put adds an instance or updates its entry.
 func (p *pool) put(inst routing.Instance) {
 	id := version.IDOf(inst.StartID())
+	p.enableSlots(inst.Slots)
 	if u := p.upstreams[id]; u != nil {
 		inst.Draining = inst.Draining || u.inst.Draining
 		u.inst = inst
@@ -184,6 +186,9 @@
 	p.markAnswered(r.up, now)
 	if p.engine == nil {
 		r.up.markRead(r, now)
+		if p.slotAnswer(r, gotMS, now) {
+			return
+		}
 		r.up.observeLatency(gotMS, p.baseline.learn(gotMS), now)
 		return
 	}
@@ -208,6 +213,7 @@
 	}
 	delete(p.runs, k)
 	r.up.endRun(r, prefilled, now)
+	p.freeSlot(r, prefilled, now)
 }
 
 // dropRouters drops all placements and stated loads of routers that are gone.
@@ -230,6 +236,9 @@
 // applyLoads replaces the load that a router states for the upstreams.
 func (p *pool) applyLoads(from wire.NodeID, loads []wire.UpstreamLoad, now time.Time) {
 	p.statementSeq++
+	if p.slots != nil {
+		p.slots.statedAt[from] = now
+	}
 	var stated []*upstream
 	for _, l := range loads {
 		u := p.upstreams[l.Upstream]
--- a/internal/dispatch/roundtrip.go
+++ b/internal/dispatch/roundtrip.go
@@ -67,7 +67,7 @@
 		n.replyRTT.observe(now.Sub(late.requestedAt))
 		return
 	}
-	if f != nil && f.upstreamID == 0 && f.try == try {
+	if f != nil && f.upstreamID == 0 && f.try == try && !f.queued {
 		n.replyRTT.observe(now.Sub(f.requestedAt))
 	}
 }
--- /dev/null
+++ b/internal/dispatch/slots/limit.go
@@ -0,0 +1,34 @@
+package slots
+
+import "time"
+
+// limitRecovery is the time after which a learned limit grows by one request. An upstream that
+// still has fewer slots then rejects one request in that time.
+const limitRecovery = 500 * time.Millisecond
+
+// Limit is the number of requests that an upstream is known to accept, where rejections have
+// shown it to be lower than the entry says. The zero value restricts nothing.
+type Limit struct {
+	accepted int // 0 without a recent rejection
+	at       time.Time
+}
+
+// Reject records a rejection while others requests were in flight at the upstream.
+func (l *Limit) Reject(others int, now time.Time) {
+	l.accepted = max(1, others)
+	l.at = now
+}
+
+// Allowed returns how many requests may be in flight at the upstream: at most a number, and no
+// more than recent rejections allow.
+func (l *Limit) Allowed(most int, now time.Time) int {
+	if l.accepted == 0 {
+		return most
+	}
+	allowed := l.accepted + int(max(0, now.Sub(l.at))/limitRecovery)
+	if allowed >= most {
+		l.accepted = 0
+		return most
+	}
+	return allowed
+}
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -16,6 +16,7 @@
 				until, why := u.coldUntil()
 				s.Cold = &ColdUpstream{ForMS: int(until.Sub(now).Milliseconds()), Why: why.String(), Allowed: n.coldLimit(p, now), Placed: len(u.cold.placed)}
 			}
+			s.Slots = p.slotState(u, now)
 			if u.cache != nil {
 				s.BacklogMS = int(u.backlog(p.learner.Model(), now))
 				s.KeptTokens = u.cache.used
@@ -64,6 +65,7 @@
 	BacklogMS  int           `json:"backlog_ms"`
 	KeptTokens int           `json:"kept_tokens"`
 	Slow       float64       `json:"slow"`
+	Slots      *SlotState    `json:"slots,omitempty"` // nil unless a plain upstream states slots
 }
 
 // ColdUpstream is the state of a cold upstream, and what this router places there.
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -42,6 +42,7 @@
 	ejection        ejection
 	conns           conns
 	cold            coldState
+	slots           upstreamSlots // of a plain upstream
 	// evacuated says that its place is evacuated.
 	evacuated bool
 
@@ -75,6 +76,7 @@
 	reported     bool                // another router is the scheduler, and gets a report of it
 	try          uint32              // number of the placement request that placed it
 	reply        wire.PlacementReply // to that placement request
+	slot         slotRun
 }
 
 func newUpstream(inst routing.Instance, engine *routing.Engine) *upstream {
--- a/internal/process/reportlog.go
+++ b/internal/process/reportlog.go
@@ -19,6 +19,10 @@
 		log.Info().Str("service", o.Service).Str("organisation", o.Org).Int("placed", o.Placed).Int("refused", o.Refused).
 			Int("placed_tokens", o.PlacedTokens).Int("turned_tokens", o.ShedTokens).
 			Uint32("share_percent", o.Share).Int("share_age_ms", o.ShareAgeMS).Int("let_in_percent", o.AdmittedPercent).Msg("decided-alone")
+	case dispatch.SlotReport:
+		log.Info().Str("service", o.Service).Int("waiting", o.Waiting).Int("in_flight", o.InFlight).Int("allowed", o.Allowed).Int("upstreams", o.Upstreams).Int("silent", o.Silent).
+			Float64("service_ms", o.ServiceMS).Float64("held_ms", o.HeldMS).Uint64("queued", o.Since.Queued).Uint64("waited_ms", o.Since.WaitedMS).
+			Uint64("refused", o.Since.Refused).Uint64("displaced", o.Since.Displaced).Uint64("expired", o.Since.Expired).Uint64("rejected", o.Since.Rejected).Msg("plain-slots")
 	case dispatch.UpstreamEnded:
 		log.Info().Str("upstream", o.Instance.ID).Str("address", o.Instance.Address).Str("by", o.By).Int("running", o.Running).Msg("upstream-ended")
 	case dispatch.QuarantineReport:
--- a/internal/process/routedcontroller.go
+++ b/internal/process/routedcontroller.go
@@ -74,6 +74,7 @@
 	Evacuated []routing.Evacuation     `json:"evacuated"`
 	Held      []quarantine.HeldRequest `json:"held"`
 	Counts    dispatch.Counts          `json:"counts"`
+	Slots     dispatch.SlotStatus      `json:"slots"`
 	Role      dispatch.Role            `json:"role"`
 }
 
@@ -226,7 +227,7 @@
 			rc.drainUpstream(o)
 		case dispatch.Probe:
 			go rc.probe(o.Instance)
-		case dispatch.ShareReport, dispatch.EngineReport, dispatch.LocalDecisionReport, dispatch.UpstreamEnded, dispatch.QuarantineReport:
+		case dispatch.ShareReport, dispatch.EngineReport, dispatch.LocalDecisionReport, dispatch.SlotReport, dispatch.UpstreamEnded, dispatch.QuarantineReport:
 			logReport(rc.log, o)
 		case dispatch.ColdChange:
 			logColdChange(rc.log, o)
@@ -306,6 +307,6 @@
 func (rc *RoutedController) statusAt(now time.Time) *Status {
 	return &Status{
 		Router: rc.id, Ready: rc.ready.Load(), Leaving: rc.leaving.Load(), Version: rc.tableVersion(), Revision: rc.view.Revision,
-		Running: len(rc.tickets), Routers: rc.node.Routers(), Upstreams: rc.node.Upstreams(now), Evacuated: rc.view.Evacuations(), Held: rc.node.Held(now), Counts: rc.node.Counts, Role: rc.node.Role(now),
+		Running: len(rc.tickets), Routers: rc.node.Routers(), Upstreams: rc.node.Upstreams(now), Evacuated: rc.view.Evacuations(), Held: rc.node.Held(now), Counts: rc.node.Counts, Slots: rc.node.SlotStatus(), Role: rc.node.Role(now),
 	}
 }
--- a/internal/process/routeddaemon.go
+++ b/internal/process/routeddaemon.go
@@ -234,6 +234,8 @@
 		"own_decisions": s.Counts.OwnDecision, "own_placed": s.Counts.OwnPlaced, "answers_late": s.Counts.AnswersLate, "pauses": s.Counts.Woke,
 		"table_version": s.Version, "store_revision": s.Revision, "routers": uint64(len(s.Routers)), "requests_held": uint64(len(s.Held)), "upstreams_ended": s.Counts.Ended,
 		"places_evacuated": uint64(len(s.Evacuated)), "upstreams_cold": uint64(s.coldUpstreams()), "placed_cold": s.Counts.PlacedCold,
+		"slots_waiting": uint64(s.Slots.Waiting), "slots_queued": s.Slots.Queued, "slots_waited_ms": s.Slots.WaitedMS, "slots_refused_wait": s.Slots.Refused, "slots_refused_displaced": s.Slots.Displaced,
+		"slots_refused_expired": s.Slots.Expired, "slots_rejected": s.Slots.Rejected, "rejected_by_upstreams": s.Counts.Rejected,
 	} {
 		lines[promName("dispatch."+name)] = fmt.Sprint(n)
 	}
--- a/internal/request/forward/answer.go
+++ b/internal/request/forward/answer.go
@@ -87,10 +87,14 @@
 		a.giveUp("no-answer-in-time", a.placement.Instance.ID, nil)
 		return stepDone
 	}
+	note := wire.ProgressRejected
+	if res.StatusCode == http.StatusMisdirectedRequest {
+		note = wire.ProgressFailed // it reached another upstream, or another start of this one
+	}
 	if a.attempts < a.route.MaxAttempts {
-		return a.retry(wire.ProgressFailed)
+		return a.retry(note)
 	}
-	a.s.ctrl.End(a.ticket, wire.ProgressFailed)
+	a.s.ctrl.End(a.ticket, note)
 	a.failAfterAttempt(a.placement, false, nil)
 	return stepDone
 }
