--- a/internal/dispatch/plainqueue.go
+++ b/internal/dispatch/plainqueue.go
@@ -45,7 +45,7 @@
 	s.routers = len(n.members.Live(true))
 	s.loadTTL = 2 * heartbeatPeriod(meshMaxRouters)
 	if n.isLarge() {
-		s.loadTTL = time.Duration(statedLoadServiceTimes * s.service.MS() * float64(time.Millisecond))
+		s.loadTTL = p.serviceTimes(statedLoadServiceTimes)
 	}
 }
 
@@ -278,7 +278,7 @@
 	if p.slots.queue.Len() == 0 {
 		return
 	}
-	service := time.Duration(p.slots.service.MS() * float64(time.Millisecond))
+	service := p.serviceTimes(1)
 	for _, it := range slices.Clone(p.slots.queue.Items()) {
 		if now.Add(service).Before(it.Deadline) {
 			continue
--- a/internal/dispatch/plainslots.go
+++ b/internal/dispatch/plainslots.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -35,6 +36,19 @@
 	// router of a large fleet states. Loads are stated every half second or less often there;
 	// most of the requests have ended long before the next statement.
 	statedLoadServiceTimes = 3
+	// lostServiceTimes is the number of service times after which a request without an end no
+	// longer counts at an upstream that answers others: its progress note was lost, or the
+	// request hangs, and without this it would count until its deadline. One request in a
+	// hundred takes five times the usual time, and slow phases last 2.5 times as long.
+	lostServiceTimes = 8
+	// probeServiceTimes is the number of service times after which a silent upstream gets
+	// another request although the last one has not ended: its progress note may be lost.
+	probeServiceTimes = 16
+	// slownessSampleWeight and maxSlownessSample give how an upstream's slowness follows its
+	// answers. Slow phases of 600 ms are seen within a few answers; a single answer that takes
+	// five times as long changes little.
+	slownessSampleWeight = 0.15
+	maxSlownessSample    = 4.0
 	// slotRateTTL is how long the rate at which slots become free is kept.
 	slotRateTTL = 50 * time.Millisecond
 	// answerMarginMS is the part of a target latency that passes on the network between the
@@ -132,11 +146,32 @@
 // inFlight returns the requests that count against slotLimit.
 func (p *pool) inFlight(u *upstream, now time.Time) int {
 	if p.slots.shared {
-		return len(u.runs) + p.statedInFlight(u, now)
+		return p.running(u, now) + p.statedInFlight(u, now)
 	}
-	return len(u.runs)
+	return p.running(u, now)
 }
 
+// running returns the requests placed here that are believed to hold a slot of an upstream.
+func (p *pool) running(u *upstream, now time.Time) int {
+	lostAfter := p.serviceTimes(lostServiceTimes * max(1, u.slowFactor))
+	n := 0
+	for _, r := range u.runs {
+		overtaken := u.slots.answeredAt.Sub(r.slot.at) > lostAfter/2
+		if !overtaken || now.Sub(r.slot.at) <= lostAfter {
+			n++
+		}
+	}
+	return n
+}
+
+// serviceTimes returns the duration of some service times.
+func (p *pool) serviceTimes(n float64) time.Duration {
+	return time.Duration(n * p.slots.service.MS() * float64(time.Millisecond))
+}
+
+// silenceTime is how long an upstream may leave its requests unanswered.
+func (p *pool) silenceTime() time.Duration { return max(minSilence, p.serviceTimes(silenceFactor)) }
+
 // statedInFlight returns the requests at an upstream that routers state beyond those placed
 // here.
 func (p *pool) statedInFlight(u *upstream, now time.Time) int {
@@ -158,7 +193,7 @@
 		return true
 	}
 	if p.isSilent(u, now) {
-		return u.slots.probe == nil || p.runs[u.slots.probe.key] != u.slots.probe
+		return u.slots.probe == nil || p.runs[u.slots.probe.key] != u.slots.probe || now.Sub(u.slots.probe.slot.at) > p.serviceTimes(probeServiceTimes)
 	}
 	return p.inFlight(u, now) < p.slotLimit(u, now)
 }
@@ -166,15 +201,12 @@
 // isSilent reports whether an upstream has answered nothing for so long that it gets only one
 // request at a time until it answers.
 func (p *pool) isSilent(u *upstream, now time.Time) bool {
-	if u.slots.silent || len(u.unread) == 0 {
-		return u.slots.silent
-	}
-	since := u.unread[0].slot.at
-	if u.slots.answeredAt.After(since) {
-		since = u.slots.answeredAt
+	if u.slots.silent {
+		return true
 	}
-	after := max(minSilence, time.Duration(silenceFactor*p.slots.service.MS()*float64(time.Millisecond)))
-	u.slots.silent = now.Sub(since) > after
+	// Unanswered requests that were sent before the last answer hang, or their notes were lost.
+	i := slices.IndexFunc(u.unread, func(r *run) bool { return r.slot.at.After(u.slots.answeredAt) })
+	u.slots.silent = i >= 0 && now.Sub(u.unread[i].slot.at) > p.silenceTime()
 	return u.slots.silent
 }
 
@@ -230,9 +262,16 @@
 func (p *pool) observeService(u *upstream, gotMS float64, foundFree bool, now time.Time) {
 	u.slots.answeredAt = now
 	u.slots.silent, u.slots.probe = false, nil
+	if u.ejection.active(now) {
+		// It was ejected for requests that took too long in a slow phase, and is not down. The
+		// next failure ejects it again, for longer.
+		u.ejection.until = now
+	}
 	if foundFree {
 		p.slots.service.Observe(gotMS)
-		u.observeLatency(gotMS, p.slots.service.MS(), now)
+		ratio := min(gotMS/max(p.slots.service.MS(), 1), maxSlownessSample)
+		u.slowFactor += slownessSampleWeight * (ratio - u.slowFactor)
+		u.slowSeenAt = now
 	}
 }
 
@@ -364,18 +403,14 @@
 		return d, true
 	}
 	s.queue.Push(it)
-	if s.queue.Len() > slots.MaxLen(rate, p.requestTargetMS(a)) {
-		last := s.queue.Last(order)
+	if last := s.queue.Displaced(order, slots.MaxLen(rate, p.requestTargetMS(a))); last != nil {
+		s.queue.Remove(last.Key)
 		if last == it {
-			s.queue.Remove(it.Key)
 			s.counts.Refused++
 			return d, true
 		}
-		if last != nil {
-			s.queue.Remove(last.Key)
-			s.counts.Displaced++
-			s.overtaken = append(s.overtaken, last)
-		}
+		s.counts.Displaced++
+		s.overtaken = append(s.overtaken, last)
 	}
 	s.counts.Queued++
 	d.queued = true
--- a/internal/dispatch/slots/queue.go
+++ b/internal/dispatch/slots/queue.go
@@ -88,15 +88,21 @@
 	Now       time.Time
 }
 
-// class is the first criterion of the order.
+// Classes of requests, the first criterion of the order.
+const (
+	classRepeated = iota
+	classInTime
+	classLate // can no longer be answered in time
+)
+
 func (o Order) class(it *Item) int {
 	switch {
 	case it.Repeated:
-		return 0
+		return classRepeated
 	case o.Late(it):
-		return 2
+		return classLate
 	}
-	return 1
+	return classInTime
 }
 
 // Late reports whether a request can no longer be answered in time.
@@ -151,15 +157,31 @@
 	return ahead
 }
 
-// Last returns the last request in the order that was not sent before, nil if there is none.
-func (q *Queue) Last(o Order) *Item {
-	var last position
+// Displaced returns the request that has to leave the queue because it is full, nil if it is not:
+// the last one in the order. Repeated requests do not leave. Requests that can no longer be in
+// time neither count nor leave unless the queue is longer than a fixed bound: their refusal would
+// be late too, and they run only while nothing else waits.
+func (q *Queue) Displaced(o Order, limit int) *Item {
+	var last, lastInTime position
+	inTime := 0
 	q.each(o, func(p position) {
-		if !p.item.Repeated && (last.item == nil || p.compare(last) > 0) {
+		if p.class != classLate {
+			inTime++
+		}
+		if p.class == classInTime && (lastInTime.item == nil || p.compare(lastInTime) > 0) {
+			lastInTime = p
+		}
+		if p.class != classRepeated && (last.item == nil || p.compare(last) > 0) {
 			last = p
 		}
 	})
-	return last.item
+	switch {
+	case len(q.items) > maxQueueLen:
+		return last.item
+	case inTime > limit:
+		return lastInTime.item
+	}
+	return nil
 }
 
 // First returns the first requests in the order, at most some number.
