--- a/internal/dispatch/plainfailure_test.go
+++ b/internal/dispatch/plainfailure_test.go
@@ -242,6 +242,20 @@
 	assert.Zero(t, q.Len())
 }
 
+// Guards against requests that wait until their deadlines for upstreams that are gone.
+func TestWaitingRequestIsRefusedWhenNoUpstreamIsLeft(t *testing.T) {
+	f := newSlotFleet(t, meshMaxRouters+2, 2)
+	id := f.plainAsker()
+	no := f.fillSlots(id)
+	for _, n := range f.nodes {
+		n.Step(Catalogue{Table: table(t, 390_000), Instances: instances(2)[:2], Revision: 7, AsOf: 11}, f.now)
+	}
+	f.run(3 * TickInterval)
+	refused, ok := f.got[id][no].(Refuse)
+	require.True(t, ok)
+	assert.Equal(t, ReasonNoUpstream, refused.Reason)
+}
+
 // Guards against requests of a dead router that wait, and take slots later.
 func TestRequestsOfADeadRouterLeaveTheQueue(t *testing.T) {
 	f := newSlotFleet(t, meshMaxRouters+2, 2)
--- a/internal/dispatch/plainqueue.go
+++ b/internal/dispatch/plainqueue.go
@@ -72,20 +72,23 @@
 
 // placeOneWaiting places the first waiting request that an upstream accepts now.
 func (n *Node) placeOneWaiting(p *pool, now time.Time) bool {
-	for _, it := range p.slots.queue.First(p.slotOrder(now), maxPlacementTries) {
-		a := ageRequest(it.Request, now.Sub(it.Since))
-		best := p.choose(it.Key.Node, a, now)
-		if best == nil {
+	for limit := 1; ; limit = maxPlacementTries {
+		list := p.slots.queue.First(p.slotOrder(now), limit)
+		for _, it := range list {
+			a := ageRequest(it.Request, now.Sub(it.Since))
+			if best := p.choose(it.Key.Node, a, now); best != nil {
+				p.slots.queue.Remove(it.Key)
+				n.placeItem(p, it, a, &best.cheapest, now)
+				return true
+			}
 			if len(a.Avoid)+len(a.Regions)+len(a.Backoffs) == 0 {
 				return false // it may run anywhere: no slot is free for the others either
 			}
-			continue
 		}
-		p.slots.queue.Remove(it.Key)
-		n.placeItem(p, it, a, &best.cheapest, now)
-		return true
+		if limit == maxPlacementTries || len(list) < limit {
+			return false
+		}
 	}
-	return false
 }
 
 // placeItem places a request that has waited. It is removed from the queue already.
@@ -121,6 +124,10 @@
 func (n *Node) refuseItem(p *pool, it *slots.Item, now time.Time) {
 	waitMS := p.slotWaitMS(it, now)
 	v := decision{reason: ReasonCapacity, bestWaitMS: min(waitMS, float64(it.Request.DeadlineMS)), ownMS: p.slots.service.MS(), retryAfter: spreadRetryAfter(waitMS, it.Key.Node, it.Key.No)}
+	if !p.acceptsWhenFree(it.Request, true, now) {
+		v.reason = p.noUpstreamReason(it.Request, now)
+		v.retryAfter = p.noUpstreamRetryAfter(it.Request, v.reason, now)
+	}
 	if it.Key.Node != n.settings.ID {
 		n.replyRefused(it.Key.Node, it.Request, v)
 		return
@@ -273,14 +280,15 @@
 	}
 }
 
-// expireWaiting refuses waiting requests that can no longer be answered by their deadlines.
+// expireWaiting refuses waiting requests that can no longer be answered by their deadlines, or for
+// which no upstream is left.
 func (n *Node) expireWaiting(p *pool, now time.Time) {
 	if p.slots.queue.Len() == 0 {
 		return
 	}
 	service := p.serviceTimes(1)
 	for _, it := range slices.Clone(p.slots.queue.Items()) {
-		if now.Add(service).Before(it.Deadline) {
+		if now.Add(service).Before(it.Deadline) && p.acceptsWhenFree(it.Request, true, now) {
 			continue
 		}
 		p.slots.queue.Remove(it.Key)
--- a/internal/dispatch/plainslots.go
+++ b/internal/dispatch/plainslots.go
@@ -41,6 +41,9 @@
 	// request hangs, and without this it would count until its deadline. One request in a
 	// hundred takes five times the usual time, and slow phases last 2.5 times as long.
 	lostServiceTimes = 8
+	// lostCheckInterval is how long the number of such requests at an upstream is kept, so that a
+	// decision does not look at every request in flight.
+	lostCheckInterval = 10 * time.Millisecond
 	// probeServiceTimes is the number of service times after which a silent upstream gets
 	// another request although the last one has not ended: its progress note may be lost.
 	probeServiceTimes = 16
@@ -85,7 +88,7 @@
 	WaitedMS  uint64 `json:"waited_ms"` // by requests that were placed after a wait
 	Refused   uint64 `json:"refused"`   // at once, because of the expected wait
 	Displaced uint64 `json:"displaced"` // from a full queue, by requests that precede them
-	Expired   uint64 `json:"expired"`   // while they waited: their deadlines could no longer be met
+	Expired   uint64 `json:"expired"`   // while they waited: their deadlines could no longer be met, or no upstream was left
 	Rejected  uint64 `json:"rejected"`  // not run by upstreams, at this router's placements
 }
 
@@ -93,6 +96,8 @@
 type upstreamSlots struct {
 	limit      slots.Limit
 	answeredAt time.Time
+	lost       int // runs without an end that no longer count, as of lostAt
+	lostAt     time.Time
 	silent     bool // it has answered nothing for long, and gets one request at a time
 	probe      *run // that request
 }
@@ -127,7 +132,7 @@
 		return 0
 	}
 	unknownMS := max(0, s.held.MS()-s.service.MS())
-	return min(max(1, int(math.Ceil(float64(u.inst.Slots)*unknownMS/s.service.MS()))), maxSlotCover)
+	return min(max(1, int(math.Ceil(float64(u.inst.Slots)*unknownMS/(s.service.MS()*u.slowFactor)))), maxSlotCover)
 }
 
 // slotLimit returns how many requests may be in flight at an upstream, or for a router that
@@ -153,11 +158,19 @@
 
 // running returns the requests placed here that are believed to hold a slot of an upstream.
 func (p *pool) running(u *upstream, now time.Time) int {
+	if now.Sub(u.slots.lostAt) >= lostCheckInterval {
+		u.slots.lost, u.slots.lostAt = p.countLost(u, now), now
+	}
+	return max(0, len(u.runs)-u.slots.lost)
+}
+
+// countLost returns the runs at an upstream that have taken so long, while the upstream answered
+// later ones, that they are believed to have ended.
+func (p *pool) countLost(u *upstream, now time.Time) int {
 	lostAfter := p.serviceTimes(lostServiceTimes * max(1, u.slowFactor))
 	n := 0
 	for _, r := range u.runs {
-		overtaken := u.slots.answeredAt.Sub(r.slot.at) > lostAfter/2
-		if !overtaken || now.Sub(r.slot.at) <= lostAfter {
+		if now.Sub(r.slot.at) > lostAfter && u.slots.answeredAt.Sub(r.slot.at) > lostAfter/2 {
 			n++
 		}
 	}
@@ -214,8 +227,8 @@
 // service time more when all slots are in use, so that upstreams of equal speed fill evenly.
 func (p *pool) slotCost(u *upstream, now time.Time) float64 {
 	expected := p.slots.service.MS() * u.slowFactor
-	used := float64(p.inFlight(u, now)) / float64(u.inst.Slots)
-	behind := float64(p.inFlight(u, now)+1) / float64(u.inst.Slots)
+	inFlight := float64(p.inFlight(u, now))
+	used, behind := inFlight/float64(u.inst.Slots), (inFlight+1)/float64(u.inst.Slots)
 	cost := expected*max(1, behind) + expected*used/2
 	if u.slots.silent {
 		cost += silenceFactor * p.slots.service.MS()
--- a/internal/dispatch/plainslots_test.go
+++ b/internal/dispatch/plainslots_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 )
@@ -66,6 +67,27 @@
 	}
 }
 
+// Guards against an organisation under an even share that is refused, or served late, because
+// several others flood.
+func TestFloodsDoNotTakeSlotsOfOtherOrganisations(t *testing.T) {
+	for name, l := range map[string]plainLoad{"A": loadA(), "B": loadB()} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l.flood, l.floods, l.length = 14, 3, 6*time.Second
+			r := playPlain(t, l)
+			t.Log(r)
+			assert.Less(t, r.refusedOf(l.floods, emulatedOrgs), 0.05)
+			assert.Greater(t, r.refusedOf(0, l.floods), 10*r.refusedOf(l.floods, emulatedOrgs))
+			arrived, inTime := 0, 0
+			for _, o := range r.byOrg[l.floods:] {
+				arrived += o.arrived
+				inTime += o.inTime
+			}
+			assert.Greater(t, float64(inTime), 0.85*float64(arrived))
+		})
+	}
+}
+
 // Guards against any change for services whose instances state no slots.
 func TestPlainServiceWithoutStatedSlotsIsPlacedAsBefore(t *testing.T) {
 	l := loadB()
--- a/internal/dispatch/slots/queue.go
+++ b/internal/dispatch/slots/queue.go
@@ -40,7 +40,9 @@
 type Queue struct {
 	items []*Item // by priority, deadline and key: the order within an organisation
 	keys  map[Key]*Item
-	ranks map[version.ID]int // scratch space of one pass over the items
+
+	ranks   map[version.ID]int // scratch space of one pass over the items
+	scratch []position
 }
 
 // Len returns the number of waiting requests.
@@ -186,8 +188,9 @@
 
 // First returns the first requests in the order, at most some number.
 func (q *Queue) First(o Order, limit int) []*Item {
-	var all []position
+	all := q.scratch[:0]
 	q.each(o, func(p position) { all = append(all, p) })
+	q.scratch = all
 	if limit < len(all) {
 		// A partial selection: a pass over the items for each one is cheaper than sorting while
 		// the number is small.
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -308,3 +308,20 @@
 	assert.Equal(t, 503, res.StatusCode, "nothing was sent, so the request has not run")
 	assert.Empty(t, gotA())
 }
+
+// Guards against a rejection that the control state takes for a failure: an upstream that rejects
+// requests as not run has no free slot.
+func TestRejectionIsReportedAsSuch(t *testing.T) {
+	up, _ := scriptedUpstream(t, notRunAnswer)
+	misdirected, _ := scriptedUpstream(t, "HTTP/1.1 421 Misdirected Request\r\nX-Id: %ID\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	for _, c := range []struct {
+		address string
+		note    uint8
+	}{{up, wire.ProgressRejected}, {misdirected, wire.ProgressFailed}} {
+		r := newHarness(t, c.address)
+		res, _, err := r.do(t, "POST", "/once/x", "text")
+		require.NoError(t, err)
+		assert.Equal(t, 503, res.StatusCode)
+		assert.Contains(t, r.control.recordedNotes(), c.note)
+	}
+}
