--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -6,8 +6,9 @@
 // One router at a time is the scheduler of a service's engines. It is found by rendezvous
 // hashing over the live routers. All other routers send it placement requests, and keep
 // their own copies of its model up to date from its messages; a router that gets no reply
-// in time decides locally. Requests for plain services are placed at once by the router
-// that received them.
+// in time decides locally. In a small fleet, requests for plain services are placed by the
+// router that received them. Where plain upstreams state their slots, requests wait in a queue
+// for free ones (plainslots.go, plainqueue.go).
 //
 // An engine reads a prompt when it prefills it; a prompt is unread until its first event.
 package dispatch
--- a/internal/dispatch/plainqueue.go
+++ b/internal/dispatch/plainqueue.go
@@ -17,6 +17,9 @@
 	// has died is noticed long before the membership reports it.
 	queuedWaitFactor = 2
 	queuedWaitSlack  = 50 * time.Millisecond
+	// maxToldDoublings bounds how often the told wait doubles for a request that waits on. One
+	// that was overtaken until it is late may wait for seconds.
+	maxToldDoublings = 4
 	// maxPlacementTries bounds the waiting requests that are tried in one pass. Only requests
 	// that may not run at the upstreams with free slots are tried in vain.
 	maxPlacementTries = 16
@@ -140,7 +143,8 @@
 // replyQueued tells a router that its request waits.
 func (n *Node) replyQueued(to wire.NodeID, p *pool, it *slots.Item, now time.Time) {
 	waitMS := p.slotWaitMS(it, now)
-	told := queuedWaitFactor*min(waitMS, 1e6) + float64(queuedWaitSlack.Milliseconds())
+	told := (queuedWaitFactor*min(waitMS, 1e6) + float64(queuedWaitSlack.Milliseconds())) * float64(int(1)<<min(it.Told, maxToldDoublings))
+	it.Told++
 	left := max(0, it.Deadline.Sub(now).Milliseconds())
 	w := n.work(to)
 	w.Queued = append(w.Queued, wire.QueuedRequest{No: it.Key.No, Try: it.Request.Try, WaitMS: uint32(min(told, float64(left)))})
--- a/internal/dispatch/plainslots.go
+++ b/internal/dispatch/plainslots.go
@@ -241,7 +241,10 @@
 	if p.slots == nil {
 		return
 	}
-	r.slot = slotRun{at: now, foundFree: p.inFlight(r.up, now) <= r.up.inst.Slots, chargedMS: p.slots.service.MS() * r.up.slowFactor}
+	// While all slots are in use, each request is one of those beyond the slots, and finds a slot
+	// free or nearly so when it arrives.
+	foundFree := p.running(r.up, now)+p.statedInFlight(r.up, now) <= r.up.inst.Slots+p.cover(r.up)
+	r.slot = slotRun{at: now, foundFree: foundFree, chargedMS: p.slots.service.MS() * r.up.slowFactor}
 	p.slots.usage.Add(r.org, r.slot.chargedMS, now)
 	if r.up.slots.silent {
 		r.up.slots.probe = r
--- a/internal/dispatch/slots/queue.go
+++ b/internal/dispatch/slots/queue.go
@@ -28,6 +28,7 @@
 	Deadline time.Time
 	Since    time.Time // when it began to wait
 	Request  *wire.PlacementRequest
+	Told     int // how often its router was told that it waits
 }
 
 // Queue holds the requests that wait for a slot. Its order is: repeated requests; requests that
