--- a/internal/dispatch/plainfailure_test.go
+++ b/internal/dispatch/plainfailure_test.go
@@ -130,6 +130,11 @@
 	}
 	s.run()
 	assert.Positive(t, sent)
+	logged := false
+	for _, e := range s.logged {
+		logged = logged || e.Name == "upstream-silent" && e.Detail == "c0"
+	}
+	assert.True(t, logged)
 	// Until it is taken for silent, as many as are allowed; after that one a second.
 	assert.LessOrEqual(t, sent, 8+7+4)
 }
@@ -358,6 +363,23 @@
 	assert.InDelta(t, 200, p.slots.service.MS(), 5)
 }
 
+// Guards against upstreams of a service that takes seconds, and of which no answer is known yet,
+// that are taken for silent.
+func TestUnknownServiceTimeIsNoSilence(t *testing.T) {
+	f := newSlotFleet(t, meshMaxRouters+2, 6)
+	id := f.plainAsker()
+	f.arrive(id, 1, counter, "a", 0)
+	f.arrive(id, 2, counter, "a", 0)
+	f.run(2 * time.Second)
+	for no := uint64(3); no < 8; no++ {
+		f.arrive(id, no, counter, "a", 0)
+		f.placed(id, no)
+	}
+	for _, u := range f.nodes[f.plainScheduler()].pools[serviceID(counter)].order {
+		assert.False(t, u.slots.silent)
+	}
+}
+
 // Guards against requests that are kept waiting although they cannot be in time, and against a
 // Retry-After that is not the expected wait.
 func TestRequestIsRefusedAtOnceForTheExpectedWait(t *testing.T) {
@@ -406,6 +428,7 @@
 		if u.inst.ID == up {
 			assert.Less(t, p.slotLimit(u, f.now), 6)
 			assert.Equal(t, len(u.runs), p.slotLimit(u, f.now))
+			assert.Contains(t, f.events, Event{Name: "upstream-slots-lowered", Router: id, Detail: up, Value: uint64(len(u.runs))})
 		} else {
 			assert.Equal(t, 7, p.slotLimit(u, f.now))
 		}
--- a/internal/dispatch/plainqueue.go
+++ b/internal/dispatch/plainqueue.go
@@ -256,7 +256,7 @@
 	}
 	n.Counts.Rejected++
 	if f.scheduler == n.settings.ID {
-		p.recordRejection(runKey{n.settings.ID, f.req.ID}, now)
+		n.handleRejection(p, runKey{n.settings.ID, f.req.ID}, now)
 		return
 	}
 	n.rejections[f.scheduler] = append(n.rejections[f.scheduler], f.req.ID)
@@ -266,11 +266,32 @@
 func (n *Node) handleRejections(from wire.NodeID, numbers []uint64, now time.Time) {
 	for _, no := range numbers {
 		for _, p := range n.pools {
-			p.recordRejection(runKey{from, no}, now)
+			n.handleRejection(p, runKey{from, no}, now)
 		}
 	}
 }
 
+func (n *Node) handleRejection(p *pool, k runKey, now time.Time) {
+	if u := p.recordRejection(k, now); u != nil {
+		n.event(Event{Name: "upstream-slots-lowered", Router: k.node, Detail: u.inst.ID, Value: uint64(p.slotLimit(u, now))})
+	}
+}
+
+// logSilence logs upstreams that have become silent, or answer again.
+func (n *Node) logSilence(p *pool) {
+	for _, u := range p.order {
+		if u.slots.silent == u.slots.logged {
+			continue
+		}
+		u.slots.logged = u.slots.silent
+		name := "upstream-answers-again"
+		if u.slots.silent {
+			name = "upstream-silent"
+		}
+		n.event(Event{Name: name, Detail: u.inst.ID})
+	}
+}
+
 // tickSlots places and expires waiting requests. Most placements follow a progress note; a tick
 // covers slots that become free otherwise.
 func (n *Node) tickSlots(now time.Time) {
@@ -309,6 +330,7 @@
 		return
 	}
 	s.reportDue = now.Add(slotReportPeriod)
+	n.logSilence(p)
 	since := s.counts.minus(s.reported)
 	if since == (SlotCounts{}) && s.queue.Len() == 0 {
 		return
--- a/internal/dispatch/plainslots.go
+++ b/internal/dispatch/plainslots.go
@@ -25,7 +25,7 @@
 	// request behind the slots, slots would be idle for that time.
 	maxSlotCover = 2
 	// minServiceSamples is the number of answers from which on requests are refused because of
-	// the wait.
+	// the wait, and upstreams are taken for silent. A service may take seconds.
 	minServiceSamples = 8
 	// silenceFactor is the number of service times after which an upstream that answers none
 	// of its requests is silent: one request in a hundred takes five times the usual time.
@@ -52,11 +52,14 @@
 	// five times as long changes little.
 	slownessSampleWeight = 0.15
 	maxSlownessSample    = 4.0
+	minSlotSlowness      = 0.3
 	// slotRateTTL is how long the rate at which slots become free is kept.
 	slotRateTTL = 50 * time.Millisecond
 	// answerMarginMS is the part of a target latency that passes on the network between the
 	// caller, its router and the scheduler.
 	answerMarginMS = 10.0
+	// maxSlotRetryAfterMS bounds the Retry-After time of a request that is refused for its wait.
+	maxSlotRetryAfterMS = 5000.0
 	// maxChargedServiceTimes bounds the slot time that one request is charged. The end of a
 	// request whose progress note was lost is known only by its deadline.
 	maxChargedServiceTimes = 8
@@ -100,6 +103,7 @@
 	lostAt     time.Time
 	silent     bool // it has answered nothing for long, and gets one request at a time
 	probe      *run // that request
+	logged     bool // that it is silent
 }
 
 // slotRun is the slot state of one run. Its zero value is a run without a slot.
@@ -214,8 +218,8 @@
 // isSilent reports whether an upstream has answered nothing for so long that it gets only one
 // request at a time until it answers.
 func (p *pool) isSilent(u *upstream, now time.Time) bool {
-	if u.slots.silent {
-		return true
+	if u.slots.silent || p.slots.service.Samples() < minServiceSamples {
+		return u.slots.silent
 	}
 	// Unanswered requests that were sent before the last answer hang, or their notes were lost.
 	i := slices.IndexFunc(u.unread, func(r *run) bool { return r.slot.at.After(u.slots.answeredAt) })
@@ -286,7 +290,7 @@
 	if foundFree {
 		p.slots.service.Observe(gotMS)
 		ratio := min(gotMS/max(p.slots.service.MS(), 1), maxSlownessSample)
-		u.slowFactor += slownessSampleWeight * (ratio - u.slowFactor)
+		u.slowFactor = max(minSlotSlowness, u.slowFactor+slownessSampleWeight*(ratio-u.slowFactor))
 		u.slowSeenAt = now
 	}
 }
@@ -303,16 +307,23 @@
 	}
 }
 
-// recordRejection records that an upstream has rejected a run as not run.
-func (p *pool) recordRejection(k runKey, now time.Time) {
+// recordRejection records that an upstream has rejected a run as not run. It returns the
+// upstream if it is sent less from now on, else nil.
+func (p *pool) recordRejection(k runKey, now time.Time) *upstream {
 	r := p.runs[k]
 	if r == nil || p.slots == nil {
-		return
+		return nil
 	}
+	u := r.up
 	p.slots.counts.Rejected++
-	r.up.slots.limit.Reject(p.inFlight(r.up, now)-1, now)
-	r.up.slots.answeredAt = now
-	r.up.slots.silent, r.up.slots.probe = false, nil
+	before := p.slotLimit(u, now)
+	u.slots.limit.Reject(p.running(u, now)+p.statedInFlight(u, now)-1, now)
+	u.slots.answeredAt = now
+	u.slots.silent, u.slots.probe = false, nil
+	if p.slotLimit(u, now) == before {
+		return nil
+	}
+	return u
 }
 
 // slotRate returns the slots that become free per millisecond while all are in use.
@@ -327,12 +338,16 @@
 		heldMS = max(s.held.MS(), heldMS)
 	}
 	for _, u := range p.order {
-		if u.closed() || u.ejection.active(now) || u.inst.Slots <= 0 || u.slots.silent {
-			continue
+		switch {
+		case u.closed() || u.ejection.active(now) || u.inst.Slots <= 0:
+		case u.slots.silent:
+			s.open++
+			s.rate += 1 / (silenceFactor * heldMS)
+		default:
+			limit := float64(p.slotLimit(u, now))
+			s.open += limit
+			s.rate += limit / (heldMS * u.slowFactor)
 		}
-		limit := float64(p.slotLimit(u, now))
-		s.open += limit
-		s.rate += limit / (heldMS * u.slowFactor)
 	}
 	return s.rate
 }
@@ -353,7 +368,10 @@
 	_, _ = d.WriteString(string(from)) // writes to a digest never fail
 	_, _ = d.Write([]byte{byte(no), byte(no >> 8), byte(no >> 16), byte(no >> 24)})
 	factor := 1 + 0.1*float64(d.Sum64()>>11)/(1<<53)
-	return min(time.Duration(min(ms, 1e6)*factor*float64(time.Millisecond)), maxRetryAfter)
+	if math.IsInf(ms, 0) || math.IsNaN(ms) {
+		return maxRetryAfter // when a slot is free is unknown
+	}
+	return time.Duration(min(ms, maxSlotRetryAfterMS) * factor * float64(time.Millisecond))
 }
 
 // ageRequest returns a placement request as it would be made after it has waited.
