--- a/internal/dispatch/plainfailure_test.go
+++ b/internal/dispatch/plainfailure_test.go
@@ -376,7 +376,7 @@
 		f.placed(id, no)
 	}
 	for _, u := range f.nodes[f.plainScheduler()].pools[serviceID(counter)].order {
-		assert.False(t, u.slots.silent)
+		assert.False(t, u.slotData().silent)
 	}
 }
 
--- a/internal/dispatch/plainqueue.go
+++ b/internal/dispatch/plainqueue.go
@@ -280,12 +280,12 @@
 // logSilence logs upstreams that have become silent, or answer again.
 func (n *Node) logSilence(p *pool) {
 	for _, u := range p.order {
-		if u.slots.silent == u.slots.logged {
+		if u.slotData().silent == u.slotData().logged {
 			continue
 		}
-		u.slots.logged = u.slots.silent
+		u.slotData().logged = u.slotData().silent
 		name := "upstream-answers-again"
-		if u.slots.silent {
+		if u.slotData().silent {
 			name = "upstream-silent"
 		}
 		n.event(Event{Name: name, Detail: u.inst.ID})
@@ -344,7 +344,7 @@
 		}
 		r.InFlight += p.inFlight(u, now)
 		r.Allowed += p.slotLimit(u, now)
-		if u.slots.silent {
+		if u.slotData().silent {
 			r.Silent++
 		}
 	}
--- a/internal/dispatch/plainslots.go
+++ b/internal/dispatch/plainslots.go
@@ -106,6 +106,15 @@
 	logged     bool // that it is silent
 }
 
+// slotData returns the slot state of an upstream. Engines, of which there may be thousands, have
+// none.
+func (u *upstream) slotData() *upstreamSlots {
+	if u.slots == nil {
+		u.slots = &upstreamSlots{}
+	}
+	return u.slots
+}
+
 // slotRun is the slot state of one run. Its zero value is a run without a slot.
 type slotRun struct {
 	at        time.Time // of the placement
@@ -142,7 +151,7 @@
 // slotLimit returns how many requests may be in flight at an upstream, or for a router that
 // places only its own requests how many of these.
 func (p *pool) slotLimit(u *upstream, now time.Time) int {
-	limit := u.slots.limit.Allowed(u.inst.Slots+p.cover(u), now)
+	limit := u.slotData().limit.Allowed(u.inst.Slots+p.cover(u), now)
 	if p.slots.shared {
 		return limit
 	}
@@ -162,10 +171,10 @@
 
 // running returns the requests placed here that are believed to hold a slot of an upstream.
 func (p *pool) running(u *upstream, now time.Time) int {
-	if now.Sub(u.slots.lostAt) >= lostCheckInterval {
-		u.slots.lost, u.slots.lostAt = p.countLost(u, now), now
+	if now.Sub(u.slotData().lostAt) >= lostCheckInterval {
+		u.slotData().lost, u.slotData().lostAt = p.countLost(u, now), now
 	}
-	return max(0, len(u.runs)-u.slots.lost)
+	return max(0, len(u.runs)-u.slotData().lost)
 }
 
 // countLost returns the runs at an upstream that have taken so long, while the upstream answered
@@ -174,7 +183,7 @@
 	lostAfter := p.serviceTimes(lostServiceTimes * max(1, u.slowFactor))
 	n := 0
 	for _, r := range u.runs {
-		if now.Sub(r.slot.at) > lostAfter && u.slots.answeredAt.Sub(r.slot.at) > lostAfter/2 {
+		if now.Sub(r.slot.at) > lostAfter && u.slotData().answeredAt.Sub(r.slot.at) > lostAfter/2 {
 			n++
 		}
 	}
@@ -210,7 +219,7 @@
 		return true
 	}
 	if p.isSilent(u, now) {
-		return u.slots.probe == nil || p.runs[u.slots.probe.key] != u.slots.probe || now.Sub(u.slots.probe.slot.at) > p.serviceTimes(probeServiceTimes)
+		return u.slotData().probe == nil || p.runs[u.slotData().probe.key] != u.slotData().probe || now.Sub(u.slotData().probe.slot.at) > p.serviceTimes(probeServiceTimes)
 	}
 	return p.inFlight(u, now) < p.slotLimit(u, now)
 }
@@ -218,13 +227,13 @@
 // isSilent reports whether an upstream has answered nothing for so long that it gets only one
 // request at a time until it answers.
 func (p *pool) isSilent(u *upstream, now time.Time) bool {
-	if u.slots.silent || p.slots.service.Samples() < minServiceSamples {
-		return u.slots.silent
+	if u.slotData().silent || p.slots.service.Samples() < minServiceSamples {
+		return u.slotData().silent
 	}
 	// Unanswered requests that were sent before the last answer hang, or their notes were lost.
-	i := slices.IndexFunc(u.unread, func(r *run) bool { return r.slot.at.After(u.slots.answeredAt) })
-	u.slots.silent = i >= 0 && now.Sub(u.unread[i].slot.at) > p.silenceTime()
-	return u.slots.silent
+	i := slices.IndexFunc(u.unread, func(r *run) bool { return r.slot.at.After(u.slotData().answeredAt) })
+	u.slotData().silent = i >= 0 && now.Sub(u.unread[i].slot.at) > p.silenceTime()
+	return u.slotData().silent
 }
 
 // slotCost is the cost of a request at an upstream: the expected time of its answer, and half a
@@ -234,7 +243,7 @@
 	inFlight := float64(p.inFlight(u, now))
 	used, behind := inFlight/float64(u.inst.Slots), (inFlight+1)/float64(u.inst.Slots)
 	cost := expected*max(1, behind) + expected*used/2
-	if u.slots.silent {
+	if u.slotData().silent {
 		cost += silenceFactor * p.slots.service.MS()
 	}
 	return cost
@@ -250,8 +259,8 @@
 	foundFree := p.running(r.up, now)+p.statedInFlight(r.up, now) <= r.up.inst.Slots+p.cover(r.up)
 	r.slot = slotRun{at: now, foundFree: foundFree, chargedMS: p.slots.service.MS() * r.up.slowFactor}
 	p.slots.usage.Add(r.org, r.slot.chargedMS, now)
-	if r.up.slots.silent {
-		r.up.slots.probe = r
+	if r.up.slotData().silent {
+		r.up.slotData().probe = r
 	}
 }
 
@@ -280,8 +289,8 @@
 // observeService learns from an answer of an upstream. Times of requests that had to wait at
 // the upstream, or that an overloaded router reports, say nothing about the service.
 func (p *pool) observeService(u *upstream, gotMS float64, foundFree bool, now time.Time) {
-	u.slots.answeredAt = now
-	u.slots.silent, u.slots.probe = false, nil
+	u.slotData().answeredAt = now
+	u.slotData().silent, u.slotData().probe = false, nil
 	if u.ejection.active(now) {
 		// It was ejected for requests that took too long in a slow phase, and is not down. The
 		// next failure ejects it again, for longer.
@@ -317,9 +326,9 @@
 	u := r.up
 	p.slots.counts.Rejected++
 	before := p.slotLimit(u, now)
-	u.slots.limit.Reject(p.running(u, now)+p.statedInFlight(u, now)-1, now)
-	u.slots.answeredAt = now
-	u.slots.silent, u.slots.probe = false, nil
+	u.slotData().limit.Reject(p.running(u, now)+p.statedInFlight(u, now)-1, now)
+	u.slotData().answeredAt = now
+	u.slotData().silent, u.slotData().probe = false, nil
 	if p.slotLimit(u, now) == before {
 		return nil
 	}
@@ -340,7 +349,7 @@
 	for _, u := range p.order {
 		switch {
 		case u.closed() || u.ejection.active(now) || u.inst.Slots <= 0:
-		case u.slots.silent:
+		case u.slotData().silent:
 			s.open++
 			s.rate += 1 / (silenceFactor * heldMS)
 		default:
@@ -471,7 +480,7 @@
 	if !p.hasSlots(u) {
 		return nil
 	}
-	return &SlotState{Stated: u.inst.Slots, Allowed: p.slotLimit(u, now), InFlight: p.inFlight(u, now), ServiceMS: p.slots.service.MS() * u.slowFactor, Silent: u.slots.silent}
+	return &SlotState{Stated: u.inst.Slots, Allowed: p.slotLimit(u, now), InFlight: p.inFlight(u, now), ServiceMS: p.slots.service.MS() * u.slowFactor, Silent: u.slotData().silent}
 }
 
 // SlotState is the use of a plain upstream's slots, as this router knows it.
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -42,7 +42,7 @@
 	ejection        ejection
 	conns           conns
 	cold            coldState
-	slots           upstreamSlots // of a plain upstream
+	slots           *upstreamSlots // of a plain upstream, nil until the first use
 	// evacuated says that its place is evacuated.
 	evacuated bool
 
