--- a/internal/dispatch/slots/usage.go
+++ b/internal/dispatch/slots/usage.go
@@ -43,13 +43,13 @@
 // SlotsBelow returns how many slots the organisations that have used less than one organisation
 // have had on average. Their next requests will precede those of that organisation.
 func (u *Usage) SlotsBelow(org version.ID) float64 {
-	own, sum := u.orgs[org], 0.0
+	own, sum := u.orgs[org], int64(0)
 	for _, ms := range u.orgs {
 		if ms < own {
-			sum += ms
+			sum += int64(1000 * ms) // a sum of integers does not depend on the order of the map
 		}
 	}
-	return sum / float64(usageDecay.Milliseconds())
+	return float64(sum) / float64(usageDecay.Microseconds())
 }
 
 // usageStep is the step in which values decay, so that most calls change nothing.
