--- a/internal/process/callerserver.go
+++ b/internal/process/callerserver.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -13,21 +14,18 @@
 	"github.com/silverswitch/silverswitch/internal/routing"
 )
 
-// callerServer serves callers on one listener under the limits of the table in force. The
-// limits of an http.Server cannot change, so a table with other limits gets a new
-// http.Server for new connections; open connections keep their limits.
+// callerServer serves callers on one listener under the limits of the table in force.
 type callerServer struct {
 	listener            net.Listener
-	handler             http.Handler
 	connLimiter         *connLimiter
-	controlBehind       func() bool // see RoutedDaemon.controlBehind; may be nil
+	controlBehind       func() bool                         // see RoutedDaemon.controlBehind; may be nil
+	relay               atomic.Pointer[func(net.Conn) bool] // takes a new connection that another router is to serve; nil for none
 	log                 zerolog.Logger
-	mu                  sync.Mutex
-	limits              routing.Limits
-	current             *http.Server
-	chanListener        *chanListener
-	servers             []*http.Server
-	closed              bool
+	own                 *limitedServer // connections that this router serves for itself
+	handler             http.Handler
+	relayedMu           sync.Mutex
+	relayed             map[*limitedServer]struct{} // connections relayed to this router, by session
+	relayedLimits       routing.Limits
 	acceptErrorLoggedAt time.Time // accept goroutine only
 }
 
@@ -44,17 +42,17 @@
 	if err != nil {
 		return nil, ErrSettings.Wrap(err, "[router] caller_address = %q", addr)
 	}
-	cs := &callerServer{listener: l, connLimiter: newConnLimiter(descriptors), controlBehind: controlBehind, log: log}
-	cs.handler = cs.withCloseHint(handler)
-	cs.setLimits(initialLimits)
+	cs := &callerServer{listener: l, connLimiter: newConnLimiter(descriptors), controlBehind: controlBehind, log: log, handler: handler, relayed: map[*limitedServer]struct{}{}, relayedLimits: initialLimits}
+	cs.own = newLimitedServer(withCloseHint(cs.connLimiter.closeHint, handler), l.Addr(), cs.connLimiter.connState, log)
+	cs.own.setLimits(initialLimits)
 	go cs.accept()
 	return cs, nil
 }
 
-// withCloseHint asks callers to close their connections while many are open.
-func (cs *callerServer) withCloseHint(next http.Handler) http.Handler {
+// withCloseHint asks callers to close their connections while closeHint returns true.
+func withCloseHint(closeHint func() bool, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if cs.connLimiter.closeHint() {
+		if closeHint() {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
@@ -63,28 +61,13 @@
 
 // setLimits applies limits to new connections.
 func (cs *callerServer) setLimits(l routing.Limits) {
-	l.TokensPerSecond, l.BodyBytes = 0, 0
-	cs.mu.Lock()
-	defer cs.mu.Unlock()
-	if cs.closed || cs.current != nil && cs.limits == l {
-		return
+	cs.own.setLimits(l)
+	cs.relayedMu.Lock()
+	defer cs.relayedMu.Unlock()
+	cs.relayedLimits = l
+	for s := range cs.relayed {
+		s.setLimits(l)
 	}
-	cs.limits = l
-	cs.current = &http.Server{
-		Handler:           cs.handler,
-		ReadHeaderTimeout: l.HeaderTimeout,
-		IdleTimeout:       l.IdleConnTimeout,
-		MaxHeaderBytes:    l.HeaderBytes,
-		ConnState:         cs.connLimiter.connState,
-		ErrorLog:          discardLog(),
-	}
-	cs.chanListener = newChanListener(cs.listener.Addr())
-	cs.servers = append(cs.servers, cs.current)
-	go func(s *http.Server, ln *chanListener) {
-		if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			cs.log.Error().Err(err).Msg("callers-listener-ended")
-		}
-	}(cs.current, cs.chanListener)
 }
 
 func (cs *callerServer) accept() {
@@ -98,10 +81,10 @@
 			cs.acceptFailed(err)
 			continue
 		}
-		cs.mu.Lock()
-		ln := cs.chanListener
-		cs.mu.Unlock()
-		ln.deliver(c)
+		if relay := cs.relay.Load(); relay != nil && (*relay)(c) {
+			continue
+		}
+		cs.own.Serve(c)
 	}
 }
 
@@ -149,27 +132,12 @@
 // request.
 func (cs *callerServer) shutdown(ctx context.Context) error {
 	cs.stopAccepting()
-	cs.mu.Lock()
-	cs.closed = true
-	servers := cs.servers
-	cs.mu.Unlock()
-	var wg sync.WaitGroup
-	errs := make([]error, len(servers))
-	for i, s := range servers {
-		wg.Go(func() { errs[i] = s.Shutdown(ctx) })
-	}
-	wg.Wait()
-	return errors.Join(errs...)
+	return cs.own.Shutdown(ctx)
 }
 
 func (cs *callerServer) close() {
 	cs.stopAccepting()
-	cs.mu.Lock()
-	defer cs.mu.Unlock()
-	cs.closed = true
-	for _, s := range cs.servers {
-		s.Close()
-	}
+	cs.own.Close()
 }
 
 // chanListener is a net.Listener for connections that another goroutine has accepted.
--- a/internal/process/connlimiter.go
+++ b/internal/process/connlimiter.go
@@ -47,6 +47,13 @@
 	return l.close > 0 && l.open > l.close
 }
 
+// full reports whether idle connections have to be closed for new ones.
+func (l *connLimiter) full() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.maxOpen > 0 && l.open >= l.maxOpen
+}
+
 // connState implements http.Server.ConnState.
 func (l *connLimiter) connState(caller net.Conn, state http.ConnState) {
 	l.mu.Lock()
--- a/internal/process/routedcontroller.go
+++ b/internal/process/routedcontroller.go
@@ -10,6 +10,7 @@
 
 	"github.com/silverswitch/silverswitch/internal/clock"
 	"github.com/silverswitch/silverswitch/internal/conn"
+	"github.com/silverswitch/silverswitch/internal/conn/relay"
 	"github.com/silverswitch/silverswitch/internal/core/quarantine"
 	"github.com/silverswitch/silverswitch/internal/core/wire"
 	"github.com/silverswitch/silverswitch/internal/dispatch"
@@ -38,6 +39,7 @@
 	watches          atomic.Bool
 	asOf             atomic.Uint64
 	scheduledEngines atomic.Pointer[[]routing.Instance] // engines that this router schedules
+	neighbours       atomic.Pointer[[]relay.Peer]       // other live routers of the own place
 	leaving          atomic.Bool
 	OnTable          func(routing.Limits) // called with the limits of each accepted table; set before Run
 
@@ -170,6 +172,7 @@
 	}
 	if rc.ticks%readinessCheckTicks == 0 {
 		rc.updateReady(now)
+		rc.publishNeighbours()
 	}
 }
 
@@ -266,6 +269,28 @@
 	return nil
 }
 
+// publishNeighbours publishes the routers that may be asked to serve relayed connections.
+func (rc *RoutedController) publishNeighbours() {
+	peers := []relay.Peer{}
+	for _, r := range rc.node.NeighbourPowers() {
+		peers = append(peers, relay.Peer{ID: string(r.ID), Power: r.Power})
+	}
+	rc.neighbours.Store(&peers)
+}
+
+// Neighbours implements relayControl.
+func (rc *RoutedController) Neighbours() []relay.Peer {
+	if p := rc.neighbours.Load(); p != nil {
+		return *p
+	}
+	return nil
+}
+
+// CPULoad implements relayControl.
+func (rc *RoutedController) CPULoad() (use, shedRatio float64) {
+	return rc.overload.cpuUse(), rc.ShedRatio()
+}
+
 // Leave begins the planned stop: the router becomes unready, and the node announces to the
 // other routers that it leaves.
 func (rc *RoutedController) Leave() {
--- a/internal/process/routeddaemon.go
+++ b/internal/process/routeddaemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	stdlog "log"
@@ -33,6 +34,7 @@
 	fetchServer     *conn.FetchServer
 	exchanges       *conn.Exchanges
 	callerServer    *callerServer
+	relaying        *relaying // nil where [relay] address is empty
 	operatorServer  *http.Server
 	readyServer     *http.Server
 	metricsServer   *http.Server
@@ -99,6 +101,10 @@
 		return nil, err
 	}
 	d.ctrl.OnTable = d.callerServer.setLimits
+	if err := d.startRelaying(ctx, reg); err != nil {
+		d.close()
+		return nil, err
+	}
 	go d.ctrl.Run(ctx)
 	go newSourceWatcher(source, d.ctrl, log, reg).run(ctx)
 	if dep.PrefixCache != nil {
@@ -109,6 +115,17 @@
 	return d, nil
 }
 
+func (d *RoutedDaemon) startRelaying(ctx context.Context, reg metrics.Registry) error {
+	if d.set.Relay == "" {
+		return nil
+	}
+	var err error
+	d.relaying, err = startRelaying(ctx, relayingSettings{
+		Address: d.set.Relay, Secret: d.set.Secret, Power: uint32(1000 * d.set.Cores), MemoryMB: d.set.MemoryMB, Registry: reg, Log: d.log,
+	}, d.ctrl, d.callerServer)
+	return err
+}
+
 const (
 	// maxRequestsPerMB is the number of concurrent requests per megabyte of the VM's
 	// memory: 60 KB each for bodies, buffers and stacks, in half of the memory.
@@ -278,7 +295,7 @@
 		ctx, stop = context.WithDeadline(ctx, began.Add(bound-shutdownMargin))
 		defer stop()
 	}
-	err := d.callerServer.shutdown(ctx)
+	err := d.shutdownCallers(ctx)
 	cut := d.ctrl.OpenRequests()
 	if err != nil {
 		d.log.Warn().Int("requests", cut).Msg("requests-cut")
@@ -289,6 +306,20 @@
 	return cut
 }
 
+// shutdownCallers closes the connections of callers, those relayed to other routers and those
+// that other routers relay here, each after its current request.
+func (d *RoutedDaemon) shutdownCallers(ctx context.Context) error {
+	if d.relaying == nil {
+		return d.callerServer.shutdown(ctx)
+	}
+	var wg sync.WaitGroup
+	var errs [2]error
+	wg.Go(func() { errs[0] = d.callerServer.shutdown(ctx) })
+	wg.Go(func() { errs[1] = d.relaying.shutdown(ctx) })
+	wg.Wait()
+	return errors.Join(errs[0], errs[1])
+}
+
 // Reload applies settings that may change while the process runs: the seeds, the retry
 // budget and the cold-start rules take effect at once, the durations of a planned stop at
 // the next stop.
@@ -307,6 +338,9 @@
 	if d.callerServer != nil {
 		d.callerServer.close()
 	}
+	if d.relaying != nil {
+		d.relaying.close()
+	}
 	d.stop()
 	for _, s := range []*http.Server{d.operatorServer, d.readyServer, d.metricsServer} {
 		if s != nil {
--- a/internal/process/settings.go
+++ b/internal/process/settings.go
@@ -37,6 +37,7 @@
 	Platform string              // [platform] url
 	Kind     string              // [platform] kind: values or store
 	Metrics  string              // [metrics] address of an additional metrics listener, "" for none
+	Relay    string              // [relay] address for connections relayed by other routers, "" to relay none
 	Ready    string              // [ready] address of an additional readiness listener, "" for none
 	ReadyAt  string              // [ready] path
 	Retry    dispatch.RetryRules // [retry]
@@ -102,6 +103,12 @@
 ; A listener for metrics alone, beside the operators'; empty for none.
 address =
 
+[relay]
+; A listener for connections of callers that other routers of the place relay to this one
+; while they are short of processor; the same port on every router. Empty for none: this
+; router then relays none either. For the routed interface.
+address =
+
 [ready]
 ; A listener for readiness alone; empty for none.
 address =
@@ -298,6 +305,14 @@
 		s.Metrics = metrics.Address("address")
 	}
 	metrics.CheckUnknownKeys()
+	relay := r.section("relay")
+	if relay.TextOr("address", "") != "" {
+		s.Relay = relay.Address("address")
+	}
+	if s.Relay != "" && s.Relay == s.Peer {
+		relay.Fault("address", s.Relay, "another port than that of peer_address")
+	}
+	relay.CheckUnknownKeys()
 	retry := r.section("retry")
 	def := dispatch.DefaultRetryRules
 	s.Retry = dispatch.RetryRules{
