--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,9 @@
 fuzz:
 	go test ./internal/core/wire -run XXX -fuzz FuzzDecode -fuzztime 5000x
 	go test ./internal/conn -run XXX -fuzz FuzzOpen -fuzztime 5000x
+	go test ./internal/conn/relay -run XXX -fuzz FuzzMessage -fuzztime 5000x
+	go test ./internal/conn/relay -run XXX -fuzz FuzzProof -fuzztime 2000x
+	go test ./internal/conn/relay -run XXX -fuzz FuzzMeter -fuzztime 5000x
 	go test ./internal/request/stream -run XXX -fuzz FuzzRead -fuzztime 5000x
 	go test ./internal/request -run XXX -fuzz FuzzCompletion -fuzztime 5000x
 	go test ./internal/version -run XXX -fuzz FuzzLoad -fuzztime 2000x
--- a/internal/conn/exchange_test.go
+++ b/internal/conn/exchange_test.go
@@ -400,3 +400,21 @@
 	assert.True(t, p.Refuses(context.Background(), addr))
 	assert.Nil(t, p.pop(addr))
 }
+
+// unreadConn is a connection without a socket that knows its unread bytes.
+type unreadConn struct {
+	net.Conn
+	unread bool
+}
+
+func (c unreadConn) HasUnread() bool { return c.unread }
+
+// Guards against an idle relayed connection that is closed although a request has arrived.
+func TestNoUnreadAsksConnectionsWithoutSocket(t *testing.T) {
+	a, b := net.Pipe()
+	defer a.Close()
+	defer b.Close()
+	assert.True(t, NoUnread(a), "cannot be checked")
+	assert.True(t, NoUnread(unreadConn{a, false}))
+	assert.False(t, NoUnread(unreadConn{a, true}))
+}
--- a/internal/conn/pool.go
+++ b/internal/conn/pool.go
@@ -248,6 +248,9 @@
 // NoUnread reports whether a connection has no unread bytes. It returns true for a
 // connection that cannot be checked.
 func NoUnread(c net.Conn) bool {
+	if u, ok := c.(interface{ HasUnread() bool }); ok { // a relayed connection has no socket of its own
+		return !u.HasUnread()
+	}
 	n, _, known := peek(c)
 	return !known || n <= 0
 }
--- a/internal/conn/relay/decision.go
+++ b/internal/conn/relay/decision.go
@@ -288,11 +288,11 @@
 	}
 }
 
-// Stated records a helper's status.
-func (d *Decider) Stated(id string, m Message, now time.Time) {
+// Stated records a helper's status. It returns true if the helper has begun to decline.
+func (d *Decider) Stated(id string, m Message, now time.Time) (declines bool) {
 	h := d.helpers[id]
 	if h == nil {
-		return
+		return false
 	}
 	h.accepting, h.spare = m.Accepting && !m.Stopping, float64(m.Spare)
 	switch {
@@ -300,7 +300,9 @@
 		h.declinedSince = time.Time{}
 	case h.declinedSince.IsZero():
 		h.declinedSince = now
+		return true
 	}
+	return false
 }
 
 // ConnectionEnded records that a relayed connection has ended.
--- a/internal/conn/relay/fuzz_test.go
+++ b/internal/conn/relay/fuzz_test.go
@@ -57,3 +57,20 @@
 		}
 	})
 }
+
+// No bytes on the link make the meter fail, and what it counts does not depend on how they are
+// cut.
+func FuzzMeter(f *testing.F) {
+	f.Add([]byte{0, 1, 0, 1, 0, 0, 0, 3, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 3, 0, 0, 0, 2, 1, 1}, 5)
+	f.Fuzz(func(t *testing.T, raw []byte, cut int) {
+		whole, parts := newMeter(), newMeter()
+		whole.arrived(raw)
+		cut = max(0, min(cut, len(raw)))
+		parts.arrived(raw[:cut])
+		parts.arrived(raw[cut:])
+		require.Equal(t, whole.total, parts.total)
+		require.Equal(t, whole.unread, parts.unread)
+		require.GreaterOrEqual(t, whole.total, 0)
+		require.Empty(t, whole.largest(whole.total))
+	})
+}
--- a/internal/conn/relay/helper.go
+++ b/internal/conn/relay/helper.go
@@ -35,11 +35,13 @@
 	// NewServer returns the server of a new session. closeHint reports whether its callers
 	// should be asked to close their connections.
 	NewServer func(closeHint func() bool) Server
-	// MaxConns is the number of connections that are served at the same time. The multiplexer
-	// may buffer streamWindow bytes for each.
+	// MaxConns is the number of connections that are served at the same time.
 	MaxConns int
-	Log      zerolog.Logger
-	Registry metrics.Registry
+	// MaxUnread is the number of bytes from callers that may wait to be read, in all sessions.
+	// Beyond it the connections with the most are closed.
+	MaxUnread int
+	Log       zerolog.Logger
+	Registry  metrics.Registry
 }
 
 const (
@@ -65,8 +67,8 @@
 	closed   bool
 	sessions map[*helperSession]struct{}
 
-	served, declined, rejected metrics.Counter
-	open                       metrics.Gauge
+	served, refused, rejected, flooding metrics.Counter
+	open                                metrics.Gauge
 }
 
 // ListenHelper listens for sessions on an address and begins to serve them.
@@ -78,7 +80,7 @@
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("relay."+name, set.Registry) }
 	h := &Helper{
 		set: set, listener: l, handshakes: make(chan struct{}, maxHandshakes), sessions: map[*helperSession]struct{}{},
-		served: counter("served"), declined: counter("declined"), rejected: counter("sessions-rejected"), open: metrics.GetOrRegisterGauge("relay.serving", set.Registry),
+		served: counter("served"), refused: counter("refused"), rejected: counter("sessions-rejected"), flooding: counter("unread-closed"), open: metrics.GetOrRegisterGauge("relay.serving", set.Registry),
 	}
 	go h.accept()
 	return h, nil
@@ -115,11 +117,12 @@
 		h.set.Log.Info().Err(err).Str("peer", c.RemoteAddr().String()).Msg("relay-session-rejected")
 		return
 	}
-	s, err := newHelperSession(c)
+	m := newMeter()
+	s, err := newHelperSession(c, m)
 	if err != nil {
 		return
 	}
-	hs := &helperSession{session: s, helper: h, conns: map[uint32]*streamConn{}}
+	hs := &helperSession{session: s, helper: h, meter: m, conns: map[uint32]*streamConn{}}
 	hs.server = h.set.NewServer(hs.closeHint.Load)
 	h.mu.Lock()
 	if h.closed {
@@ -144,6 +147,13 @@
 	return m
 }
 
+// unreadLimit returns the bytes that may wait to be read in each session.
+func (h *Helper) unreadLimit() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.set.MaxUnread / max(1, len(h.sessions))
+}
+
 // Shutdown performs the planned stop: it accepts no sessions and no connections, and returns
 // when the requests on all connections have ended, or with the context's error.
 func (h *Helper) Shutdown(ctx context.Context) error {
@@ -185,6 +195,7 @@
 	*session
 	helper    *Helper
 	server    Server
+	meter     *meter
 	closeHint atomic.Bool
 	stopOnce  sync.Once
 	mu        sync.Mutex
@@ -194,7 +205,7 @@
 // run serves the session until it ends. The connections are closed then, which ends the work
 // for their callers.
 func (s *helperSession) run() {
-	go s.sendStatus(s.helper.status)
+	go s.sendStatus(s.status)
 	go s.receive(s.handle)
 	for {
 		stream, err := s.mux.AcceptStream()
@@ -206,9 +217,30 @@
 	s.server.Close()
 }
 
+// status returns the status to send, and bounds what waits to be read. A caller that sends
+// requests without waiting for answers has up to streamWindow bytes waiting.
+func (s *helperSession) status() Message {
+	for _, id := range s.meter.largest(s.helper.unreadLimit()) {
+		s.reset(id)
+		s.helper.flooding.Inc(1)
+	}
+	return s.helper.status()
+}
+
+// reset ends the connection on a stream, if there is one.
+func (s *helperSession) reset(id uint32) {
+	s.mu.Lock()
+	c := s.conns[id]
+	s.mu.Unlock()
+	if c != nil {
+		c.abort()
+	}
+}
+
 func (s *helperSession) add(stream *yamux.Stream) {
 	if s.helper.conns.Load() >= int64(s.helper.set.MaxConns) {
-		s.helper.declined.Inc(1)
+		s.helper.refused.Inc(1)
+		s.meter.closed(stream.StreamID())
 		stream.Close()
 		return
 	}
@@ -224,12 +256,7 @@
 func (s *helperSession) handle(m Message) {
 	s.closeHint.Store(m.CloseHint)
 	if m.Reset != 0 {
-		s.mu.Lock()
-		c := s.conns[m.Reset]
-		s.mu.Unlock()
-		if c != nil {
-			c.abort()
-		}
+		s.reset(m.Reset)
 	}
 	if m.Stopping {
 		s.stopOnce.Do(func() { go func() { _ = s.server.Shutdown(context.Background()) }() }) // ends with the session at the latest
@@ -256,6 +283,7 @@
 	s.mu.Lock()
 	delete(s.conns, c.StreamID())
 	s.mu.Unlock()
+	s.meter.closed(c.StreamID())
 	s.helper.conns.Add(-1)
 }
 
@@ -274,6 +302,7 @@
 		return 0, err
 	}
 	n, err := c.Stream.Read(b)
+	c.session.meter.read(c.StreamID(), n)
 	if n == 0 && err != nil {
 		if e := c.err(); e != nil {
 			return 0, e
@@ -282,6 +311,25 @@
 	return n, err
 }
 
+// SetReadDeadline implements net.Conn.
+func (c *streamConn) SetReadDeadline(t time.Time) error {
+	if err := c.err(); err != nil {
+		return err // keeps the deadline that abort has set
+	}
+	return c.Stream.SetReadDeadline(t)
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *streamConn) SetWriteDeadline(t time.Time) error {
+	if err := c.err(); err != nil {
+		return err
+	}
+	return c.Stream.SetWriteDeadline(t)
+}
+
+// HasUnread reports whether bytes from the caller have arrived that were not read yet.
+func (c *streamConn) HasUnread() bool { return c.session.meter.of(c.StreamID()) > 0 }
+
 // Write implements net.Conn.
 func (c *streamConn) Write(b []byte) (int, error) {
 	if err := c.err(); err != nil {
--- a/internal/conn/relay/link.go
+++ b/internal/conn/relay/link.go
@@ -35,6 +35,7 @@
 // same time share one. A connection without a byte for silenceTimeout is closed.
 type link struct {
 	net.Conn
+	meter *meter // nil on the origin's side
 
 	readBuf     []byte
 	unread      []byte
@@ -50,8 +51,8 @@
 	wake     chan struct{}
 }
 
-func newLink(c net.Conn) *link {
-	l := &link{Conn: c, readBuf: make([]byte, linkBufferBytes), wake: make(chan struct{}, 1)}
+func newLink(c net.Conn, m *meter) *link {
+	l := &link{Conn: c, meter: m, readBuf: make([]byte, linkBufferBytes), wake: make(chan struct{}, 1)}
 	l.changed = sync.NewCond(&l.mu)
 	go l.flush()
 	return l
@@ -66,6 +67,9 @@
 			return 0, err
 		}
 		l.unread = l.readBuf[:n]
+		if l.meter != nil {
+			l.meter.arrived(l.unread)
+		}
 	}
 	n := copy(p, l.unread)
 	l.unread = l.unread[n:]
--- a/internal/conn/relay/origin.go
+++ b/internal/conn/relay/origin.go
@@ -50,8 +50,8 @@
 }
 
 type originMetrics struct {
-	relayed, bytesToHelper, bytesToCaller, broken, badGateway, unserved, blocked metrics.Counter
-	open, sessions                                                               metrics.Gauge
+	relayed, bytesToHelper, bytesToCaller, broken, badGateway, unserved, blocked, declined metrics.Counter
+	open, sessions                                                                         metrics.Gauge
 }
 
 // originSession is a session with one helper.
@@ -72,7 +72,7 @@
 		ended:    make(chan struct{}),
 		metrics: originMetrics{
 			relayed: counter("connections"), bytesToHelper: counter("bytes-to-helper"), bytesToCaller: counter("bytes-to-caller"),
-			broken: counter("broken"), badGateway: counter("bad-gateway"), unserved: counter("served-here"), blocked: counter("blocked-closed"),
+			broken: counter("broken"), badGateway: counter("bad-gateway"), unserved: counter("served-here"), blocked: counter("blocked-closed"), declined: counter("declined"),
 			open: metrics.GetOrRegisterGauge("relay.open", set.Registry), sessions: metrics.GetOrRegisterGauge("relay.sessions", set.Registry),
 		},
 	}
@@ -163,7 +163,9 @@
 func (o *Origin) stated(id string, m Message) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.decider.Stated(id, m, time.Now())
+	if o.decider.Stated(id, m, time.Now()) {
+		o.metrics.declined.Inc(1)
+	}
 }
 
 func (o *Origin) sessionEnded(s *originSession) {
--- a/internal/conn/relay/relayedconn.go
+++ b/internal/conn/relay/relayedconn.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// smallBuffer is the size of the first read of each direction, and largeBuffer of those
-	// that follow a read that filled its buffer: idle connections hold little memory, and long
-	// prompts take few reads.
+	// largeBuffer is the size of the first read from a caller, which takes most requests whole,
+	// and of reads that follow one that filled its buffer. All others use smallBuffer, so that
+	// connections that wait hold little memory.
 	smallBuffer = 4 << 10
 	largeBuffer = 32 << 10
 	// lingerTimeout is how long input is read and dropped after the answer's end. Closing
@@ -40,6 +40,13 @@
 
 func newCopyBuffer() *copyBuffer { return &copyBuffer{small: smallBuffers.Get().(*[smallBuffer]byte)} }
 
+// newRequestBuffer returns a buffer whose first read is large.
+func newRequestBuffer() *copyBuffer {
+	b := newCopyBuffer()
+	b.large = largeBuffers.Get().(*[largeBuffer]byte)
+	return b
+}
+
 func (b *copyBuffer) bytes() []byte {
 	if b.large != nil {
 		return b.large[:]
@@ -52,7 +59,7 @@
 	switch {
 	case b.large == nil && n == smallBuffer:
 		b.large = largeBuffers.Get().(*[largeBuffer]byte)
-	case b.large != nil && n < smallBuffer:
+	case b.large != nil && n < largeBuffer:
 		largeBuffers.Put(b.large)
 		b.large = nil
 	}
@@ -109,7 +116,7 @@
 
 func (c *relayedConn) copyToHelper() {
 	defer c.done()
-	buf := newCopyBuffer()
+	buf := newRequestBuffer()
 	defer buf.free()
 	for {
 		b := buf.bytes()
--- a/internal/conn/relay/session.go
+++ b/internal/conn/relay/session.go
@@ -19,7 +19,7 @@
 
 // newOriginSession starts the multiplexer on a connection on which the proofs are done.
 func newOriginSession(c net.Conn) (*session, error) {
-	mux, err := yamux.Client(newLink(c), muxConfig())
+	mux, err := yamux.Client(newLink(c, nil), muxConfig())
 	if err != nil {
 		c.Close()
 		return nil, ErrSession.Wrap(err, "start the multiplexer")
@@ -33,8 +33,8 @@
 }
 
 // newHelperSession is the helper's counterpart of newOriginSession.
-func newHelperSession(c net.Conn) (*session, error) {
-	mux, err := yamux.Server(newLink(c), muxConfig())
+func newHelperSession(c net.Conn, m *meter) (*session, error) {
+	mux, err := yamux.Server(newLink(c, m), muxConfig())
 	if err != nil {
 		c.Close()
 		return nil, ErrSession.Wrap(err, "start the multiplexer")
@@ -44,6 +44,7 @@
 		mux.Close()
 		return nil, ErrSession.Wrap(err, "accept the control stream")
 	}
+	m.closed(control.StreamID()) // its messages are read at once and not counted
 	return &session{mux: mux, control: control}, nil
 }
 
--- a/internal/process/callerserver.go
+++ b/internal/process/callerserver.go
@@ -26,7 +26,8 @@
 	relayedMu           sync.Mutex
 	relayed             map[*limitedServer]struct{} // connections relayed to this router, by session
 	relayedLimits       routing.Limits
-	acceptErrorLoggedAt time.Time // accept goroutine only
+	relayedLimiter      *connLimiter // of connections relayed to this router; set before the first session
+	acceptErrorLoggedAt time.Time    // accept goroutine only
 }
 
 // initialLimits apply until the first table is known.
--- a/internal/process/relaying.go
+++ b/internal/process/relaying.go
@@ -18,9 +18,12 @@
 
 const (
 	// relayedConnsPerMB is the number of connections per megabyte of the VM's memory that a
-	// router serves for others. The multiplexer may hold 256 KB of each caller's unread input:
-	// a quarter of the memory at the most.
-	relayedConnsPerMB = 1
+	// router serves for others. A connection that waits holds some 30 KB in buffers and stacks:
+	// an eighth of the memory.
+	relayedConnsPerMB = 4
+	// unreadMemoryDivisor divides the VM's memory to give the bytes of callers' input that may
+	// wait to be read.
+	unreadMemoryDivisor = 16
 	// blockedConnsPerMB is the number of relayed connections per megabyte of the VM's memory
 	// that may wait for their callers to read, each with up to 256 KB: an eighth of the memory.
 	blockedConnsPerMB = 0.5
@@ -76,9 +79,10 @@
 		memory = unknownMemoryMB
 	}
 	r := &relaying{ctrl: ctrl, power: set.Power}
+	callers.relayedLimiter = newConnLimiter(reservedDescriptors + relayedConnsPerMB*memory)
 	r.helper, err = relay.ListenHelper(set.Address, relay.HelperSettings{
 		Sealer: sealer, Status: r.status, NewServer: callers.newRelayedServer,
-		MaxConns: relayedConnsPerMB * memory, Log: set.Log, Registry: set.Registry,
+		MaxConns: relayedConnsPerMB * memory, MaxUnread: memory << 20 / unreadMemoryDivisor, Log: set.Log, Registry: set.Registry,
 	})
 	if err != nil {
 		return nil, ErrSettings.Wrap(err, "[relay] address = %q", set.Address)
@@ -149,10 +153,11 @@
 }
 
 // newRelayedServer returns a server for the connections of one session. They take no
-// descriptors here, so they do not count in the connLimiter; the router that accepted them
-// counts them, and states its close hint.
+// descriptors here, but memory: they have a limiter of their own. The router that accepted them
+// counts their descriptors, and states its close hint.
 func (cs *callerServer) newRelayedServer(closeHint func() bool) relay.Server {
-	s := newLimitedServer(withCloseHint(closeHint, cs.handler), cs.listener.Addr(), nil, cs.log)
+	hint := func() bool { return closeHint() || cs.relayedLimiter.closeHint() }
+	s := newLimitedServer(withCloseHint(hint, cs.handler), cs.listener.Addr(), cs.relayedLimiter.connState, cs.log)
 	cs.relayedMu.Lock()
 	defer cs.relayedMu.Unlock()
 	s.setLimits(cs.relayedLimits)
--- a/internal/process/routeddaemon.go
+++ b/internal/process/routeddaemon.go
@@ -101,10 +101,7 @@
 		return nil, err
 	}
 	d.ctrl.OnTable = d.callerServer.setLimits
-	if err := d.startRelaying(ctx, reg); err != nil {
-		d.close()
-		return nil, err
-	}
+	d.startRelaying(ctx, reg)
 	go d.ctrl.Run(ctx)
 	go newSourceWatcher(source, d.ctrl, log, reg).run(ctx)
 	if dep.PrefixCache != nil {
@@ -115,15 +112,21 @@
 	return d, nil
 }
 
-func (d *RoutedDaemon) startRelaying(ctx context.Context, reg metrics.Registry) error {
+// startRelaying starts relaying where the settings name an address. A router that cannot
+// listen there, such as on a platform whose port range has one port only, serves its callers
+// itself.
+func (d *RoutedDaemon) startRelaying(ctx context.Context, reg metrics.Registry) {
 	if d.set.Relay == "" {
-		return nil
+		return
 	}
-	var err error
-	d.relaying, err = startRelaying(ctx, relayingSettings{
+	r, err := startRelaying(ctx, relayingSettings{
 		Address: d.set.Relay, Secret: d.set.Secret, Power: uint32(1000 * d.set.Cores), MemoryMB: d.set.MemoryMB, Registry: reg, Log: d.log,
 	}, d.ctrl, d.callerServer)
-	return err
+	if err != nil {
+		d.log.Error().Err(err).Msg("relay-off")
+		return
+	}
+	d.relaying = r
 }
 
 const (
--- a/internal/process/settings.go
+++ b/internal/process/settings.go
@@ -309,9 +309,6 @@
 	if relay.TextOr("address", "") != "" {
 		s.Relay = relay.Address("address")
 	}
-	if s.Relay != "" && s.Relay == s.Peer {
-		relay.Fault("address", s.Relay, "another port than that of peer_address")
-	}
 	relay.CheckUnknownKeys()
 	retry := r.section("retry")
 	def := dispatch.DefaultRetryRules
