--- a/internal/conn/relay/helper.go
+++ b/internal/conn/relay/helper.go
@@ -354,6 +354,10 @@
 	_ = c.Stream.SetDeadline(time.Unix(1, 0)) // unblocks Read and Write
 }
 
+// CloseWrite ends the direction to the caller. net/http calls it before it waits for callers
+// that still send a body that was refused.
+func (c *streamConn) CloseWrite() error { return c.Stream.Close() }
+
 // Close implements net.Conn. yamux's Close alone would leave a blocked Read waiting for the
 // origin.
 func (c *streamConn) Close() error {
--- a/internal/conn/relay/relay_test.go
+++ b/internal/conn/relay/relay_test.go
@@ -35,6 +35,10 @@
 
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	u.executed.Add(1)
+	if r.URL.Path == "/early" {
+		w.WriteHeader(http.StatusForbidden)
+		return
+	}
 	raw, err := io.ReadAll(r.Body)
 	if err != nil {
 		panic(http.ErrAbortHandler)
@@ -133,6 +137,20 @@
 	}
 }
 
+// Guards against an answer that is lost, or whose end is not seen, where a request is refused
+// before its body has arrived.
+func TestAnswerBeforeTheBodyReachesTheCaller(t *testing.T) {
+	p := newPair(t, newUpstream(), pairOptions{}).relaying()
+	c := p.dial().send("POST /early HTTP/1.1\r\nHost: h\r\nContent-Length: 3000000\r\n\r\n")
+	res := c.answer()
+	assert.Equal(t, http.StatusForbidden, res.StatusCode)
+	body(t, res)
+	c.send(strings.Repeat("b", 100_000)) // the router must read this, or the caller's end is a reset
+	_, err := c.r.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+	p.eventually("ended", func() bool { return p.open.Load() == 0 && p.helper.conns.Load() == 0 })
+}
+
 // Guards against work that goes on for a caller that is gone.
 func TestHelperSeesTheCallersCloseAtOnce(t *testing.T) {
 	for name, end := range map[string]func(*caller){
