--- a/internal/conn/relay/decision.go
+++ b/internal/conn/relay/decision.go
@@ -13,18 +13,21 @@
 const (
 	// DecisionInterval is the length of an observed period.
 	DecisionInterval = 100 * time.Millisecond
-	// highUse is the CPU use from which a period counts as busy. A router sheds load from a use
-	// of 0.92; relaying takes effect before, and leaves CPU for the relayed bytes.
+	// useWindow is the number of periods over which the CPU use is averaged. One period can be
+	// busy because of a garbage collection, and single ones differ where a CPU quota has
+	// periods of its own.
+	useWindow = 4
+	// highUse is the mean CPU use from which a router counts as busy. It sheds load from a use of
+	// 0.92; relaying takes effect before, and leaves CPU for the relayed bytes.
 	highUse = 0.75
-	// lowUse is the CPU use below which a period counts as calm. Between lowUse and highUse
+	// lowUse is the mean CPU use below which a router counts as calm. Between lowUse and highUse
 	// nothing changes.
 	lowUse = 0.5
-	// busyPeriodsToStart is the number of consecutive busy periods before relaying starts. One
-	// period can be busy because of a garbage collection, two because of a quota's period of
-	// 100 ms that they share.
-	busyPeriodsToStart = 3
+	// sheddingPeriods is the number of consecutive periods with load shedding from which a
+	// router counts as busy.
+	sheddingPeriods = 3
 	// fractionStep is added to the relayed fraction of new connections in each busy period: all
-	// are relayed 0.6 s after the load began, a tenth of the shortest flood.
+	// are relayed 0.7 s after the load began, an eighth of the shortest flood.
 	fractionStep = 0.25
 	// fractionDecay is subtracted in each calm period. From all to none takes 5 s, about as long
 	// as a flood lasts: a router that is calm only because it relays must not begin to serve
@@ -93,9 +96,11 @@
 // clock. One goroutine at a time may use it.
 type Decider struct {
 	rnd      *rand.Rand
-	busy     int     // consecutive busy periods
-	fraction float64 // of new connections that are relayed
-	credit   float64 // sum of the fractions since the last relayed connection
+	uses     [useWindow]float64 // CPU use of the last periods
+	periods  int                // number of periods observed
+	shedding int                // consecutive periods with load shedding
+	fraction float64            // of new connections that are relayed
+	credit   float64            // sum of the fractions since the last relayed connection
 	helpers  map[string]*helperState
 	excluded map[string]time.Time
 	drawnAt  time.Time
@@ -135,35 +140,43 @@
 
 // updateFraction updates the relayed fraction and returns the reason of a change.
 func (d *Decider) updateFraction(o Observation) string {
-	if o.Stopping {
-		d.fraction, d.busy = 0, 0
-		return "this router stops"
-	}
-	if !differ(o) {
-		d.fraction, d.busy = 0, 0
-		return "routers of this place do not differ in CPU"
+	use := d.meanUse(valid(o.Use))
+	if d.shedding++; valid(o.ShedRatio) == 0 {
+		d.shedding = 0
 	}
-	use, shed := valid(o.Use), valid(o.ShedRatio)
 	switch {
-	case use >= highUse || shed > 0:
-		if d.busy = min(d.busy+1, busyPeriodsToStart); d.busy == busyPeriodsToStart {
-			d.fraction = min(1, d.fraction+fractionStep)
-		}
-		if use >= highUse {
-			return "cpu use"
-		}
+	case o.Stopping:
+		d.fraction = 0
+		return "this router stops"
+	case !differ(o):
+		d.fraction = 0
+		return "routers of this place do not differ in CPU"
+	case use >= highUse:
+		d.fraction = min(1, d.fraction+fractionStep)
+		return "cpu use"
+	case d.shedding >= sheddingPeriods:
+		d.fraction = min(1, d.fraction+fractionStep)
 		return "scheduling lag"
-	case use < lowUse:
-		d.busy = 0
+	case use < lowUse && d.shedding == 0:
 		if d.fraction -= fractionDecay; d.fraction < fractionDecay/2 {
 			d.fraction = 0
 		}
-	default:
-		d.busy = 0
 	}
 	return "cpu use is low"
 }
 
+// meanUse returns the mean CPU use of the last periods, including one with the given use. The
+// periods before the first count as idle.
+func (d *Decider) meanUse(use float64) float64 {
+	d.uses[d.periods%useWindow] = use
+	d.periods++
+	sum := 0.0
+	for _, u := range d.uses {
+		sum += u
+	}
+	return sum / useWindow
+}
+
 // valid returns 0 for a value that is not a number, infinite or negative.
 func valid(v float64) float64 {
 	if math.IsNaN(v) || math.IsInf(v, 0) {
--- a/internal/conn/relay/decision_test.go
+++ b/internal/conn/relay/decision_test.go
@@ -131,6 +131,18 @@
 	}
 }
 
+// Guards against a busy router that is not recognised because its periods differ, as they do
+// where a CPU quota has periods of its own.
+func TestUnevenUseCounts(t *testing.T) {
+	p := newDecisions(t)
+	for i := range 20 {
+		o := busyRouter()
+		o.Use = []float64{1, 0.6}[i%2]
+		p.period(o)
+	}
+	assert.Equal(t, 1.0, p.d.Fraction())
+}
+
 // A router that lags sheds load before it has used its CPU.
 func TestLaggingRouterRelays(t *testing.T) {
 	p := newDecisions(t)
