--- a/internal/conn/relay/helper.go
+++ b/internal/conn/relay/helper.go
@@ -63,6 +63,8 @@
 	stopping   atomic.Bool
 	conns      atomic.Int64
 
+	rejectedLogged atomic.Int64 // Unix nanoseconds of the latest rejection; those within a second of another are not logged
+
 	mu       sync.Mutex
 	closed   bool
 	sessions map[*helperSession]struct{}
@@ -114,7 +116,9 @@
 	if err != nil {
 		c.Close()
 		h.rejected.Inc(1)
-		h.set.Log.Info().Err(err).Str("peer", c.RemoteAddr().String()).Msg("relay-session-rejected")
+		if now := time.Now().UnixNano(); now-h.rejectedLogged.Swap(now) >= int64(time.Second) {
+			h.set.Log.Info().Err(err).Str("peer", c.RemoteAddr().String()).Msg("relay-session-rejected")
+		}
 		return
 	}
 	m := newMeter()
--- a/internal/conn/relay/message.go
+++ b/internal/conn/relay/message.go
@@ -8,7 +8,8 @@
 )
 
 // Message is what one side of a session tells the other on the control stream, at least every
-// StatusInterval. With its length it takes 3 to 21 bytes.
+// StatusInterval. Every message holds the sender's whole status. With its length it takes 3 to
+// 21 bytes.
 type Message struct {
 	Spare     uint32 `cbor:"1,keyasint,omitempty"` // of a helper: CPU that it has left, in thousandths of a core
 	Accepting bool   `cbor:"2,keyasint,omitempty"` // of a helper: it takes new connections
--- a/internal/conn/relay/origin.go
+++ b/internal/conn/relay/origin.go
@@ -246,7 +246,7 @@
 	}
 	o.mu.Unlock()
 	for _, s := range sessions {
-		go func() { _ = s.send(Message{Stopping: true}) }() // the next status says so too
+		go func() { _ = s.send(o.status()) }() // the next status says the same
 	}
 	select {
 	case <-o.ended:
--- a/internal/conn/relay/relay_test.go
+++ b/internal/conn/relay/relay_test.go
@@ -426,6 +426,20 @@
 	})
 }
 
+// Guards against a message about one connection that changes what the origin has stated.
+func TestCloseHintOutlastsResets(t *testing.T) {
+	p := newPair(t, newUpstream(), pairOptions{closeHint: func() bool { return true }}).relaying()
+	p.eventually("the hint", func() bool { return p.dial().get("/a").answer().Close })
+	for range 20 {
+		c := p.dial().get("/endless")
+		c.answer()
+		require.NoError(t, c.SetLinger(0))
+		c.Close()
+		p.eventually("the reset is passed on", func() bool { return p.helper.conns.Load() == 0 })
+		assert.True(t, p.dial().get("/a").answer().Close)
+	}
+}
+
 // Guards against connections that get lost among many on one link.
 func TestManyConnectionsAtOnce(t *testing.T) {
 	p := newPair(t, newUpstream(), pairOptions{}).relaying()
--- a/internal/conn/relay/relayedconn.go
+++ b/internal/conn/relay/relayedconn.go
@@ -160,7 +160,9 @@
 	}
 	c.caller.Close()
 	c.stream.Close()
-	_ = c.session.send(Message{Reset: c.stream.StreamID()}) // fails only when the session has ended
+	m := c.origin.status()
+	m.Reset = c.stream.StreamID()
+	_ = c.session.send(m) // fails only when the session has ended
 }
 
 func (c *relayedConn) copyToCaller() {
