--- a/internal/request/forward/answer.go
+++ b/internal/request/forward/answer.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/silverswitch/silverswitch/internal/conn"
@@ -31,6 +33,7 @@
 	attempt       context.Context // also ends when the upstream falls silent
 	whole         bool            // the body was read to its end
 	firstReported bool            // firstEvent was called
+	unflushed     bool            // events were written to the caller and not yet sent
 
 	timeToFirst time.Duration // from sending to the first event
 }
@@ -198,10 +201,18 @@
 	a.s.ctrl.FirstEvent(a.ticket, a.timeToFirst)
 }
 
+// streamReaders holds the buffers of streams that have ended.
+var streamReaders = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, streamBufferBytes) }}
+
+const streamBufferBytes = 4 << 10
+
 // stream forwards events as they arrive, each once and in order.
 func (a *answer) stream(res *http.Response) step {
-	br := bufio.NewReaderSize(res.Body, 4<<10)
+	br := streamReaders.Get().(*bufio.Reader)
+	br.Reset(res.Body)
+	defer func() { br.Reset(nil); streamReaders.Put(br) }()
 	rc := http.NewResponseController(a.w)
+	gapTimeout := a.eventGapTimeout()
 	var buf []byte
 	for {
 		e, err := stream.Read(br, buf)
@@ -213,28 +224,80 @@
 		}
 		buf = e.Raw
 		a.firstEvent()
-		a.silence.reset(a.eventGapTimeout())
-		if e.Position != stream.NoPosition {
-			if e.Position <= a.lastPosition {
-				continue // forwarded before the stream broke
-			}
-			if a.lastPosition > 0 && e.Position != a.lastPosition+1 {
-				return a.handleBroken(errors.New("the stream skips an event position"))
+		a.silence.reset(gapTimeout)
+		switch ok, err := a.checkPosition(e); {
+		case err != nil:
+			_ = a.flush(rc) // before the stream is resumed, which may take long
+			return a.handleBroken(err)
+		case ok:
+			if err := a.writeEvent(res, e); err != nil {
+				return a.callerUnreachable()
 			}
-			a.lastPosition = e.Position
 		}
-		if !a.headersSent {
-			a.headersSent = true
-			a.copyHeaders(res)
-			a.w.WriteHeader(res.StatusCode)
+		if hasWholeEvent(br) {
+			continue // flushed together with the next event
 		}
-		if _, err := a.w.Write(e.Raw); err != nil {
-			break
-		}
-		if err := rc.Flush(); err != nil {
-			break
+		if err := a.flush(rc); err != nil {
+			return a.callerUnreachable()
 		}
 	}
+}
+
+// hasWholeEvent reports whether a whole event has already been read, so that the next one is
+// there without waiting. An overloaded router finds several events at each read, and writes
+// them together: a write takes a fifth of what forwarding an event costs.
+func hasWholeEvent(br *bufio.Reader) bool {
+	if br.Buffered() == 0 {
+		return false
+	}
+	raw, _ := br.Peek(br.Buffered())
+	return bytes.Contains(raw, eventEnd) || bytes.Contains(raw, eventEndCRLF)
+}
+
+var (
+	eventEnd     = []byte("\n\n")
+	eventEndCRLF = []byte("\n\r\n")
+)
+
+// checkPosition reports whether to forward an event: not if that was done before the stream
+// broke. A skipped position is an error.
+func (a *answer) checkPosition(e stream.Event) (bool, error) {
+	if e.Position == stream.NoPosition {
+		return true, nil
+	}
+	if e.Position <= a.lastPosition {
+		return false, nil
+	}
+	if a.lastPosition > 0 && e.Position != a.lastPosition+1 {
+		return false, errors.New("the stream skips an event position")
+	}
+	a.lastPosition = e.Position
+	return true, nil
+}
+
+// writeEvent writes an event to the caller's connection without flushing it.
+func (a *answer) writeEvent(res *http.Response, e stream.Event) error {
+	if !a.headersSent {
+		a.headersSent = true
+		a.copyHeaders(res)
+		a.w.WriteHeader(res.StatusCode)
+	}
+	a.unflushed = true
+	_, err := a.w.Write(e.Raw)
+	return err
+}
+
+// flush sends the events written since the last flush.
+func (a *answer) flush(rc *http.ResponseController) error {
+	if !a.unflushed {
+		return nil // flushing before the first event would send headers
+	}
+	a.unflushed = false
+	return rc.Flush()
+}
+
+// callerUnreachable ends a stream that can no longer be written to the caller.
+func (a *answer) callerUnreachable() step {
 	a.reportBrokenAttempt(a.placement, false, context.Canceled)
 	a.s.ctrl.End(a.ticket, wire.ProgressDone)
 	a.giveUp("caller-unreachable", a.placement.Instance.ID, nil)
--- a/internal/request/forward/counters.go
+++ b/internal/request/forward/counters.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"sync"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
@@ -15,12 +16,14 @@
 	arrived, answered, opened, resumed, repeated, broken, shed, quarantined, withdrawn, healthChecks metrics.Counter
 	leavingNotices, backoffNotices                                                                   metrics.Counter
 	firstEvent, decision                                                                             metrics.Timer
+	byStatus                                                                                         *sync.Map // metrics.Counter by status
 }
 
 func newCounters(reg metrics.Registry) counters {
 	c := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("forward."+name, reg) }
 	return counters{
-		reg: reg, arrived: c("arrived"), answered: c("answered"), opened: c("connections"), resumed: c("resumed"),
+		byStatus: &sync.Map{},
+		reg:      reg, arrived: c("arrived"), answered: c("answered"), opened: c("connections"), resumed: c("resumed"),
 		repeated: c("repeated"), broken: c("broken"), shed: c("shed"), quarantined: c("held"), withdrawn: c("withdrawn"), healthChecks: c("looked"),
 		leavingNotices: c("notices.leaving"), backoffNotices: c("notices.backoff"),
 		firstEvent: metrics.GetOrRegisterTimer("forward.first", reg),
@@ -28,8 +31,15 @@
 	}
 }
 
-func (c counters) failed(status int) {
-	metrics.GetOrRegisterCounter("forward.status."+strconv.Itoa(status), c.reg).Inc(1)
+// failed counts a failure by its status.
+func (c *counters) failed(status int) {
+	if n, known := c.byStatus.Load(status); known {
+		n.(metrics.Counter).Inc(1)
+		return
+	}
+	n := metrics.GetOrRegisterCounter("forward.status."+strconv.Itoa(status), c.reg)
+	c.byStatus.Store(status, n)
+	n.Inc(1)
 }
 
 // logEnd logs a request that ended without an answer.
--- a/internal/request/forward/dialect.go
+++ b/internal/request/forward/dialect.go
@@ -100,12 +100,16 @@
 		p.output = hint
 	}
 	sum := 0
-	for _, text := range strings.Split(h.Get(d.PromptParts), ",") {
+	list := h.Get(d.PromptParts)
+	for text := range strings.SplitSeq(list, ",") {
 		id, count, ok := strings.Cut(strings.TrimSpace(text), ":")
 		n := parseTokenCount(count)
 		if !ok || n == 0 || len(p.parts) >= maxParts {
 			break
 		}
+		if p.parts == nil {
+			p.parts = make([]wire.PromptPart, 0, min(maxParts, 1+strings.Count(list, ",")))
+		}
 		p.parts = append(p.parts, wire.PromptPart{Part: PartID(id), Tokens: uint32(n)})
 		sum += n
 	}
@@ -128,9 +132,38 @@
 // deadline returns how long the caller waits. It is def if the header is missing,
 // malformed or longer than def.
 func (d *Dialect) deadline(h http.Header, def time.Duration) time.Duration {
-	ms, err := strconv.ParseFloat(h.Get(d.Deadline), 64)
-	if err != nil || ms < 0 || ms > float64(def.Milliseconds()) {
+	text := h.Get(d.Deadline)
+	if ms := parseDigits(text); ms >= 0 {
+		if ms > def.Milliseconds() {
+			return def
+		}
+		return time.Duration(ms) * time.Millisecond
+	}
+	ms, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(ms >= 0 && ms <= float64(def.Milliseconds())) { // also for not a number
 		return def
 	}
 	return time.Duration(ms * float64(time.Millisecond))
 }
+
+// maxDigits is the longest text that parseDigits parses.
+const maxDigits = 9
+
+// parseDigits returns the value of a text of decimal digits, or -1 for any other text or one
+// that is longer than maxDigits. It needs little stack: with strconv.ParseFloat at this depth
+// the stack of each new connection's goroutine grew once more, a tenth of what a refusal on a
+// new connection costs.
+func parseDigits(text string) int64 {
+	if len(text) == 0 || len(text) > maxDigits {
+		return -1
+	}
+	var n int64
+	for i := range len(text) {
+		c := text[i]
+		if c < '0' || c > '9' {
+			return -1
+		}
+		n = 10*n + int64(c-'0')
+	}
+	return n
+}
--- a/internal/request/forward/failure.go
+++ b/internal/request/forward/failure.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -21,6 +22,9 @@
 	crashes int              // of upstreams, attributed to the request
 }
 
+// failureContentType is shared by all responses and must not be modified.
+var failureContentType = []string{"text/plain; charset=utf-8"}
+
 // fail sends the failure to the caller. Nothing of an answer may have been sent before.
 func (req *callerRequest) fail(f failure) {
 	h := req.w.Header()
@@ -31,13 +35,13 @@
 		h.Set(headerRetryAfter, strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 3, 64))
 	}
 	body := f.reason + "\n"
-	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h["Content-Type"] = failureContentType
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	if req.s.ctrl.Leaving() {
 		h.Set("Connection", "close")
 	}
 	req.w.WriteHeader(f.status)
-	_, _ = req.w.Write([]byte(body)) // the caller may be gone
+	_, _ = io.WriteString(req.w, body) // the caller may be gone
 	req.s.count.failed(f.status)
 	req.logEnd(f)
 }
--- a/internal/request/forward/run.go
+++ b/internal/request/forward/run.go
@@ -8,9 +8,6 @@
 	"strings"
 	"time"
 
-	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/trace"
-
 	"github.com/silverswitch/silverswitch/internal/conn"
 	"github.com/silverswitch/silverswitch/internal/core/wire"
 	"github.com/silverswitch/silverswitch/internal/dispatch"
@@ -119,9 +116,8 @@
 
 // attempt sends the request to one upstream and forwards its answer.
 func (r *run) attempt(p *dispatch.Placement) step {
-	ctx, span := r.s.tracer.Start(r.ctx, "upstream", trace.WithSpanKind(trace.SpanKindClient),
-		trace.WithAttributes(attribute.String("upstream", p.Instance.ID), attribute.String("place", p.Instance.Place)))
-	defer span.End()
+	ctx, endSpan := r.s.tracing.attempt(r.ctx, p)
+	defer endSpan()
 	ctx, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
 	silence := newWatchdog(func() { stop(conn.ErrSilence) }, r.firstEventTimeout(p))
--- a/internal/request/forward/server.go
+++ b/internal/request/forward/server.go
@@ -12,9 +12,6 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
-	"go.opentelemetry.io/otel"
-	"go.opentelemetry.io/otel/propagation"
-	"go.opentelemetry.io/otel/trace"
 
 	"github.com/silverswitch/silverswitch/internal/clock"
 	"github.com/silverswitch/silverswitch/internal/conn"
@@ -37,13 +34,13 @@
 	reqLog        *requestLog
 	key           *fingerprint.Key
 	clock         *clock.Clock
-	tracer        trace.Tracer
+	tracing       tracing
 }
 
 // NewServer returns a Server. It identifies repeated requests by fingerprints made with
 // the key.
 func NewServer(ctrl Control, exchanges *conn.Exchanges, dialect Dialect, key *fingerprint.Key, limit Limits, reg metrics.Registry, log zerolog.Logger) *Server {
-	s := &Server{ctrl: ctrl, exchanges: exchanges, dialect: dialect, key: key, clock: clock.System, limit: limit.MaxRequests, buffers: answerBuffers{limit: limit.MaxAnswerBytes}, loadShedder: newLoadShedder(), count: newCounters(reg), reqLog: newRequestLog(log), tracer: otel.Tracer("silverswitch")}
+	s := &Server{ctrl: ctrl, exchanges: exchanges, dialect: dialect, key: key, clock: clock.System, limit: limit.MaxRequests, buffers: answerBuffers{limit: limit.MaxAnswerBytes}, loadShedder: newLoadShedder(), count: newCounters(reg), reqLog: newRequestLog(log), tracing: newTracing()}
 	s.healthChecker = newHealthChecker(exchanges, dialect, s.clock)
 	exchanges.OnResponse = s.handleNotice
 	exchanges.OnOpen = func() { s.count.opened.Inc(1) }
@@ -95,23 +92,23 @@
 // the limits of size and time, and runs it.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.count.arrived.Inc(1)
-	ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
-	ctx, span := s.tracer.Start(ctx, "entry", trace.WithSpanKind(trace.SpanKindServer))
-	defer span.End()
-	req := &callerRequest{s: s, w: w, r: r.WithContext(ctx), id: r.Header.Get(s.dialect.RequestID), arrived: s.clock.Now()}
-	req.setWriteDeadline(req.arrived.Add(refusalWriteTimeout))
+	r, endSpan := s.tracing.entry(r)
+	defer endSpan()
+	req := &callerRequest{s: s, w: w, r: r, id: r.Header.Get(s.dialect.RequestID), arrived: s.clock.Now()}
 	defer s.open.Add(-1)
 	full := s.open.Add(1) > int64(s.limit)
 	if f := req.admit(); f != nil {
-		req.fail(*f)
+		req.refuse(*f)
 		return
 	}
 	if full || s.loadShedder.refuses(req.org, s.ctrl.ShedRatio(), s.ctrl.AdmitRatio(req.service, req.org), req.arrived) {
 		req.shedRequest()
 		return
 	}
+	req.prompt = s.dialect.readPrompt(r.Header)
+	req.setWriteDeadline(req.deadline.Add(answerWriteGrace))
 	if f := req.readBody(); f != nil {
-		req.fail(*f)
+		req.refuse(*f)
 		return
 	}
 	req.run()
@@ -122,12 +119,19 @@
 // arrived at this router.
 func (req *callerRequest) shedRequest() {
 	req.s.count.shed.Inc(1)
+	req.prompt = req.s.dialect.readPrompt(req.r.Header)
 	req.s.ctrl.RequestShed(dispatch.ShedWork{
 		Service: req.service,
 		Org:     req.org,
 		Tokens:  dispatch.Cost(req.prompt.input, req.prompt.output),
 	})
-	req.fail(notRun("router-overloaded", shedRetryDelay))
+	req.refuse(notRun("router-overloaded", shedRetryDelay))
+}
+
+// refuse sends a failure to a request that is not run.
+func (req *callerRequest) refuse(f failure) {
+	req.setWriteDeadline(req.arrived.Add(refusalWriteTimeout))
+	req.fail(f)
 }
 
 // admit finds the route, organisation and deadline of the request. It returns a failure if
@@ -157,7 +161,6 @@
 		req.regions = req.regions.Intersect(org.Regions)
 	}
 	req.deadline = req.arrived.Add(req.s.dialect.deadline(req.r.Header, req.route.Timeout))
-	req.prompt = req.s.dialect.readPrompt(req.r.Header)
 	return nil
 }
 
@@ -220,7 +223,6 @@
 		req.fail(*f)
 		return
 	}
-	req.setWriteDeadline(req.deadline.Add(answerWriteGrace))
 	ctx, stop := req.s.clock.WithDeadline(req.r.Context(), req.deadline)
 	defer stop()
 	t := req.s.ctrl.Submit(dispatch.Request{
