--- a/internal/process/connlimiter.go
+++ b/internal/process/connlimiter.go
@@ -32,6 +32,7 @@
 	open         int
 	idle         *list.List // net.Conn values, longest idle first
 	idleElements map[net.Conn]*list.Element
+	arrivals     arrivalsPointer // samples how long requests lie unread
 }
 
 // newConnLimiter returns a limiter for a number of descriptors, or one without bounds for 0.
@@ -65,6 +66,9 @@
 		l.removeIdle(caller)
 	}
 	l.mu.Unlock()
+	if state == http.StateActive {
+		l.arrivals.sample(caller)
+	}
 	if drop != nil {
 		drop.Close() // idle, so no request is lost that the router has read
 	}
--- a/internal/process/forwardcontrol.go
+++ b/internal/process/forwardcontrol.go
@@ -14,6 +14,11 @@
 // ShedRatio implements forward.Control.
 func (rc *RoutedController) ShedRatio() float64 { return rc.overload.shedRatio() }
 
+// RequestArrived implements forward.Control.
+func (rc *RoutedController) RequestArrived(target time.Duration) {
+	rc.overload.arrivals.addTarget(target)
+}
+
 // RequestShed implements forward.Control.
 func (rc *RoutedController) RequestShed(w dispatch.ShedWork) { rc.shed.add(w) }
 
--- a/internal/process/operator.go
+++ b/internal/process/operator.go
@@ -70,6 +70,8 @@
 			lines[name] = fmt.Sprintf("%d", m.Count())
 		case metrics.Gauge:
 			lines[name] = fmt.Sprintf("%d", m.Value())
+		case metrics.GaugeFloat64:
+			lines[name] = fmt.Sprintf("%g", m.Value())
 		case metrics.Timer:
 			t := m.Snapshot()
 			lines[name+"_seconds_count"] = fmt.Sprintf("%d", t.Count())
--- a/internal/process/overload.go
+++ b/internal/process/overload.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -14,7 +13,7 @@
 	overloadCheckInterval = 100 * time.Millisecond
 
 	// Between a scheduling lag of minShedLag and one of fullShedLag the shed ratio grows
-	// from 0 to maxShedRatio. A request wakes some twenty goroutines until its first byte
+	// from 0 to maxShedRatio where the cores are unknown. A request wakes some twenty goroutines until its first byte
 	// is passed on, so each millisecond of lag delays it by some twenty milliseconds.
 	minShedLag   = 4 * time.Millisecond
 	fullShedLag  = 20 * time.Millisecond
@@ -32,16 +31,25 @@
 	minBusyLag = 500 * time.Microsecond
 )
 
-// overloadDetector derives the shed ratio from the scheduling lag of this process's
-// goroutines and from its CPU use relative to the cores in the settings. Lag alone is not
-// enough: timers and the control goroutine are scheduled first, and a router that uses all
-// of its CPU shows a lag of only a few milliseconds.
+// overloadDetector measures the scheduling lag of this process's goroutines, its CPU use
+// relative to the cores in the settings, and the requests that arrive, and publishes what
+// shedDecision makes of them. Lag alone is not enough: timers and the control goroutine are
+// scheduled first, and a router that uses all of its CPU shows a lag of only a few
+// milliseconds.
 type overloadDetector struct {
-	cores         float64 // 0 when unknown
-	lag           schedLagMeter
-	cpuShedRatio  float64       // shed ratio due to CPU use
-	cpuUseBits    atomic.Uint64 // float64 bits of the CPU use in the last period, as a fraction of cores
-	shedRatioBits atomic.Uint64 // float64 bits of the fraction of arrivals to refuse
+	cores    float64 // 0 when unknown
+	lag      schedLagMeter
+	arrivals arrivalStats
+	decision shedDecision // of the goroutine that runs run
+	state    atomic.Pointer[overloadState]
+}
+
+// overloadState is the latest decision, and what it was made from.
+type overloadState struct {
+	ratio  float64 // fraction of arrivals to refuse
+	reason shedReason
+	shedDecision
+	loadSample
 }
 
 // run measures until the context ends.
@@ -51,44 +59,56 @@
 		sleep(ctx, overloadCheckInterval)
 		d.lag.read()
 		u, t := cpuTime(), time.Now()
-		use := 0.0
-		if wall := t.Sub(at); d.cores > 0 && wall > 0 {
-			use = float64(u-used) / float64(wall) / d.cores
+		s := loadSample{wall: t.Sub(at), lag: d.lag.lag()}
+		if d.cores > 0 && s.wall > 0 {
+			s.use = float64(u-used) / float64(s.wall) / d.cores
 		}
+		s.target, s.unread = d.arrivals.take()
 		used, at = u, t
-		d.update(use, d.lag.lag())
+		d.observe(s)
 	}
 }
 
 // update sets the shed ratio after a period with the given CPU use and scheduling lag.
 func (d *overloadDetector) update(use float64, lag time.Duration) {
-	d.cpuUseBits.Store(math.Float64bits(use))
-	switch {
-	case use >= highCPUUseRatio && lag >= minBusyLag:
-		d.cpuShedRatio = min(maxShedRatio, d.cpuShedRatio+shedRatioStep)
-	case use < lowCPUUseRatio || lag < minBusyLag:
-		d.cpuShedRatio *= shedRatioDecay
-	}
-	if d.cpuShedRatio < minShedRatio {
-		d.cpuShedRatio = 0
-	}
-	d.shedRatioBits.Store(math.Float64bits(max(d.cpuShedRatio, shedRatioAt(lag))))
+	d.observe(loadSample{wall: overloadCheckInterval, use: use, lag: lag})
 }
 
-// cpuUse returns the fraction of the CPU that was used in the last period.
-func (d *overloadDetector) cpuUse() float64 { return math.Float64frombits(d.cpuUseBits.Load()) }
+// observe sets the shed ratio after a period.
+func (d *overloadDetector) observe(s loadSample) {
+	d.decision.cores = d.cores
+	d.decision.update(s)
+	state := overloadState{shedDecision: d.decision, loadSample: s}
+	state.ratio, state.reason = d.decision.ratio()
+	state.recent, state.targets = nil, nil // modified by the next update
+	d.state.Store(&state)
+}
 
-// shedRatio returns the fraction of all arrivals to refuse.
-func (d *overloadDetector) shedRatio() float64 { return math.Float64frombits(d.shedRatioBits.Load()) }
+// delaysMessages reports whether other routers must be told that the times which this router
+// reports say nothing about engines. That is so while it sheds load, and also while it lags
+// without an overload, as between two parts of a quota.
+func (s overloadState) delaysMessages() bool { return s.ratio > 0 || shedRatioAt(s.lag) > 0 }
 
-// shedRatioAt returns the fraction of all arrivals to refuse at a scheduling lag.
-func shedRatioAt(lag time.Duration) float64 {
-	if lag <= minShedLag {
-		return 0
+// current returns the latest decision.
+func (d *overloadDetector) current() overloadState {
+	if s := d.state.Load(); s != nil {
+		return *s
 	}
-	return min(maxShedRatio, float64(lag-minShedLag)/float64(fullShedLag-minShedLag))
+	return overloadState{}
 }
 
+// shedRatio returns the fraction of all arrivals to refuse.
+func (d *overloadDetector) shedRatio() float64 {
+	if s := d.state.Load(); s != nil {
+		return s.ratio
+	}
+	return 0
+}
+
+// shedRatioAt returns the fraction of all arrivals to refuse at a scheduling lag, by a router
+// that does not know its cores.
+func shedRatioAt(lag time.Duration) float64 { return shedRatioBetween(lag, minShedLag, fullShedLag) }
+
 // cpuTime returns the CPU time that this process has used, 0 where the system does not
 // report it.
 func cpuTime() time.Duration {
--- a/internal/process/requestcost_bench_test.go
+++ b/internal/process/requestcost_bench_test.go
@@ -71,6 +71,7 @@
 	require.NoError(b, err)
 	defer cs.close()
 	cs.setLimits(ctrl.table.Limits)
+	cs.connLimiter.arrivals.Store(&ctrl.arrivals)
 	p := startCostProcess(b)
 	ctrl.upstream = p.line(b)
 	p.run(b, kind, cs.listener.Addr().String(), 200) // connections, pools, heap
@@ -104,11 +105,13 @@
 	upstream  string
 	shedRatio float64
 	next      atomic.Uint64
+	arrivals  arrivalStats
 }
 
 func (c *costControl) Table() *routing.Table                 { return c.table }
 func (c *costControl) ShedRatio() float64                    { return c.shedRatio }
 func (c *costControl) AdmitRatio(string, string) float64     { return 1 - c.shedRatio }
+func (c *costControl) RequestArrived(target time.Duration)   { c.arrivals.addTarget(target) }
 func (c *costControl) RequestShed(dispatch.ShedWork)         {}
 func (c *costControl) PlaceAgain(*forward.Ticket, uint8)     {}
 func (c *costControl) End(*forward.Ticket, uint8)            {}
--- a/internal/process/routedcontroller.go
+++ b/internal/process/routedcontroller.go
@@ -46,7 +46,8 @@
 	overload overloadDetector
 	shed     shedTotals
 
-	overloaded           bool                                   // control goroutine only
+	overloaded           bool                                   // control goroutine only: sheds load
+	delaysMessages       bool                                   // control goroutine only: see overloadState.delaysMessages
 	admitRatios          atomic.Pointer[map[serviceOrg]float64] // nil unless admission is limited
 	admissionUntil       time.Time                              // control goroutine only
 	quarantined          quarantineSnapshot
@@ -144,13 +145,17 @@
 	rc.node.Tick(now)
 	rc.quarantined.publish(rc.node.Quarantine())
 	rc.ticks++
-	if on := rc.ShedRatio() > 0; on != rc.overloaded {
-		rc.overloaded = on
+	load := rc.overload.current()
+	if on := load.delaysMessages(); on != rc.delaysMessages {
+		rc.delaysMessages = on
 		rc.node.Step(dispatch.CPUOverload{On: on}, now)
-		rc.log.Info().Bool("on", on).Float64("excess", rc.ShedRatio()).Msg("short-of-processor")
+	}
+	if on := load.ratio > 0; on != rc.overloaded {
+		rc.overloaded = on
+		load.addFields(rc.log.Info().Bool("on", on)).Msg("short-of-processor")
 	}
 	if rc.overloaded && rc.ticks%overloadLogTicks == 0 {
-		rc.log.Info().Float64("use", rc.overload.cpuUse()).Int64("lag_us", rc.overload.lag.lag().Microseconds()).Float64("excess", rc.ShedRatio()).Msg("processor-use")
+		load.addFields(rc.log.Info()).Msg("processor-use")
 	}
 	if rc.ticks%shedReportTicks == 0 {
 		if work := rc.shed.take(); len(work) > 0 {
--- a/internal/process/routeddaemon.go
+++ b/internal/process/routeddaemon.go
@@ -99,6 +99,7 @@
 		return nil, err
 	}
 	d.ctrl.OnTable = d.callerServer.setLimits
+	d.ctrl.overload.observeCallers(d.callerServer.connLimiter, reg)
 	go d.ctrl.Run(ctx)
 	go newSourceWatcher(source, d.ctrl, log, reg).run(ctx)
 	if dep.PrefixCache != nil {
--- /dev/null
+++ b/internal/process/sheddecision.go
@@ -0,0 +1,215 @@
+package process
+
+import (
+	"slices"
+	"time"
+)
+
+// loadSample is what a router observed of itself in one period of overloadCheckInterval, or
+// longer if the router was not scheduled.
+type loadSample struct {
+	wall   time.Duration // length of the period; 0 or less counts as overloadCheckInterval
+	use    float64       // CPU use as a fraction of the cores that this router has
+	lag    time.Duration // scheduling lag, a moving average
+	unread time.Duration // median time for which requests had lain unread, 0 if none were sampled
+	target time.Duration // strict target latency of the requests that arrived, 0 if none arrived
+}
+
+// shedReason is why a router sheds load.
+type shedReason string
+
+const (
+	shedNothing   shedReason = ""
+	shedProcessor shedReason = "processor" // the CPU is used up
+	shedLag       shedReason = "lag"       // goroutines wait too long for the CPU
+	shedUnread    shedReason = "unread"    // requests lie unread for too long
+)
+
+// Parameters of shedDecision, beside those of overload.go.
+const (
+	// shedMeanPeriods is the number of periods whose mean CPU use decides. A CPU that is
+	// limited by a quota runs at full speed until the quota is used up and then stalls for
+	// the rest of a tenth of a second: a single period shows a use of 0 or far above the
+	// mean. With three periods a router that is out of CPU sheds after 300 ms.
+	shedMeanPeriods = 3
+	// lagMeanPeriods is the number of periods whose mean CPU use decides what a lag means.
+	// Below lowCPUUseRatio it is a stall or a burst, from highCPUUseRatio it is all taken
+	// for a queue that does not end; between the two it counts in part. Routers with 0.192
+	// cores lagged by 4 to 80 ms at a use of 0.47 to 0.64, and were in time. With three
+	// periods, chance alone takes a router with 0.144 cores from half of its CPU to above
+	// 0.9 (nine requests in a period).
+	lagMeanPeriods = 5
+	// lagTargetDivisor and fullLagTargetDivisor divide the target to give the lags at which
+	// shedding begins and at which it is maxShedRatio. A request waits for the CPU some
+	// twenty times until an upstream has it, so that is a fifth of the target, and all of
+	// it; half of it, which is the most that may pass, is within. With a target of 400 ms
+	// they are minShedLag and fullShedLag.
+	lagTargetDivisor     = 100
+	fullLagTargetDivisor = 20
+	// minUnreadPeriods is the number of successive periods in which requests must have lain
+	// unread for too long: after a single pause of the process they have, once.
+	minUnreadPeriods = 2
+	// unreadTargetDivisor divides the target to give the time for which requests may lie
+	// unread. At most half of a target may pass until an upstream has the request, which
+	// after being read still has to be placed and sent. Shedding ends at calmUnreadRatio
+	// of that time.
+	unreadTargetDivisor = 3
+	calmUnreadRatio     = 0.5
+	// unreadShedStep is what the shed ratio grows by in a period in which requests lie
+	// unread for too long, multiplied by how many times too long, up to maxUnreadExcess.
+	// A third of a target has been lost then, so it grows twice as fast as for CPU use.
+	unreadShedStep  = 0.16
+	maxUnreadExcess = 3.0
+	// maxUnreadShedRatio is the largest fraction refused because requests lie unread. Above
+	// maxShedRatio, as what is admitted then is late too: with 0.192 cores and 1,900
+	// requests a second, one in ten and the refusals of the others take one and a half
+	// times the CPU.
+	maxUnreadShedRatio = 0.98
+	// defaultShedTarget is the target while none is known, and minShedTarget the strictest
+	// that counts: below it, the kernel's timer tick and single garbage collections would
+	// count as overload.
+	defaultShedTarget = 400 * time.Millisecond
+	minShedTarget     = 50 * time.Millisecond
+	// shedTargetPeriods is how many periods a target counts after its requests arrived, so
+	// that a stall in which nothing is read does not change it.
+	shedTargetPeriods = 20
+)
+
+// shedDecision decides which fraction of the arrivals an overloaded router refuses. It is
+// pure: it does no I/O and reads no clock.
+//
+// Load pattern: an organisation sends 1,400 requests per second to one router with 0.192
+// cores. The router must shed what it cannot process, neither more because it lags (it did
+// so at half of its CPU) nor so late that requests lie unread past half of their target.
+type shedDecision struct {
+	cores   float64 // 0 when unknown: then the lag alone decides
+	recent  []loadSample
+	targets []time.Duration // of the last shedTargetPeriods periods
+
+	unreadPeriods int // successive periods in which requests lay unread for too long
+
+	byProcessor float64
+	byLag       float64
+	byUnread    float64
+}
+
+// update takes the sample of a period into account.
+func (d *shedDecision) update(s loadSample) {
+	s = s.valid()
+	d.recent = append(d.recent, s)
+	if len(d.recent) > lagMeanPeriods {
+		d.recent = slices.Delete(d.recent, 0, 1)
+	}
+	d.targets = append(d.targets, s.target)
+	if len(d.targets) > shedTargetPeriods {
+		d.targets = slices.Delete(d.targets, 0, 1)
+	}
+	if d.cores <= 0 {
+		d.byLag = shedRatioAt(s.lag)
+		return
+	}
+	d.updateProcessor(s)
+	d.updateUnread(s)
+	d.byLag = d.lagWeight() * shedRatioBetween(s.lag, d.shedTarget()/lagTargetDivisor, d.shedTarget()/fullLagTargetDivisor)
+}
+
+// valid returns the sample with values that cannot be (negative, not a number) replaced by 0.
+func (s loadSample) valid() loadSample {
+	if !(s.use >= 0) {
+		s.use = 0
+	}
+	if s.wall <= 0 {
+		s.wall = overloadCheckInterval
+	}
+	s.lag, s.unread, s.target = max(0, s.lag), max(0, s.unread), max(0, s.target)
+	return s
+}
+
+// updateProcessor raises the ratio while the CPU is used up, in this period and on average,
+// and lowers it when it is used up in neither.
+func (d *shedDecision) updateProcessor(s loadSample) {
+	switch {
+	case s.use >= highCPUUseRatio && d.meanUse(shedMeanPeriods) >= lowCPUUseRatio && s.lag >= minBusyLag:
+		d.byProcessor = min(maxShedRatio, d.byProcessor+shedRatioStep)
+	case s.use < lowCPUUseRatio && d.meanUse(shedMeanPeriods) < highCPUUseRatio || s.lag < minBusyLag:
+		d.byProcessor = decayed(d.byProcessor)
+	}
+}
+
+// updateUnread raises the ratio while requests lie unread for too long, whatever the CPU use
+// says: the VM may provide less CPU than the settings state.
+func (d *shedDecision) updateUnread(s loadSample) {
+	limit := d.shedTarget() / unreadTargetDivisor
+	switch excess := float64(s.unread) / float64(limit); {
+	case excess >= 1:
+		if d.unreadPeriods++; d.unreadPeriods < minUnreadPeriods {
+			return
+		}
+		d.byUnread = min(maxUnreadShedRatio, d.byUnread+unreadShedStep*min(excess, maxUnreadExcess))
+	case excess < calmUnreadRatio:
+		d.byUnread = decayed(d.byUnread)
+		d.unreadPeriods = 0
+	default:
+		d.unreadPeriods = 0
+	}
+}
+
+// decayed returns a shed ratio after a period without its cause.
+func decayed(ratio float64) float64 {
+	if ratio *= shedRatioDecay; ratio >= minShedRatio {
+		return ratio
+	}
+	return 0
+}
+
+// meanUse returns the CPU use over up to n recent periods.
+func (d *shedDecision) meanUse(n int) float64 {
+	used, wall := 0.0, 0.0
+	for _, s := range d.recent[max(0, len(d.recent)-n):] {
+		used += s.use * float64(s.wall)
+		wall += float64(s.wall)
+	}
+	return used / max(1, wall)
+}
+
+// lagWeight is the part of the lag rule that applies at the mean CPU use.
+func (d *shedDecision) lagWeight() float64 {
+	return min(1, max(0, (d.meanUse(lagMeanPeriods)-lowCPUUseRatio)/(highCPUUseRatio-lowCPUUseRatio)))
+}
+
+// shedTarget returns the strictest target of the requests that arrived lately.
+func (d *shedDecision) shedTarget() time.Duration {
+	strictest := time.Duration(0)
+	for _, t := range d.targets {
+		if t > 0 && (strictest == 0 || t < strictest) {
+			strictest = t
+		}
+	}
+	if strictest == 0 {
+		return defaultShedTarget
+	}
+	return max(minShedTarget, strictest)
+}
+
+// ratio returns the fraction of arrivals to refuse, and why.
+func (d *shedDecision) ratio() (float64, shedReason) {
+	switch most := max(d.byProcessor, d.byLag, d.byUnread); {
+	case most == 0:
+		return 0, shedNothing
+	case d.byUnread == most:
+		return most, shedUnread
+	case d.byProcessor == most:
+		return most, shedProcessor
+	default:
+		return most, shedLag
+	}
+}
+
+// shedRatioBetween returns a fraction that grows from 0 at the lag from to maxShedRatio at
+// the lag to.
+func shedRatioBetween(lag, from, to time.Duration) float64 {
+	if lag <= from {
+		return 0
+	}
+	return min(maxShedRatio, float64(lag-from)/float64(to-from))
+}
--- a/internal/request/forward/control.go
+++ b/internal/request/forward/control.go
@@ -28,6 +28,9 @@
 	// ShedRatio returns the fraction of all arriving requests that this router should
 	// refuse because it is overloaded (short of CPU).
 	ShedRatio() float64
+	// RequestArrived reports the target latency of each request whose headers are
+	// acceptable, whether or not it is then shed.
+	RequestArrived(target time.Duration)
 	// AdmitRatio returns the fraction of an organisation's requests for a service that are
 	// admitted while this router is, or was just, overloaded: 1 unless the organisation has
 	// used up its share.
--- a/internal/request/forward/harness_test.go
+++ b/internal/request/forward/harness_test.go
@@ -128,6 +128,8 @@
 	c.answeredWhole = append(c.answeredWhole, f)
 }
 
+func (c *fakeControl) RequestArrived(time.Duration) {}
+
 func (c *fakeControl) RequestShed(w dispatch.ShedWork) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/request/forward/server.go
+++ b/internal/request/forward/server.go
@@ -101,6 +101,7 @@
 		req.refuse(*f)
 		return
 	}
+	s.ctrl.RequestArrived(req.route.TargetLatency)
 	if full || s.loadShedder.refuses(req.org, s.ctrl.ShedRatio(), s.ctrl.AdmitRatio(req.service, req.org), req.arrived) {
 		req.shedRequest()
 		return
