--- a/internal/process/requestcost_bench_test.go
+++ b/internal/process/requestcost_bench_test.go
@@ -108,10 +108,13 @@
 	arrivals  arrivalStats
 }
 
-func (c *costControl) Table() *routing.Table                 { return c.table }
-func (c *costControl) ShedRatio() float64                    { return c.shedRatio }
-func (c *costControl) AdmitRatio(string, string) float64     { return 1 - c.shedRatio }
-func (c *costControl) RequestArrived(target time.Duration)   { c.arrivals.addTarget(target) }
+func (c *costControl) Table() *routing.Table               { return c.table }
+func (c *costControl) ShedRatio() float64                  { return c.shedRatio }
+func (c *costControl) AdmitRatio(string, string) float64   { return 1 - c.shedRatio }
+func (c *costControl) RequestArrived(target time.Duration) { c.arrivals.addTarget(target) }
+func (c *costControl) Unservable(string, routing.Regions) (dispatch.Refuse, bool) {
+	return dispatch.Refuse{}, false
+}
 func (c *costControl) RequestShed(dispatch.ShedWork)         {}
 func (c *costControl) PlaceAgain(*forward.Ticket, uint8)     {}
 func (c *costControl) End(*forward.Ticket, uint8)            {}
--- a/internal/process/routedcontroller.go
+++ b/internal/process/routedcontroller.go
@@ -49,7 +49,8 @@
 	overloaded           bool                                   // control goroutine only: sheds load
 	delaysMessages       bool                                   // control goroutine only: see overloadState.delaysMessages
 	admitRatios          atomic.Pointer[map[serviceOrg]float64] // nil unless admission is limited
-	admissionUntil       time.Time                              // control goroutine only
+	serviceStates        atomic.Pointer[map[string]dispatch.ServiceState]
+	admissionUntil       time.Time // control goroutine only
 	quarantined          quarantineSnapshot
 	availability         availability
 	loggedUnknownService map[string]bool // control goroutine only: by instance start, where a missing service was logged
@@ -164,6 +165,7 @@
 	}
 	if rc.ticks%admissionTicks == 0 {
 		rc.publishAdmitRatios(now)
+		rc.publishServiceStates(now)
 	}
 	if rc.ticks%watchCheckTicks == 0 {
 		if on := rc.node.Watches(now); rc.watches.Swap(on) != on {
--- a/internal/process/storecontent.go
+++ b/internal/process/storecontent.go
@@ -209,6 +209,7 @@
 	rc.publishedTable = rc.view.Table
 	rc.publications.Add(1)
 	rc.node.Step(c, now)
+	rc.publishServiceStates(now)
 	rc.table.Store(rc.view.Table)
 	rc.updateReady(now)
 }
--- a/internal/request/forward/control.go
+++ b/internal/request/forward/control.go
@@ -35,7 +35,11 @@
 	// admitted while this router is, or was just, overloaded: 1 unless the organisation has
 	// used up its share.
 	AdmitRatio(service, org string) float64
-	// RequestShed reports work that was refused because of overload, without Submit.
+	// Unservable returns the refusal of a request for a service that certainly cannot be
+	// placed now, restricted to regions, and false for any other request.
+	Unservable(service string, allowed routing.Regions) (dispatch.Refuse, bool)
+	// RequestShed reports work that was refused without Submit, because of overload or
+	// because it is unservable.
 	RequestShed(w dispatch.ShedWork)
 	// Unusable returns why a request may no longer be sent to the upstream it was placed
 	// at, or MaySend when it still may. It uses the latest control state.
--- a/internal/request/forward/counters.go
+++ b/internal/request/forward/counters.go
@@ -12,11 +12,11 @@
 
 // counters are the metrics of the routed interface.
 type counters struct {
-	reg                                                                                              metrics.Registry
-	arrived, answered, opened, resumed, repeated, broken, shed, quarantined, withdrawn, healthChecks metrics.Counter
-	leavingNotices, backoffNotices                                                                   metrics.Counter
-	firstEvent, decision                                                                             metrics.Timer
-	byStatus                                                                                         *sync.Map // metrics.Counter by status
+	reg                                                                                                          metrics.Registry
+	arrived, answered, opened, resumed, repeated, broken, shed, unservable, quarantined, withdrawn, healthChecks metrics.Counter
+	leavingNotices, backoffNotices                                                                               metrics.Counter
+	firstEvent, decision                                                                                         metrics.Timer
+	byStatus                                                                                                     *sync.Map // metrics.Counter by status
 }
 
 func newCounters(reg metrics.Registry) counters {
@@ -24,7 +24,7 @@
 	return counters{
 		byStatus: &sync.Map{},
 		reg:      reg, arrived: c("arrived"), answered: c("answered"), opened: c("connections"), resumed: c("resumed"),
-		repeated: c("repeated"), broken: c("broken"), shed: c("shed"), quarantined: c("held"), withdrawn: c("withdrawn"), healthChecks: c("looked"),
+		repeated: c("repeated"), broken: c("broken"), shed: c("shed"), unservable: c("unservable"), quarantined: c("held"), withdrawn: c("withdrawn"), healthChecks: c("looked"),
 		leavingNotices: c("notices.leaving"), backoffNotices: c("notices.backoff"),
 		firstEvent: metrics.GetOrRegisterTimer("forward.first", reg),
 		decision:   metrics.GetOrRegisterTimer("forward.decision", reg),
--- a/internal/request/forward/harness_test.go
+++ b/internal/request/forward/harness_test.go
@@ -65,6 +65,10 @@
 	leavingStarts       []string // starts of upstreams that announced that they are leaving
 	healthCheckFirst    bool     // placements require a health check
 	neverPlaceAgain     bool     // PlaceAgain gets no decision
+
+	targets    []time.Duration  // of arrived requests
+	unservable *dispatch.Refuse // refusal of every request without a placement; may be nil
+	submitted  atomic.Int64     // calls of Submit
 }
 
 func (c *fakeControl) Table() *routing.Table { return c.table }
@@ -128,7 +132,18 @@
 	c.answeredWhole = append(c.answeredWhole, f)
 }
 
-func (c *fakeControl) RequestArrived(time.Duration) {}
+func (c *fakeControl) RequestArrived(target time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.targets = append(c.targets, target)
+}
+
+func (c *fakeControl) Unservable(string, routing.Regions) (dispatch.Refuse, bool) {
+	if c.unservable != nil {
+		return *c.unservable, true
+	}
+	return dispatch.Refuse{}, false
+}
 
 func (c *fakeControl) RequestShed(w dispatch.ShedWork) {
 	c.mu.Lock()
@@ -137,6 +152,7 @@
 }
 
 func (c *fakeControl) Submit(dispatch.Request) *Ticket {
+	c.submitted.Add(1)
 	t := NewTicket(1)
 	c.decide(t)
 	return t
--- a/internal/request/forward/server.go
+++ b/internal/request/forward/server.go
@@ -102,6 +102,9 @@
 		return
 	}
 	s.ctrl.RequestArrived(req.route.TargetLatency)
+	if req.refuseUnservable() {
+		return
+	}
 	if full || s.loadShedder.refuses(req.org, s.ctrl.ShedRatio(), s.ctrl.AdmitRatio(req.service, req.org), req.arrived) {
 		req.shedRequest()
 		return
@@ -120,13 +123,38 @@
 // arrived at this router.
 func (req *callerRequest) shedRequest() {
 	req.s.count.shed.Inc(1)
+	req.reportUnplacedWork()
+	req.refuse(notRun("router-overloaded", shedRetryDelay))
+}
+
+// refuseUnservable refuses a request that no upstream can take now, as its placement would be
+// refused. It reports whether it did so. Only the body's stated length goes before, since a
+// body that is too large is refused for good.
+func (req *callerRequest) refuseUnservable() bool {
+	if req.r.ContentLength > req.table.Limits.BodyBytes {
+		return false
+	}
+	refusal, unservable := req.s.ctrl.Unservable(req.service, req.regions)
+	if !unservable {
+		return false
+	}
+	req.s.count.unservable.Inc(1)
+	req.reportUnplacedWork()
+	f := notRun(refusal.Reason.String(), refusal.After)
+	f.refusal = &refusal
+	req.refuse(f)
+	return true
+}
+
+// reportUnplacedWork reports the work of a request that is refused without a placement
+// request.
+func (req *callerRequest) reportUnplacedWork() {
 	req.prompt = req.s.dialect.readPrompt(req.r.Header)
 	req.s.ctrl.RequestShed(dispatch.ShedWork{
 		Service: req.service,
 		Org:     req.org,
 		Tokens:  dispatch.Cost(req.prompt.input, req.prompt.output),
 	})
-	req.refuse(notRun("router-overloaded", shedRetryDelay))
 }
 
 // refuse sends a failure to a request that is not run.
