--- a/internal/request/forward/failure.go
+++ b/internal/request/forward/failure.go
@@ -31,12 +31,14 @@
 	if req.id != "" {
 		h.Set(req.s.dialect.RequestID, req.id)
 	}
-	if f.retryAfter > 0 {
-		h.Set(headerRetryAfter, strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 3, 64))
-	}
 	body := f.reason + "\n"
+	values := [2]string{strconv.Itoa(len(body))} // one allocation for both headers
+	h["Content-Length"] = values[0:1:1]
 	h["Content-Type"] = failureContentType
-	h.Set("Content-Length", strconv.Itoa(len(body)))
+	if f.retryAfter > 0 {
+		values[1] = strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 3, 64)
+		h[headerRetryAfter] = values[1:2:2]
+	}
 	if req.s.ctrl.Leaving() {
 		h.Set("Connection", "close")
 	}
--- a/internal/request/forward/server.go
+++ b/internal/request/forward/server.go
@@ -141,7 +141,8 @@
 	req.s.count.unservable.Inc(1)
 	req.reportUnplacedWork()
 	f := notRun(refusal.Reason.String(), refusal.After)
-	f.refusal = &refusal
+	kept := refusal // refusal itself must not escape to the heap for every request
+	f.refusal = &kept
 	req.refuse(f)
 	return true
 }
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -205,8 +205,10 @@
 
 // Match returns the route with the longest prefix that matches a host and path, or nil.
 func (t *Table) Match(host, path string) *Route {
-	if h, _, err := net.SplitHostPort(host); err == nil {
-		host = h
+	if strings.IndexByte(host, ':') >= 0 { // without a port SplitHostPort allocates an error
+		if h, _, err := net.SplitHostPort(host); err == nil {
+			host = h
+		}
 	}
 	for _, r := range t.hosts[strings.ToLower(host)] {
 		if strings.HasPrefix(path, r.Prefix) {
