--- a/internal/process/arrivalstats.go
+++ b/internal/process/arrivalstats.go
@@ -69,7 +69,7 @@
 	clear(a.targets)
 	if n := len(a.unread); n > 0 {
 		slices.Sort(a.unread)
-		unread = a.unread[n/2]
+		unread = a.unread[(n-1)/2] // of few samples the lower: after a stall the first one is the oldest
 		a.unread = a.unread[:0]
 	}
 	return target, unread
--- a/internal/process/sheddecision.go
+++ b/internal/process/sheddecision.go
@@ -52,19 +52,24 @@
 	// unreadTargetDivisor divides the target to give the time for which requests may lie
 	// unread. At most half of a target may pass until an upstream has the request, which
 	// after being read still has to be placed and sent. Shedding ends at calmUnreadRatio
-	// of that time.
+	// of that time, slowly at first: the requests that are admitted then arrive while those
+	// before them are still being read.
 	unreadTargetDivisor = 3
-	calmUnreadRatio     = 0.5
+	calmUnreadRatio     = 0.75
+	idleUnreadRatio     = 0.375 // below it, shedding ends as fast as for CPU use
+	unreadShedDecay     = 0.92  // factor per period between the two
 	// unreadShedStep is what the shed ratio grows by in a period in which requests lie
 	// unread for too long, multiplied by how many times too long, up to maxUnreadExcess.
-	// A third of a target has been lost then, so it grows twice as fast as for CPU use.
-	unreadShedStep  = 0.16
+	// Twice the step made a stalling router alternate between 0.4 and 0.98 and serve a
+	// third of what it could.
+	unreadShedStep  = 0.08
 	maxUnreadExcess = 3.0
-	// maxUnreadShedRatio is the largest fraction refused because requests lie unread. Above
-	// maxShedRatio, as what is admitted then is late too: with 0.192 cores and 1,900
-	// requests a second, one in ten and the refusals of the others take one and a half
-	// times the CPU.
+	// maxUnreadShedRatio is the largest fraction refused when requests lie unread for
+	// farUnreadExcess times too long, as what is admitted then is late too: with 0.192
+	// cores and 1,900 requests a second, one in ten and the refusals of the others take one
+	// and a half times the CPU.
 	maxUnreadShedRatio = 0.98
+	farUnreadExcess    = 1.2
 	// defaultShedTarget is the target while none is known, and minShedTarget the strictest
 	// that counts: below it, the kernel's timer tick and single garbage collections would
 	// count as overload.
@@ -86,7 +91,8 @@
 	recent  []loadSample
 	targets []time.Duration // of the last shedTargetPeriods periods
 
-	unreadPeriods int // successive periods in which requests lay unread for too long
+	unreadPeriods int  // successive periods in which requests lay unread for too long
+	empty         bool // no request was read in the last period
 
 	byProcessor float64
 	byLag       float64
@@ -132,31 +138,41 @@
 	case s.use >= highCPUUseRatio && d.meanUse(shedMeanPeriods) >= lowCPUUseRatio && s.lag >= minBusyLag:
 		d.byProcessor = min(maxShedRatio, d.byProcessor+shedRatioStep)
 	case s.use < lowCPUUseRatio && d.meanUse(shedMeanPeriods) < highCPUUseRatio || s.lag < minBusyLag:
-		d.byProcessor = decayed(d.byProcessor)
+		d.byProcessor = decayed(d.byProcessor, shedRatioDecay)
 	}
 }
 
 // updateUnread raises the ratio while requests lie unread for too long, whatever the CPU use
 // says: the VM may provide less CPU than the settings state.
 func (d *shedDecision) updateUnread(s loadSample) {
+	if s.target == 0 && s.unread == 0 && !d.empty { // nothing was read, perhaps because of a stall
+		d.empty = true
+		return
+	}
+	d.empty = s.target == 0 && s.unread == 0
 	limit := d.shedTarget() / unreadTargetDivisor
 	switch excess := float64(s.unread) / float64(limit); {
 	case excess >= 1:
 		if d.unreadPeriods++; d.unreadPeriods < minUnreadPeriods {
 			return
 		}
-		d.byUnread = min(maxUnreadShedRatio, d.byUnread+unreadShedStep*min(excess, maxUnreadExcess))
+		limit := maxShedRatio
+		if excess >= farUnreadExcess {
+			limit = maxUnreadShedRatio
+		}
+		d.byUnread = min(limit, d.byUnread+unreadShedStep*min(excess, maxUnreadExcess))
+	case excess < idleUnreadRatio:
+		d.byUnread, d.unreadPeriods = decayed(d.byUnread, shedRatioDecay), 0
 	case excess < calmUnreadRatio:
-		d.byUnread = decayed(d.byUnread)
-		d.unreadPeriods = 0
+		d.byUnread, d.unreadPeriods = decayed(d.byUnread, unreadShedDecay), 0
 	default:
 		d.unreadPeriods = 0
 	}
 }
 
 // decayed returns a shed ratio after a period without its cause.
-func decayed(ratio float64) float64 {
-	if ratio *= shedRatioDecay; ratio >= minShedRatio {
+func decayed(ratio, factor float64) float64 {
+	if ratio *= factor; ratio >= minShedRatio {
 		return ratio
 	}
 	return 0
--- a/internal/process/sheddecision_test.go
+++ b/internal/process/sheddecision_test.go
@@ -239,6 +239,25 @@
 	}
 }
 
+// A period in which a stalled router read nothing says nothing about how long requests lie
+// unread; an idle router must still stop shedding.
+func TestOnePeriodWithoutRequestsKeepsTheUnreadRatio(t *testing.T) {
+	d := shedDecision{cores: 0.192}
+	for range 3 {
+		d.update(loadSample{use: 0.5, unread: 300 * time.Millisecond, target: 400 * time.Millisecond})
+	}
+	before, reason := d.ratio()
+	require.Equal(t, shedUnread, reason)
+	d.update(loadSample{use: 0.1})
+	after, _ := d.ratio()
+	assert.Equal(t, before, after)
+	for range 20 {
+		d.update(loadSample{use: 0.1})
+	}
+	after, _ = d.ratio()
+	assert.Zero(t, after)
+}
+
 // The stricter the targets of the requests that arrive, the shorter a lag and the shorter a
 // time unread count as overload.
 func TestThresholdsFollowTargets(t *testing.T) {
