--- a/internal/process/overload.go
+++ b/internal/process/overload.go
@@ -13,8 +13,9 @@
 	overloadCheckInterval = 100 * time.Millisecond
 
 	// Between a scheduling lag of minShedLag and one of fullShedLag the shed ratio grows
-	// from 0 to maxShedRatio where the cores are unknown. A request wakes some twenty goroutines until its first byte
-	// is passed on, so each millisecond of lag delays it by some twenty milliseconds.
+	// from 0 to maxShedRatio where the cores are unknown. A request wakes some twenty
+	// goroutines until its first byte is passed on, so each millisecond of lag delays it by
+	// some twenty milliseconds.
 	minShedLag   = 4 * time.Millisecond
 	fullShedLag  = 20 * time.Millisecond
 	maxShedRatio = 0.9
