--- a/internal/process/routedcontroller.go
+++ b/internal/process/routedcontroller.go
@@ -48,9 +48,11 @@
 	overload overloadDetector
 	shed     shedTotals
 
-	overloaded           bool                                   // control goroutine only
+	overloaded           bool                                   // control goroutine only: sheds load
+	delaysMessages       bool                                   // control goroutine only: see overloadState.delaysMessages
 	admitRatios          atomic.Pointer[map[serviceOrg]float64] // nil unless admission is limited
-	admissionUntil       time.Time                              // control goroutine only
+	serviceStates        atomic.Pointer[map[string]dispatch.ServiceState]
+	admissionUntil       time.Time // control goroutine only
 	quarantined          quarantineSnapshot
 	availability         availability
 	loggedUnknownService map[string]bool // control goroutine only: by instance start, where a missing service was logged
@@ -147,13 +149,17 @@
 	rc.node.Tick(now)
 	rc.quarantined.publish(rc.node.Quarantine())
 	rc.ticks++
-	if on := rc.ShedRatio() > 0; on != rc.overloaded {
-		rc.overloaded = on
+	load := rc.overload.current()
+	if on := load.delaysMessages(); on != rc.delaysMessages {
+		rc.delaysMessages = on
 		rc.node.Step(dispatch.CPUOverload{On: on}, now)
-		rc.log.Info().Bool("on", on).Float64("excess", rc.ShedRatio()).Msg("short-of-processor")
+	}
+	if on := load.ratio > 0; on != rc.overloaded {
+		rc.overloaded = on
+		load.addFields(rc.log.Info().Bool("on", on)).Msg("short-of-processor")
 	}
 	if rc.overloaded && rc.ticks%overloadLogTicks == 0 {
-		rc.log.Info().Float64("use", rc.overload.cpuUse()).Int64("lag_us", rc.overload.lag.lag().Microseconds()).Float64("excess", rc.ShedRatio()).Msg("processor-use")
+		load.addFields(rc.log.Info()).Msg("processor-use")
 	}
 	if rc.ticks%shedReportTicks == 0 {
 		if work := rc.shed.take(); len(work) > 0 {
@@ -162,6 +168,7 @@
 	}
 	if rc.ticks%admissionTicks == 0 {
 		rc.publishAdmitRatios(now)
+		rc.publishServiceStates(now)
 	}
 	if rc.ticks%watchCheckTicks == 0 {
 		if on := rc.node.Watches(now); rc.watches.Swap(on) != on {
@@ -289,7 +296,7 @@
 
 // CPULoad implements relayControl.
 func (rc *RoutedController) CPULoad() (use, shedRatio float64) {
-	return rc.overload.cpuUse(), rc.ShedRatio()
+	return rc.overload.current().use, rc.ShedRatio()
 }
 
 // Leave begins the planned stop: the router becomes unready, and the node announces to the
--- a/internal/request/forward/failure.go
+++ b/internal/request/forward/failure.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -21,23 +22,28 @@
 	crashes int              // of upstreams, attributed to the request
 }
 
+// failureContentType is shared by all responses and must not be modified.
+var failureContentType = []string{"text/plain; charset=utf-8"}
+
 // fail sends the failure to the caller. Nothing of an answer may have been sent before.
 func (req *callerRequest) fail(f failure) {
 	h := req.w.Header()
 	if req.id != "" {
 		h.Set(req.s.dialect.RequestID, req.id)
 	}
+	body := f.reason + "\n"
+	values := [2]string{strconv.Itoa(len(body))} // one allocation for both headers
+	h["Content-Length"] = values[0:1:1]
+	h["Content-Type"] = failureContentType
 	if f.retryAfter > 0 {
-		h.Set(headerRetryAfter, strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 3, 64))
+		values[1] = strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 3, 64)
+		h[headerRetryAfter] = values[1:2:2]
 	}
-	body := f.reason + "\n"
-	h.Set("Content-Type", "text/plain; charset=utf-8")
-	h.Set("Content-Length", strconv.Itoa(len(body)))
 	if req.s.ctrl.Leaving() {
 		h.Set("Connection", "close")
 	}
 	req.w.WriteHeader(f.status)
-	_, _ = req.w.Write([]byte(body)) // the caller may be gone
+	_, _ = io.WriteString(req.w, body) // the caller may be gone
 	req.s.count.failed(f.status)
 	req.logEnd(f)
 }
