--- a/internal/request/forward/server.go
+++ b/internal/request/forward/server.go
@@ -161,6 +161,9 @@
 // refuse sends a failure to a request that is not run.
 func (req *callerRequest) refuse(f failure) {
 	req.setWriteDeadline(req.arrived.Add(refusalWriteTimeout))
+	if req.r.ContentLength != 0 {
+		_ = http.NewResponseController(req.w).SetReadDeadline(req.s.clock.Monotonic(req.arrived.Add(refusalReadTimeout))) // not supported by test recorders
+	}
 	req.fail(f)
 }
 
@@ -236,6 +239,10 @@
 	// refusalWriteTimeout bounds the time from a request's arrival until the refusal is
 	// written, for requests refused without being run.
 	refusalWriteTimeout = 5 * time.Second
+	// refusalReadTimeout bounds the time from a refused request's arrival within which its
+	// body must arrive. net/http reads bodies of up to 256 KB before it sends the answer;
+	// a caller that did not finish its body kept the connection for ever.
+	refusalReadTimeout = 3 * time.Second
 	// answerWriteGrace is the time after a request's deadline within which the rest of its
 	// answer must be written.
 	answerWriteGrace = 2 * time.Second
--- a/internal/request/forward/unservable_test.go
+++ b/internal/request/forward/unservable_test.go
@@ -1,7 +1,10 @@
 package forward
 
 import (
+	"bufio"
 	"errors"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -11,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/silverswitch/silverswitch/internal/conn"
 	"github.com/silverswitch/silverswitch/internal/dispatch"
@@ -67,3 +71,45 @@
 	assert.Equal(t, http.StatusRequestEntityTooLarge, w.Code)
 	assert.Zero(t, ctrl.submitted.Load())
 }
+
+// Guards against a caller that never finishes the body of a refused request: it got no answer,
+// and kept its connection for ever.
+func TestRefusalDoesNotWaitForeverForABody(t *testing.T) {
+	h := newHarness(t)
+	h.control.overloaded.Store(true)
+	h.control.unservable = &dispatch.Refuse{Reason: dispatch.ReasonEvacuated, After: time.Second}
+	c, err := net.Dial("tcp", strings.TrimPrefix(h.url, "http://"))
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST /stream/x HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer key-a\r\nX-Id: r1\r\nContent-Length: 900\r\n\r\nabc")
+	require.NoError(t, err)
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(time.Minute)))
+	raw, err := io.ReadAll(c)
+	require.NoError(t, err, "the connection is closed")
+	assert.Contains(t, string(raw), "503 Service Unavailable")
+	assert.Contains(t, string(raw), "places-evacuated")
+}
+
+// The read deadline of a refusal must not end the next request on its connection.
+func TestConnectionIsUsableAfterRefusal(t *testing.T) {
+	addr, _ := scriptedUpstream(t, okHelloAnswer)
+	h := newHarness(t, addr)
+	h.control.unservable = &dispatch.Refuse{Reason: dispatch.ReasonEvacuated, After: time.Second}
+	c, err := net.Dial("tcp", strings.TrimPrefix(h.url, "http://"))
+	require.NoError(t, err)
+	defer c.Close()
+	br := bufio.NewReader(c)
+	call := func() int {
+		_, err = io.WriteString(c, "POST /once/x HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer key-a\r\nX-Id: r1\r\nContent-Length: 3\r\n\r\nabc")
+		require.NoError(t, err)
+		res, err := http.ReadResponse(br, nil)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, res.Body)
+		require.NoError(t, err)
+		return res.StatusCode
+	}
+	assert.Equal(t, http.StatusServiceUnavailable, call())
+	time.Sleep(refusalReadTimeout + 100*time.Millisecond)
+	h.control.unservable = nil
+	assert.Equal(t, http.StatusOK, call())
+}
