--- a/internal/dispatch/plainslots.go
+++ b/internal/dispatch/plainslots.go
@@ -60,6 +60,10 @@
 	answerMarginMS = 10.0
 	// maxSlotRetryAfterMS bounds the Retry-After time of a request that is refused for its wait.
 	maxSlotRetryAfterMS = 5000.0
+	// slowPhaseFactor is how many times longer upstreams take in their slow phases. The queue is
+	// no longer than what is answered within the target if such a phase begins: with a queue as
+	// long as the target, most of what waited in a burst was late (p99 2.4 s, target 300 ms).
+	slowPhaseFactor = 2.5
 	// maxChargedServiceTimes bounds the slot time that one request is charged. The end of a
 	// request whose progress note was lost is known only by its deadline.
 	maxChargedServiceTimes = 8
@@ -446,7 +450,7 @@
 		return d, true
 	}
 	s.queue.Push(it)
-	if last := s.queue.Displaced(order, slots.MaxLen(rate, p.requestTargetMS(a))); last != nil {
+	if last := s.queue.Displaced(order, slots.MaxLen(rate, p.queueableMS(a))); last != nil {
 		s.queue.Remove(last.Key)
 		if last == it {
 			s.counts.Refused++
@@ -460,6 +464,11 @@
 	return d, true
 }
 
+// queueableMS returns the wait in milliseconds that the queue may hold in front of a request.
+func (p *pool) queueableMS(a *wire.PlacementRequest) float64 {
+	return max(0, (p.requestTargetMS(a)-answerMarginMS)/slowPhaseFactor-p.slots.service.MS())
+}
+
 // releaseRouter drops what waits for routers that are gone.
 func (p *pool) releaseRouters(gone map[wire.NodeID]bool) {
 	if p.slots == nil {
