--- a/internal/core/wire/dispatch.go
+++ b/internal/core/wire/dispatch.go
@@ -25,6 +25,8 @@
 	Backoffs          []Backoff          `cbor:"20,keyasint,omitempty"` // upstreams that refuse requests of the sender: none of PlacementRequests may go there
 	Table             uint64             `cbor:"21,keyasint,omitempty"` // number of the sender's routing table
 	Overloaded        bool               `cbor:"16,keyasint,omitempty"` // the sender is short of CPU: times that it reports include its own delay
+	PaceNotes         []PaceNote         `cbor:"22,keyasint,omitempty"` // on streams that the receiver placed
+	PaceModels        []PaceModel        `cbor:"23,keyasint,omitempty"` // sent to routers that may become schedulers
 }
 
 // PrefillModel is what the sender has learned, or inherited, of the time to the first event at
--- a/internal/core/wire/wire_test.go
+++ b/internal/core/wire/wire_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -24,6 +25,21 @@
 	}
 }
 
+func paceDatagram() *Datagram {
+	return &Datagram{Dispatch: &Dispatch{
+		PaceNotes:  []PaceNote{{No: 1 << 40, Events: 41, MS: 2500, LongestMS: 260, Missed: true}},
+		PaceModels: []PaceModel{{Service: 3, Plain: 50, Prefill: 160, Samples: 300}},
+	}}
+}
+
+func TestPaceRoundTrip(t *testing.T) {
+	raw, err := Encode(paceDatagram())
+	require.NoError(t, err)
+	back, err := Decode(raw)
+	require.NoError(t, err)
+	assert.Equal(t, paceDatagram(), back)
+}
+
 func TestDatagramRoundTrip(t *testing.T) {
 	raw, err := Encode(fullDatagram())
 	require.NoError(t, err)
@@ -55,6 +71,9 @@
 	require.NoError(f, err)
 	f.Add(raw)
 	f.Add([]byte{0xa0})
+	raw, err = Encode(paceDatagram())
+	require.NoError(f, err)
+	f.Add(raw)
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		d, err := Decode(raw)
 		if err != nil {
@@ -64,3 +83,12 @@
 		assert.NoError(t, err)
 	})
 }
+
+// A router of an earlier release must read a datagram with fields that it does not know.
+func TestUnknownDispatchFieldsAreIgnored(t *testing.T) {
+	raw, err := cbor.Marshal(map[int]any{17: map[int]any{1: 7, 90: []any{[]any{1, 2}}}})
+	require.NoError(t, err)
+	d, err := Decode(raw)
+	require.NoError(t, err)
+	assert.Equal(t, uint32(7), d.Dispatch.Heartbeat)
+}
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -148,6 +148,9 @@
 		parts:        a.Parts,
 		until:        now.Add(time.Duration(a.DeadlineMS)*time.Millisecond + runGrace),
 	}
+	if p.engine != nil {
+		r.pace.events = p.eventsOf(int(a.Output))
+	}
 	p.forget(r.key, false, now)
 	c.up.placeRun(r, now)
 	p.recordColdPlacement(c.up, now)
--- a/internal/dispatch/catalogue.go
+++ b/internal/dispatch/catalogue.go
@@ -111,6 +111,7 @@
 	p.cold = s.Cold
 	p.targetMS = strictestTargetMS(t, s.Name)
 	p.urgency = urgencyOf(t, s.Name)
+	n.updateGapTarget(p, t)
 	return p
 }
 
--- a/internal/dispatch/heartbeat.go
+++ b/internal/dispatch/heartbeat.go
@@ -92,6 +92,7 @@
 	}
 	n.sendHeartbeat(now)
 	n.logModels()
+	n.logPace(now)
 	for _, p := range n.pools {
 		p.expire(now)
 	}
@@ -131,6 +132,7 @@
 	}
 	n.heartbeats.seq++
 	demand, models, suspicions := n.ownDemand(now), n.learnedModels(), n.suspicions(now)
+	paceModels := n.paceModels()
 	n.applyLoads(n.settings.ID, n.loadsFor(n.settings.ID), now)
 	all, placed := n.loadsFor(""), n.placingRouters()
 	for _, id := range to {
@@ -143,7 +145,7 @@
 			w.Loads = n.loadsFor(id)
 		}
 		if groupMembers[id] {
-			w.CachedParts, w.PrefillModels = n.readParts, models
+			w.CachedParts, w.PrefillModels, w.PaceModels = n.readParts, models, paceModels
 		}
 		n.attachStoreState(id, now)
 		n.attachNotes(id, w)
@@ -271,6 +273,7 @@
 	n.applyLoads(from, w.Loads, now)
 	n.handleDemand(from, w.Demand)
 	n.handleModels(w.PrefillModels)
+	n.handlePaceModels(w.PaceModels)
 	n.handleSuspicions(w.ColdSuspicions, now)
 	for _, p := range n.pools {
 		if p.engine == nil {
--- a/internal/dispatch/inflight.go
+++ b/internal/dispatch/inflight.go
@@ -317,6 +317,7 @@
 func (n *Node) attachNotes(id wire.NodeID, w *wire.Dispatch) {
 	w.ProgressNotes = append(w.ProgressNotes, n.notes[id]...)
 	delete(n.notes, id)
+	n.attachPaceNotes(id, w)
 }
 
 func (n *Node) flushNotes() {
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -119,6 +119,7 @@
 
 	notes      map[wire.NodeID][]wire.ProgressNote
 	notesDue   time.Time
+	paceNotes  map[wire.NodeID][]wire.PaceNote
 	heartbeats heartbeats
 	demandSums fleetDemands
 	startedAt  time.Time
@@ -151,7 +152,7 @@
 
 // Counts are totals since the start. They are encoded as JSON under these names.
 type Counts struct {
-	Placed, Refused, Asked, AskedAgain, OwnDecision, OwnPlaced, AnswersLate, Woke, Ended, PlacedCold uint64
+	Placed, Refused, Asked, AskedAgain, OwnDecision, OwnPlaced, AnswersLate, Woke, Ended, PlacedCold, RefusedForPace uint64
 }
 
 // New returns a node that knows no other router yet.
@@ -170,6 +171,7 @@
 		newerContent:     map[wire.NodeID]newerContent{},
 		store:            newStoreReadings(),
 		notes:            map[wire.NodeID][]wire.ProgressNote{},
+		paceNotes:        map[wire.NodeID][]wire.PaceNote{},
 		lastTick:         now,
 		rnd:              rnd,
 		unreportedUsage:  newLocalUsage(),
@@ -198,6 +200,8 @@
 		n.retryElsewhere(in, now)
 	case FirstEvent:
 		n.firstEvent(in, now)
+	case StreamPace:
+		n.streamPace(in, now)
 	case End:
 		n.end(in, now)
 	case Catalogue:
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -44,6 +44,7 @@
 
 func (n *Node) handleDispatch(from wire.NodeID, w *wire.Dispatch, now time.Time) {
 	n.setOverloaded(from, w.Overloaded)
+	n.handlePaceNotes(from, w.PaceNotes, now) // before the notes that end their runs
 	for _, note := range w.ProgressNotes {
 		n.handleNote(from, note, now)
 	}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -43,6 +43,7 @@
 	overloaded       map[wire.NodeID]bool // routers that announce that they are overloaded
 	withoutScheduler bool                 // the current decision is not made by the fleet's scheduler
 	disabled         Disabled
+	pace             poolPace
 
 	regions     map[string]string // by place
 	cold        routing.Cold      // limits for cold upstreams
@@ -193,6 +194,7 @@
 	} else if s, ok := r.up.queue.FirstEvent(r.entry, gotMS, p.learner.Model(), now); ok && !p.disabled.Learning {
 		p.learner.Add(s)
 	}
+	p.paceFirstEvent(r, now)
 	r.up.markRead(r, now)
 	for _, part := range r.parts {
 		r.up.cache.add(part.Part, int(part.Tokens), true, now)
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -20,6 +20,7 @@
 				s.BacklogMS = int(u.backlog(p.learner.Model(), now))
 				s.KeptTokens = u.cache.used
 			}
+			s.Pace = p.paceState(u, now)
 			out = append(out, s)
 		}
 	}
@@ -64,6 +65,7 @@
 	BacklogMS  int           `json:"backlog_ms"`
 	KeptTokens int           `json:"kept_tokens"`
 	Slow       float64       `json:"slow"`
+	Pace       *PaceState    `json:"pace,omitempty"` // of an engine's streams, nil while nothing is known
 }
 
 // ColdUpstream is the state of a cold upstream, and what this router places there.
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/silverswitch/silverswitch/internal/core/wire"
+	"github.com/silverswitch/silverswitch/internal/dispatch/pace"
 	"github.com/silverswitch/silverswitch/internal/dispatch/prefill"
 	"github.com/silverswitch/silverswitch/internal/routing"
 	"github.com/silverswitch/silverswitch/internal/version"
@@ -42,6 +43,8 @@
 	ejection        ejection
 	conns           conns
 	cold            coldState
+	pace            pace.Engine
+	streams         streamCount
 	// evacuated says that its place is evacuated.
 	evacuated bool
 
@@ -71,6 +74,7 @@
 	until        time.Time // when it has certainly ended
 	prompt       prefill.Prompt
 	entry        *prefill.Entry
+	pace         runPace
 	firstEvent   bool
 	reported     bool                // another router is the scheduler, and gets a report of it
 	try          uint32              // number of the placement request that placed it
@@ -167,6 +171,7 @@
 // placeRun appends a run to the queue.
 func (u *upstream) placeRun(r *run, now time.Time) {
 	r.up = u
+	u.streams.stale = true
 	u.markUsed(now)
 	if u.runs == nil {
 		u.runs = map[runKey]*run{}
@@ -227,6 +232,7 @@
 func (u *upstream) endRun(r *run, prefilled bool, now time.Time) {
 	u.markRead(r, now)
 	delete(u.runs, r.key)
+	u.streams.stale = true
 	u.outputTokens -= r.outputTokens
 	u.updateUsage(r.key.node, func(n *routerUsage) {
 		n.runs--
--- a/internal/process/forwardcontrol.go
+++ b/internal/process/forwardcontrol.go
@@ -96,6 +96,12 @@
 	rc.enqueue(func(now time.Time) { rc.node.Step(dispatch.FirstEvent{ID: t.ID, After: after}, now) })
 }
 
+// StreamPace implements forward.Control.
+func (rc *RoutedController) StreamPace(t *forward.Ticket, p dispatch.StreamPace) {
+	p.ID = t.ID
+	rc.enqueue(func(now time.Time) { rc.node.Step(p, now) })
+}
+
 // End implements forward.Control.
 func (rc *RoutedController) End(t *forward.Ticket, note uint8) {
 	rc.enqueue(func(now time.Time) {
--- a/internal/process/routeddaemon.go
+++ b/internal/process/routeddaemon.go
@@ -234,6 +234,7 @@
 		"own_decisions": s.Counts.OwnDecision, "own_placed": s.Counts.OwnPlaced, "answers_late": s.Counts.AnswersLate, "pauses": s.Counts.Woke,
 		"table_version": s.Version, "store_revision": s.Revision, "routers": uint64(len(s.Routers)), "requests_held": uint64(len(s.Held)), "upstreams_ended": s.Counts.Ended,
 		"places_evacuated": uint64(len(s.Evacuated)), "upstreams_cold": uint64(s.coldUpstreams()), "placed_cold": s.Counts.PlacedCold,
+		"refused_for_pace": s.Counts.RefusedForPace,
 	} {
 		lines[promName("dispatch."+name)] = fmt.Sprint(n)
 	}
--- a/internal/request/forward/answer.go
+++ b/internal/request/forward/answer.go
@@ -33,6 +33,7 @@
 	firstReported bool            // firstEvent was called
 
 	timeToFirst time.Duration // from sending to the first event
+	pace        paceMeter
 }
 
 var (
@@ -223,6 +224,7 @@
 			}
 			a.lastPosition = e.Position
 		}
+		a.eventRead(time.Now())
 		if !a.headersSent {
 			a.headersSent = true
 			a.copyHeaders(res)
@@ -234,6 +236,7 @@
 		if err := rc.Flush(); err != nil {
 			break
 		}
+		a.pace.eventWritten(time.Now())
 	}
 	a.reportBrokenAttempt(a.placement, false, context.Canceled)
 	a.s.ctrl.End(a.ticket, wire.ProgressDone)
@@ -255,6 +258,7 @@
 		a.copyHeaders(res)
 		a.w.WriteHeader(res.StatusCode)
 	}
+	a.reportPace()
 	a.s.ctrl.End(a.ticket, wire.ProgressDone)
 	a.logAnswered(a.placement, res.StatusCode, a.timeToFirst)
 	return stepDone
--- a/internal/request/forward/control.go
+++ b/internal/request/forward/control.go
@@ -22,6 +22,8 @@
 	PlaceAgain(t *Ticket, note uint8)
 	// FirstEvent reports that the answer has begun, and how long after the request was sent.
 	FirstEvent(t *Ticket, after time.Duration)
+	// StreamPace reports the events of the answer's stream, before End; p.ID is not used.
+	StreamPace(t *Ticket, p dispatch.StreamPace)
 	// End releases the ticket; note says how its last placement ended. It does nothing
 	// after a refusal.
 	End(t *Ticket, note uint8)
--- a/internal/request/forward/counters.go
+++ b/internal/request/forward/counters.go
@@ -14,7 +14,8 @@
 	reg                                                                                              metrics.Registry
 	arrived, answered, opened, resumed, repeated, broken, shed, quarantined, withdrawn, healthChecks metrics.Counter
 	leavingNotices, backoffNotices                                                                   metrics.Counter
-	firstEvent, decision                                                                             metrics.Timer
+	streamEvents, streamsLate                                                                        metrics.Counter
+	firstEvent, decision, longestGap                                                                 metrics.Timer
 }
 
 func newCounters(reg metrics.Registry) counters {
@@ -23,6 +24,8 @@
 		reg: reg, arrived: c("arrived"), answered: c("answered"), opened: c("connections"), resumed: c("resumed"),
 		repeated: c("repeated"), broken: c("broken"), shed: c("shed"), quarantined: c("held"), withdrawn: c("withdrawn"), healthChecks: c("looked"),
 		leavingNotices: c("notices.leaving"), backoffNotices: c("notices.backoff"),
+		streamEvents: c("stream.events"), streamsLate: c("stream.late"),
+		longestGap: metrics.GetOrRegisterTimer("forward.stream.gap", reg),
 		firstEvent: metrics.GetOrRegisterTimer("forward.first", reg),
 		decision:   metrics.GetOrRegisterTimer("forward.decision", reg),
 	}
--- a/internal/request/forward/harness_test.go
+++ b/internal/request/forward/harness_test.go
@@ -62,6 +62,7 @@
 	onPlaceAgain        func() // called before another placement is made; may be nil
 	failedHealthChecks  []failedHealthCheck
 	backoffs            []reportedBackoff
+	paces               []dispatch.StreamPace
 	leavingStarts       []string // starts of upstreams that announced that they are leaving
 	healthCheckFirst    bool     // placements require a health check
 	neverPlaceAgain     bool     // PlaceAgain gets no decision
@@ -164,6 +165,12 @@
 
 func (c *fakeControl) FirstEvent(*Ticket, time.Duration) {}
 
+func (c *fakeControl) StreamPace(_ *Ticket, p dispatch.StreamPace) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.paces = append(c.paces, p)
+}
+
 func (c *fakeControl) End(_ *Ticket, note uint8) { c.note(note) }
 
 func (c *fakeControl) note(n uint8) {
