--- a/internal/core/wire/pace.go
+++ b/internal/core/wire/pace.go
@@ -21,5 +21,6 @@
 	Service version.ID
 	Plain   float32 // milliseconds, without prefill
 	Prefill float32 // milliseconds, while the engine prefills without a break
+	Stall   float32 // factor by which engines are slower at times
 	Samples uint32
 }
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -61,6 +61,7 @@
 	}
 	usedShare := p.meter.usedShare(a.Org, now)
 	usedPercent := usedSharePercent(usedShare)
+	p.preparePace(usedShare, now)
 	best := p.choose(from, a, now)
 	if best == nil {
 		reason := p.noUpstreamReason(a, now)
@@ -79,6 +80,14 @@
 			}
 			return decision{retryAfter: p.backlogRetryAfter(a, c.waitMS, limitMS), reason: reason, bestWaitMS: c.waitMS, limitMS: limitMS, ownMS: p.learner.Model().Base + c.ownMS, usedShare: usedPercent}
 		}
+		paced := p.choosePaced(a, best, c, usedShare, now)
+		if paced == nil {
+			if usedShare < 1 {
+				p.meter.addRefusal(a.Org, tokens, now)
+			}
+			return decision{retryAfter: paceRetryAfter(c), reason: ReasonCapacity, bestWaitMS: c.waitMS, limitMS: limitMS, ownMS: p.learner.Model().Base + c.ownMS, usedShare: usedPercent}
+		}
+		c = paced
 		p.meter.addGrant(a.Org, tokens, now)
 		p.busy.add(c.ownMS, now)
 	}
@@ -149,7 +158,7 @@
 		until:        now.Add(time.Duration(a.DeadlineMS)*time.Millisecond + runGrace),
 	}
 	if p.engine != nil {
-		r.pace.events = p.eventsOf(int(a.Output))
+		r.pace = runPace{events: p.eventsOf(int(a.Output)), placedAt: now}
 	}
 	p.forget(r.key, false, now)
 	c.up.placeRun(r, now)
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -90,6 +90,9 @@
 	Scheduler bool // each router decides locally
 	ConnReuse bool // upstreams with an idle connection are not preferred
 	Learning  bool // the prior model of the engines' times stays in force
+
+	Pace         bool // the pace of running streams is not considered
+	PaceRefusals bool // no request is refused for the pace of running streams
 }
 
 // Node is one router's dispatch state. It is owned by one goroutine.
--- a/internal/dispatch/pace/engine.go
+++ b/internal/dispatch/pace/engine.go
@@ -1,12 +1,15 @@
 package pace
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Constants of the model of one engine.
 const (
 	// slowDecay is the factor by which each stream reduces the sums, so that about ten streams
 	// count.
-	slowDecay = 0.9
+	slowDecay = 0.95
 	// slowPriorMS is the time in milliseconds that is taken as observed at usual speed.
 	slowPriorMS = 1500.0
 	minSlow     = 0.4
@@ -19,6 +22,8 @@
 	// prefillMemory is how long past prefill is kept: longer than any target that is worth
 	// keeping to.
 	prefillMemory = 2 * time.Second
+	// maxPrefill is the longest time of one prompt that is plausible.
+	maxPrefill = 20 * time.Second
 )
 
 // Engine is what is known of one engine: its slowness, and when it prefilled. The zero value
@@ -65,33 +70,59 @@
 	}
 }
 
-// Prefilled records that the engine has prefilled a prompt for ms milliseconds until a time.
-// Prompts are prefilled one after the other, so that one begins when the last has ended.
-func (e *Engine) Prefilled(ms float64, until time.Time) {
-	if !(ms > 0) || ms > millis(time.Minute) {
+// Prefilled records that the engine prefilled some prompt all the time between from and to. A time
+// in which it prefilled several prompts counts once.
+//
+// The time is the one that passed, not the one that the prompts need by the model of first
+// events: steps that hold a little of a prompt are longer than its tokens account for. With the
+// model's times C came out as infinite.
+func (e *Engine) Prefilled(from, to time.Time) {
+	if !to.After(from) || to.Sub(from) > maxPrefill {
 		return
 	}
-	from := until.Add(-duration(ms))
-	if n := len(e.prefills); n > 0 && e.prefills[n-1].to.After(from) {
-		from = e.prefills[n-1].to
+	e.forgetPrefills(to)
+	was, merged := 0.0, span{from, to}
+	i := len(e.prefills)
+	for i > 0 && !e.prefills[i-1].to.Before(from) {
+		i--
 	}
-	if !until.After(from) {
-		return
+	after := e.prefills[i:]
+	n := 0
+	for n < len(after) && !after[n].from.After(to) {
+		was += millis(after[n].to.Sub(after[n].from))
+		merged = span{earlier(merged.from, after[n].from), later(merged.to, after[n].to)}
+		n++
+	}
+	e.prefills = slices.Replace(e.prefills, i, i+n, merged)
+	took := millis(merged.to.Sub(merged.from)) - was
+	e.totalMS += took
+	if e.busySince.After(to) {
+		to = e.busySince
+	}
+	e.busy, e.busySince = min(1, e.Busy(to)+took/millis(busyWindow)), to
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
 	}
+	return a
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// forgetPrefills drops old prefill.
+func (e *Engine) forgetPrefills(now time.Time) {
 	old := 0
-	for old < len(e.prefills) && until.Sub(e.prefills[old].to) > prefillMemory {
+	for old < len(e.prefills) && now.Sub(e.prefills[old].to) > prefillMemory {
 		old++
 	}
-	e.prefills = append(e.prefills[:0], e.prefills[old:]...)
-	if n := len(e.prefills); n > 0 && from.Sub(e.prefills[n-1].to) <= 0 {
-		e.prefills[n-1].to = until
-	} else {
-		e.prefills = append(e.prefills, span{from, until})
-	}
-	took := millis(until.Sub(from))
-	e.totalMS += took
-	e.busy = min(1, e.Busy(until)+took/millis(busyWindow))
-	e.busySince = until
+	e.prefills = slices.Delete(e.prefills, 0, old)
 }
 
 // TotalMS returns the time in milliseconds for which the engine has prefilled so far.
--- a/internal/dispatch/pace/harm.go
+++ b/internal/dispatch/pace/harm.go
@@ -30,11 +30,11 @@
 	if p.Streams <= 0 || !m.Restricts(p.Slow, targetMS) {
 		return 0
 	}
-	after := MissRisk(m.GapMS(p.Slow, e.busiestMS(p.BacklogMS+p.PrefillMS, targetMS, now)), targetMS)
+	after := m.MissRisk(m.GapMS(p.Slow, e.busiestMS(p.BacklogMS+p.PrefillMS, targetMS, now)), targetMS)
 	if after == 0 {
 		return 0
 	}
-	before := MissRisk(m.GapMS(p.Slow, e.busiestMS(p.BacklogMS, targetMS, now)), targetMS)
+	before := m.MissRisk(m.GapMS(p.Slow, e.busiestMS(p.BacklogMS, targetMS, now)), targetMS)
 	return p.Streams * max(0, after-before)
 }
 
@@ -48,10 +48,10 @@
 	if p.Events < 1 || !m.Restricts(p.Slow, targetMS) {
 		return 0
 	}
-	gap := m.GapMS(p.Slow, e.Busy(now)*targetMS)
-	// Prefill comes in bursts: a gap that is late on average is late sometimes from half of
-	// the target on.
-	risk := min(max((gap/targetMS-0.5)/0.5, 0), 1)
+	risk := m.MissRisk(m.GapMS(p.Slow, e.Busy(now)*targetMS), targetMS)
+	if risk == 0 {
+		return 0
+	}
 	return 1 - math.Pow(1-risk, p.Events/eventsPerRisk)
 }
 
--- a/internal/dispatch/pace/learn.go
+++ b/internal/dispatch/pace/learn.go
@@ -7,20 +7,28 @@
 
 // Limits of learning.
 const (
-	// maxSamples is how many samples count: those of a few seconds at a busy service.
-	maxSamples = 300
-	// minSamples and minPrefillMS are the evidence below which the model is not used: streams,
-	// and their time in which the engine prefilled.
-	minSamples   = 40
-	minPrefillMS = 3000.0
-	fitInterval  = 25 // samples between two fits
-	fitRounds    = 3
+	// maxSamples is how many samples count: those of a few seconds at a busy service. Each
+	// engine has a dozen of them then, which its own speed takes.
+	maxSamples = 800
+	// minSamples, minPrefillMS and minPrefillRatio are the evidence without which nothing is
+	// learned: streams, their time in which the engine prefilled, and its fraction of all of
+	// their time. While engines prefill little, batches grow with the prefill, and C comes out
+	// as several times too large.
+	minSamples      = 40
+	minPrefillMS    = 3000.0
+	minPrefillRatio = 0.25
+	fitInterval     = 25 // samples between two fits
+	fitRounds       = 3
 	// minEvents is the number of gaps from which on a stream is a sample. The prefill time
 	// within shorter ones is known too inexactly.
 	minEvents = 4
+	// weightMS is the length of a stream that weighs as many milliseconds as it lasted. The
+	// weight grows with the square of the length: the prefill time at either end of a stream
+	// is known to about a prompt, which makes P too large and C too small in short streams.
+	weightMS = 2000.0
 	// maxSampleMS bounds the weight of one stream, and maxGapMS the time per event that is
 	// plausible; a longer one is a fault.
-	maxSampleMS = 4000.0
+	maxSampleMS = 8000.0
 	maxGapMS    = 5000.0
 	// equalPriorMS is the weight, in milliseconds of observed time, of the prior that prefill
 	// does not slow streams. Samples with about the same fraction of prefill do not tell P
@@ -30,11 +38,11 @@
 	speedPriorMS = 500.0
 	// maxDelay bounds the part of its time by which prefill slows streams; delaySteps is the
 	// number of values tried.
-	maxDelay   = 0.96
+	maxDelay   = 0.92
 	delaySteps = 48
 	// outlierRatio is the residual, in medians, from which on a sample loses weight: engines
 	// that stall for part of a second, callers that read slowly.
-	outlierRatio = 3.0
+	outlierRatio = 5.0
 )
 
 // Sample is one observed stream.
@@ -43,6 +51,8 @@
 	MS     float64 // from the first event to the last
 	Busy   float64 // fraction of that time in which the engine prefilled
 	Engine uint32  // which engine it was
+	// LongestMS is the longest gap between two events, 0 if unknown.
+	LongestMS float64
 }
 
 // usable reports whether a sample can be learned from.
@@ -98,11 +108,12 @@
 
 // hasEvidence reports whether the samples suffice for a model.
 func (l *Learner) hasEvidence() bool {
-	prefillMS := 0.0
+	prefillMS, allMS := 0.0, 0.0
 	for _, s := range l.samples {
 		prefillMS += s.Busy * s.MS
+		allMS += s.MS
 	}
-	return len(l.samples) >= minSamples && prefillMS >= minPrefillMS
+	return len(l.samples) >= minSamples && prefillMS >= minPrefillMS && prefillMS >= minPrefillRatio*allMS
 }
 
 // fit finds P, C and each engine's speed g by penalised least squares of the rate of events,
@@ -121,7 +132,7 @@
 		f.solve()
 		f.reweigh()
 	}
-	if m := (Model{Plain: 1 / f.rate, Prefill: 1 / (f.rate * (1 - f.delay))}); m.usable() {
+	if m := (Model{Plain: 1 / f.rate, Prefill: 1 / (f.rate * (1 - f.delay)), Stall: f.stall()}); m.usable() {
 		l.model = m
 	}
 }
@@ -141,10 +152,18 @@
 	engine         int
 	busy, rate     float64
 	weight, fitted float64
+	longestMS      float64
 }
 
-// engineSums are the sums from which an engine's speed is found.
-type engineSums struct{ xx, xy, speed float64 }
+// engineSums are the weighted sums over an engine's rows, and its speed.
+type engineSums struct {
+	w, f, ff, y, fy, speed float64
+}
+
+// products returns the sums of xx and xy for x = 1 - k x f.
+func (e *engineSums) products(k float64) (xx, xy float64) {
+	return e.w - 2*k*e.f + k*k*e.ff, e.y - k*e.fy
+}
 
 func newFit(samples []Sample) *fit {
 	f := &fit{rows: make([]row, len(samples))}
@@ -156,7 +175,8 @@
 			index[s.Engine] = no
 		}
 		weight := min(s.MS, maxSampleMS)
-		f.rows[i] = row{engine: no, busy: s.Busy, rate: float64(s.Events) / s.MS, weight: weight, fitted: weight}
+		weight *= weight / weightMS
+		f.rows[i] = row{engine: no, busy: s.Busy, rate: float64(s.Events) / s.MS, weight: weight, fitted: weight, longestMS: s.LongestMS}
 	}
 	f.engines = make([]engineSums, len(index))
 	return f
@@ -164,6 +184,15 @@
 
 // solve tries values of k, and takes the one with the lowest loss.
 func (f *fit) solve() {
+	clear(f.engines)
+	for _, r := range f.rows {
+		e := &f.engines[r.engine]
+		e.w += r.fitted
+		e.f += r.fitted * r.busy
+		e.ff += r.fitted * r.busy * r.busy
+		e.y += r.fitted * r.rate
+		e.fy += r.fitted * r.busy * r.rate
+	}
 	best, bestLoss := 0.0, math.Inf(1)
 	for i := range delaySteps + 1 {
 		k := maxDelay * float64(i) / delaySteps
@@ -176,40 +205,37 @@
 }
 
 // lossAt finds the speeds that fit best with a value of k, and returns the sum of the squared
-// errors and of the deviations from the priors.
+// errors, less a constant, and of the deviations from the priors.
 func (f *fit) lossAt(k float64) float64 {
-	clear(f.engines)
-	var xx, xy, yy float64
-	for _, r := range f.rows {
-		e, x := &f.engines[r.engine], 1-k*r.busy
-		e.xx += r.fitted * x * x
-		e.xy += r.fitted * x * r.rate
-		yy += r.fitted * r.rate * r.rate
-	}
+	var sumXX, sumXY float64
 	// Minimised over an engine's speed, its loss is one in the common rate alone.
-	for _, e := range f.engines {
-		shrink := speedPriorMS / (e.xx + speedPriorMS)
-		xx += shrink * e.xx
-		xy += shrink * e.xy
+	for i := range f.engines {
+		xx, xy := f.engines[i].products(k)
+		shrink := speedPriorMS / (xx + speedPriorMS)
+		sumXX += shrink * xx
+		sumXY += shrink * xy
 	}
 	if f.priorRate > 0 {
-		xx += equalPriorMS
-		xy += equalPriorMS * f.priorRate
+		sumXX += equalPriorMS
+		sumXY += equalPriorMS * f.priorRate
 	}
-	f.rate = xy / xx
-	loss := yy + equalPriorMS*f.rate*f.rate*(k-f.priorDelay)*(k-f.priorDelay)
+	f.rate = sumXY / sumXX
+	loss := equalPriorMS * f.rate * f.rate * (k - f.priorDelay) * (k - f.priorDelay)
 	if f.priorRate > 0 {
 		loss += equalPriorMS * (f.rate - f.priorRate) * (f.rate - f.priorRate)
 	}
 	for i := range f.engines {
 		e := &f.engines[i]
-		e.speed = (e.xy + speedPriorMS*f.rate) / (e.xx + speedPriorMS)
-		loss += e.speed*e.speed*e.xx - 2*e.speed*e.xy + speedPriorMS*(e.speed-f.rate)*(e.speed-f.rate)
+		xx, xy := e.products(k)
+		e.speed = (xy + speedPriorMS*f.rate) / (xx + speedPriorMS)
+		loss += e.speed*e.speed*xx - 2*e.speed*xy + speedPriorMS*(e.speed-f.rate)*(e.speed-f.rate)
 	}
 	return loss
 }
 
-// reweigh reduces the weights of rows far from the fit (Huber).
+// reweigh reduces the weights of rows far from the fit (Huber), and gives all engines the same
+// weight: errors are proportional to the rate, so that those of fast engines would outweigh the
+// others'.
 func (f *fit) reweigh() {
 	off := make([]float64, len(f.rows))
 	for i, r := range f.rows {
@@ -218,6 +244,21 @@
 	sorted := slices.Sorted(slices.Values(off))
 	limit := outlierRatio * max(sorted[len(sorted)/2], 0.02)
 	for i := range f.rows {
-		f.rows[i].fitted = f.rows[i].weight * min(1, limit/max(off[i], 1e-9))
+		relative := min(max(f.rate/f.engines[f.rows[i].engine].speed, 0.1), 10)
+		f.rows[i].fitted = f.rows[i].weight * relative * relative * min(1, limit/max(off[i], 1e-9))
+	}
+}
+
+// stallQuantile is the fraction of streams whose longest gap the model covers.
+const stallQuantile = 0.75
+
+// stall returns by how much the longest gaps exceed the time per event of their engines while
+// these prefill without a break: 1 where they do not.
+func (f *fit) stall() float64 {
+	ratios := make([]float64, len(f.rows))
+	for i, r := range f.rows {
+		ratios[i] = r.longestMS * f.engines[r.engine].speed * (1 - f.delay)
 	}
+	slices.Sort(ratios)
+	return min(max(1, ratios[int(stallQuantile*float64(len(ratios)))]), maxStall)
 }
--- /dev/null
+++ b/internal/dispatch/pacecost.go
@@ -0,0 +1,106 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/silverswitch/silverswitch/internal/core/wire"
+	"github.com/silverswitch/silverswitch/internal/dispatch/pace"
+)
+
+// Decisions for the pace of running streams: a stream that a prompt makes late counts as cost of
+// the engine, and a request that would make at least as many streams late as it adds is refused.
+//
+// Load pattern: long prompts before engines whose steps take longer than the target for the gap
+// between events while they prefill without a break. First events arrive in time, and a fifth of
+// the streams are late.
+
+const (
+	// paceCostRatio is the cost of one stream that misses its target, as a ratio of the target
+	// for the first event: a late stream loses as much as a late first event. The limits on the
+	// wait keep first events in time.
+	paceCostRatio = 1.0
+	// maxCountedHarm bounds the harm that counts as cost, so that the wait still decides
+	// between engines that are all full.
+	maxCountedHarm = 4.0
+	// halfShareWaitRatio is waitRatio at half of a share. An organisation that has used half of
+	// its share may cause as much harm as its request is worth.
+	halfShareWaitRatio = (maxWaitRatio + maxWaitRatioAtShare) / 2
+)
+
+// choicePace is the pace expected of a choice. Its zero value is that of an engine at which no
+// stream can miss the target.
+type choicePace struct {
+	harm    float64 // expected number of streams that the prompt makes late
+	endsMS  float64 // expected time to the end of the stream
+	refused bool    // the harm is not allowed, or the stream would miss its deadline
+	roomMS  float64 // until the engine has room for the prompt
+}
+
+// preparePace sets for the next decision whether the pace of streams is considered, and how much
+// harm is allowed. It falls with the use of the
+// organisation's share as the allowed wait does, so that while there is not room for all an
+// organisation under its share goes before those over theirs.
+//
+// Nothing is considered without a target, before there are enough samples, or while no stream
+// has missed its target.
+func (p *pool) preparePace(usedShare float64, now time.Time) {
+	p.pace.active = p.pace.targetMS > 0 && p.pace.learner.Model().Known() && !p.disabled.Pace && p.pace.misses.now(now) >= minMisses
+	p.pace.allowedHarm = 1
+	if !p.disabled.Shares {
+		p.pace.allowedHarm = waitRatio(usedShare) / halfShareWaitRatio
+	}
+}
+
+// judgePace works out what a request does to the pace of the streams at an engine, and adds its
+// cost. Nothing is changed where the engine keeps to the target while it prefills without a break.
+func (p *pool) judgePace(c *choice, a *wire.PlacementRequest, now time.Time) {
+	if !p.pace.active {
+		return
+	}
+	m, targetMS, u := p.pace.learner.Model(), p.pace.targetMS, c.up
+	slow := u.pace.Slow(now)
+	if !m.Restricts(slow, targetMS) {
+		return
+	}
+	reading, prompt := p.learner.Model(), c.prompt
+	prompt.Fetched = 0
+	q := pace.Prompt{Slow: slow, BacklogMS: c.waitMS, PrefillMS: reading.Read(prompt) * u.queue.Slow(reading, now),
+		Streams: p.inTimeStreams(u, now), Events: p.eventsOf(int(a.Output))}
+	harm := m.Harm(&u.pace, q, targetMS, now)
+	c.cost += paceCostRatio * p.requestTargetMS(a) * (min(harm, maxCountedHarm) + m.OwnRisk(&u.pace, q, targetMS, now))
+	// A stall may or may not come: it counts as cost, and is no reason for a refusal.
+	certain := m
+	certain.Stall = 1
+	if harm > 0 {
+		c.pace.harm = certain.Harm(&u.pace, q, targetMS, now)
+	}
+	c.pace.endsMS = c.waitMS + reading.Base + c.ownMS + m.StreamMS(&u.pace, q, now)
+	c.pace.refused = c.pace.harm >= p.pace.allowedHarm || c.pace.endsMS > float64(a.DeadlineMS)
+	if c.pace.refused {
+		c.pace.roomMS = certain.RoomAfterMS(&u.pace, q, targetMS, now)
+	}
+}
+
+// choosePaced returns the choice for a request: the given one, or if that one makes other
+// streams late the cheapest that does not. It returns nil if the request must be refused.
+func (p *pool) choosePaced(a *wire.PlacementRequest, best *choices, c *choice, usedShare float64, now time.Time) *choice {
+	if !c.pace.refused || p.disabled.PaceRefusals || !p.mayRefuse(a) {
+		return c
+	}
+	if other := &best.paced; other.up != nil {
+		if reason, _ := p.refusalReason(a, other, usedShare, now); reason == ReasonNone {
+			return other
+		}
+	}
+	if c.pace.harm >= p.pace.allowedHarm {
+		p.pace.refused++
+	} else {
+		p.pace.lateEnd++
+	}
+	return nil
+}
+
+// paceRetryAfter is the time until the engine has room for the refused prompt.
+func paceRetryAfter(c *choice) time.Duration {
+	return min(max(time.Duration(c.pace.roomMS*float64(time.Millisecond)), minRetryAfter), maxRetryAfter)
+}
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -66,12 +66,14 @@
 	ownMS     float64 // fetching cached parts and reading the rest
 	penaltyMS float64 // costs beyond time: another place, a fetch, a new connection
 	cost      float64 // time and penalty
+	pace      choicePace
 }
 
 // choices are the two best upstreams for a request, by different weights of locality.
 type choices struct {
 	cheapest choice // of lowest cost
 	nearby   choice // of lowest cost when another place and a fetch cost extra
+	paced    choice // of lowest cost where it is not refused for the pace of streams
 }
 
 // best returns the nearby upstream while its wait is short, otherwise the cheapest one.
@@ -161,6 +163,9 @@
 	if b.nearby.up == nil || c.localityCost(place) < b.nearby.localityCost(place) {
 		b.nearby = c
 	}
+	if !c.pace.refused && (b.paced.up == nil || c.cost < b.paced.cost) {
+		b.paced = c
+	}
 }
 
 // localityCost is the cost of a choice including the extra costs of another place and of a
@@ -220,6 +225,7 @@
 		c.penaltyMS += notInUseCostMS
 	}
 	c.cost = c.waitMS + c.ownMS + c.penaltyMS + p.batchCostMS(u)
+	p.judgePace(&c, a, now)
 	if p.withoutScheduler {
 		c.cost += spreadCostMS(from, u)
 	}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -194,7 +194,7 @@
 	} else if s, ok := r.up.queue.FirstEvent(r.entry, gotMS, p.learner.Model(), now); ok && !p.disabled.Learning {
 		p.learner.Add(s)
 	}
-	p.paceFirstEvent(r, now)
+	p.paceFirstEvent(r, gotMS, now)
 	r.up.markRead(r, now)
 	for _, part := range r.parts {
 		r.up.cache.add(part.Part, int(part.Tokens), true, now)
--- a/internal/dispatch/streampace.go
+++ b/internal/dispatch/streampace.go
@@ -29,19 +29,45 @@
 type poolPace struct {
 	targetMS     float64 // the strictest target for the gap between events, 0 if there is none
 	learner      pace.Learner
+	misses       missCount
 	logged       pace.Model // as last written to the log
 	invalidTable uint64     // number of the last table with an invalid target
+	active       bool       // in the current decision: the pace of streams is considered
+	allowedHarm  float64    // in the current decision: the expected harm from which on a request is refused
 	refused      int        // requests refused because of pace since the last log line
 	lateEnd      int        // the same, because the stream would not end within its deadline
 	logDue       time.Time
 }
 
+// missCount counts the streams that have missed the target lately. Where none do, whatever the
+// model says, nothing is decided for the pace of streams.
+type missCount struct {
+	count float64
+	at    time.Time
+}
+
+const (
+	// minMisses is the number of misses from which on the pace of streams is considered: one
+	// or two are accidents.
+	minMisses = 3.0
+	// missMemory is the time constant by which misses are forgotten. Decisions avoid further
+	// ones, so that it has to be much longer than a peak of the load.
+	missMemory = 2 * time.Minute
+)
+
+func (c *missCount) add(now time.Time) { c.count, c.at = min(c.now(now), 100*minMisses)+1, now }
+
+func (c *missCount) now(now time.Time) float64 {
+	return c.count * math.Exp(-float64(now.Sub(c.at))/float64(missMemory))
+}
+
 // runPace is what is known of the pace of a run.
 type runPace struct {
 	events           float64   // expected after the first one
 	firstAt          time.Time // of the first event
-	prefillAtFirstMS float64   // what the engine had prefilled by then
-	late             bool      // a gap has exceeded the target
+	placedAt         time.Time
+	prefillAtFirstMS float64 // what the engine had prefilled by then
+	late             bool    // a gap has exceeded the target
 }
 
 // strictestGapMS returns the lowest positive target for the gap between events of the routes
@@ -127,26 +153,34 @@
 	if r == nil {
 		return false
 	}
+	suspect := r.entry.IsSuspect() || p.overloaded[from]
 	if note.Missed && !r.pace.late {
 		r.pace.late = true
 		r.up.streams.stale = true
+		if !suspect {
+			p.pace.misses.add(now)
+		}
 	}
-	if p.engine == nil || note.Events == 0 || !r.firstEvent || r.pace.firstAt.IsZero() || r.entry.IsSuspect() || p.overloaded[from] || p.disabled.Learning {
+	if p.engine == nil || note.Events == 0 || !r.firstEvent || r.pace.firstAt.IsZero() || suspect || p.disabled.Learning {
 		return true
 	}
-	s := pace.Sample{Events: int(note.Events), MS: float64(note.MS), Engine: uint32(r.up.id)}
+	s := pace.Sample{Events: int(note.Events), MS: float64(note.MS), LongestMS: float64(note.LongestMS), Engine: uint32(r.up.id)}
 	s.Busy = min(1, (r.up.pace.TotalMS()-r.pace.prefillAtFirstMS)/max(1, s.MS))
 	r.up.pace.Observe(s, p.pace.learner.Model(), now)
 	p.pace.learner.Add(s)
 	return true
 }
 
-// paceFirstEvent records that an engine has prefilled the prompt of a run.
-func (p *pool) paceFirstEvent(r *run, now time.Time) {
-	m, u := p.learner.Model(), r.up
-	prompt := r.prompt
-	prompt.Fetched = 0 // a fetch does not slow the engine's steps
-	u.pace.Prefilled(m.Read(prompt)*u.queue.Slow(m, now), now)
+// paceFirstEvent records that an engine has prefilled the prompt of a run, whose first event came
+// gotMS after it was placed. The prompts before it were prefilled in that time too; the base time
+// of the model passes before the engine begins.
+func (p *pool) paceFirstEvent(r *run, gotMS float64, now time.Time) {
+	u := r.up
+	if !r.entry.IsSuspect() {
+		at := r.pace.placedAt.Add(time.Duration(min(gotMS, float64(now.Sub(r.pace.placedAt).Milliseconds())) * float64(time.Millisecond)))
+		m := p.learner.Model()
+		u.pace.Prefilled(r.pace.placedAt.Add(time.Duration(m.Base*u.queue.Slow(m, now)*float64(time.Millisecond))), at)
+	}
 	r.pace.firstAt, r.pace.prefillAtFirstMS = now, u.pace.TotalMS()
 }
 
@@ -178,8 +212,8 @@
 	if !c.stale && now.Sub(c.at) < streamCountAge {
 		return c.count
 	}
-	*c = streamCount{count: float64(max(0, u.running()-len(u.runs))), at: now}
 	eventMS := max(1, p.pace.learner.Model().EventMS(u.pace.Slow(now), u.pace.Busy(now)))
+	thousandths := 1000 * max(0, u.running()-len(u.runs)) // integers: the sum must not depend on the order of the map
 	for _, r := range u.runs {
 		if r.pace.late {
 			continue
@@ -188,8 +222,9 @@
 		if !r.pace.firstAt.IsZero() {
 			left = max(overdueEvents, left-float64(now.Sub(r.pace.firstAt).Milliseconds())/eventMS)
 		}
-		c.count += min(1, left)
+		thousandths += int(1000 * min(1, left))
 	}
+	*c = streamCount{count: float64(thousandths) / 1000, at: now}
 	return c.count
 }
 
@@ -198,7 +233,7 @@
 	var out []wire.PaceModel
 	for _, p := range n.pools {
 		if m := p.pace.learner.Model(); p.engine != nil && m.Known() {
-			out = append(out, wire.PaceModel{Service: p.id, Plain: float32(m.Plain), Prefill: float32(m.Prefill), Samples: uint32(p.pace.learner.SampleCount())})
+			out = append(out, wire.PaceModel{Service: p.id, Plain: float32(m.Plain), Prefill: float32(m.Prefill), Stall: float32(m.Stall), Samples: uint32(p.pace.learner.SampleCount())})
 		}
 	}
 	return out
@@ -208,7 +243,7 @@
 func (n *Node) handlePaceModels(models []wire.PaceModel) {
 	for _, m := range models {
 		if p := n.pools[m.Service]; p != nil && p.engine != nil {
-			p.pace.learner.Inherit(pace.Model{Plain: float64(m.Plain), Prefill: float64(m.Prefill)}, int(m.Samples))
+			p.pace.learner.Inherit(pace.Model{Plain: float64(m.Plain), Prefill: float64(m.Prefill), Stall: float64(m.Stall)}, int(m.Samples))
 		}
 	}
 }
@@ -224,7 +259,7 @@
 		if m.Known() && (!p.pace.logged.Known() || ratioDiffers(m.Plain, p.pace.logged.Plain) || ratioDiffers(m.Prefill, p.pace.logged.Prefill)) {
 			p.pace.logged = m
 			n.event(Event{Name: "pace-model", Value: uint64(p.pace.learner.SampleCount()),
-				Detail: fmt.Sprintf("%s: %.0f ms an event, %.0f ms while an engine prefills without a break, target %.0f ms", p.service, m.Plain, m.Prefill, p.pace.targetMS)})
+				Detail: fmt.Sprintf("%s: %.0f ms an event, %.0f ms while an engine prefills without a break, %.1f times as much in stalls, target %.0f ms", p.service, m.Plain, m.Prefill, m.Stall, p.pace.targetMS)})
 		}
 		n.logPaceRefusals(p, now)
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -74,9 +74,10 @@
 	cached       map[uint64]*list.Element
 	recent       *list.List // of Part, most recently used first; the values of cached are its elements
 	cachedTokens int
-	Read         int // total prompt tokens read
-	Fetched      int // total tokens fetched from other engines
-	Rejected     int // requests that Add rejected
+	slow         float64 // multiplies all times
+	Read         int     // total prompt tokens read
+	Fetched      int     // total tokens fetched from other engines
+	Rejected     int     // requests that Add rejected
 }
 
 // activeRequest is a request that waits or runs in the engine.
@@ -91,9 +92,13 @@
 
 // New returns an engine without requests and with an empty cache.
 func New(cfg Config, now time.Time) *Engine {
-	return &Engine{cfg: cfg, now: now, cached: map[uint64]*list.Element{}, recent: list.New()}
+	return &Engine{cfg: cfg, now: now, cached: map[uint64]*list.Element{}, recent: list.New(), slow: 1}
 }
 
+// SetSlowness sets the factor by which all times are longer than configured, from the next step
+// on.
+func (e *Engine) SetSlowness(factor float64) { e.slow = factor }
+
 // Add queues a request. It returns false if the request exceeds the engine's memory, or if
 // too many requests wait already.
 func (e *Engine) Add(r Request, now time.Time) bool {
@@ -108,7 +113,7 @@
 	if len(e.running) == 0 && len(e.waiting) == 0 && now.After(e.now) {
 		e.now = now
 	}
-	x := &activeRequest{req: r, readyAt: now.Add(ms(e.cfg.RequestSetupMS))}
+	x := &activeRequest{req: r, readyAt: now.Add(ms(e.slow * e.cfg.RequestSetupMS))}
 	e.fetch(x, now)
 	e.waiting = append(e.waiting, x)
 	return true
@@ -245,7 +250,7 @@
 		}
 	}
 	duration := e.cfg.StepMS + e.cfg.StepPerRequestMS*float64(len(e.running)) + e.cfg.StepPer1KContextMS*float64(contextTokens)/1000 + float64(e.cfg.PrefillChunkTokens-chunk)/e.cfg.PrefillTokensPerMS + pairs*e.cfg.AttentionMSPerMPairs
-	e.now = e.now.Add(ms(duration))
+	e.now = e.now.Add(ms(e.slow * duration))
 	return e.decode(decoded)
 }
 
--- a/internal/lab/tokens/calls.go
+++ b/internal/lab/tokens/calls.go
@@ -23,6 +23,8 @@
 	tries      int
 	expectedMS float64 // expected time to the first event
 	engine     string
+	output     int // actual tokens of the answer
+	pace       callPace
 }
 
 // sendToEngine sends a placed request to its engine.
@@ -32,7 +34,7 @@
 		return
 	}
 	e := w.engines[o.Instance.ID]
-	r := engine.Request{ID: o.ID, Parts: c.parts, Output: c.req.Output}
+	r := engine.Request{ID: o.ID, Parts: c.parts, Output: c.output}
 	for _, id := range w.ids {
 		if o.Source != "" && o.Source == "10.9.0."+fmt.Sprint(indexOf(w.ids, id))+":1" {
 			r.Source = w.engines[id]
@@ -85,6 +87,9 @@
 	w.second(c.org, w.now).waited = true
 	if c.tries++; c.tries > 1 {
 		w.res.Refused++
+		if w.counted(c) {
+			w.res.Pace.Refused++
+		}
 		return
 	}
 	w.retries = append(w.retries, c)
