--- a/internal/lab/tokens/pace_test.go
+++ b/internal/lab/tokens/pace_test.go
@@ -53,11 +53,17 @@
 
 // Engines of two speeds that stall at times: prompts go to the fast ones, whose streams stay in
 // time while they prefill. Of the slow ones' streams fewer are late; those that are late at fast
-// engines, because these stall, remain.
+// engines, because these stall, remain. Chats shift by a factor of 2.2 within a moment, and must
+// not leave engines full of streams for which prompts are refused.
 func TestPaceAvoidsSlowEngines(t *testing.T) {
 	t.Parallel()
-	without := runPace(t, LoadA, 0.7, 4, dispatch.Disabled{Pace: true})
-	with := runPace(t, LoadA, 0.7, 4, dispatch.Disabled{})
+	shifted := func() *PaceLoad {
+		l := LoadA()
+		l.shiftClass, l.shiftFactor = 1, 2.2
+		return l
+	}
+	without := runPace(t, shifted, 0.9, 3, dispatch.Disabled{Pace: true})
+	with := runPace(t, shifted, 0.9, 3, dispatch.Disabled{})
 	assert.Greater(t, with.inTime(), without.inTime())
 	assert.Less(t, with.GapLate, without.GapLate)
 	assert.Less(t, float64(with.SlowLate), 0.85*float64(without.SlowLate))
