--- a/internal/dispatch/pace/harm.go
+++ b/internal/dispatch/pace/harm.go
@@ -12,6 +12,7 @@
 	PrefillMS float64 // of this prompt
 	Streams   float64 // at the engine, with events to come, that have not missed the target yet
 	Events    float64 // expected of this request, after the first one
+	Busy      float64 // fraction of its time for which the engine prefilled lately
 }
 
 // busiestMS returns the prefill time of the busiest window that ends when the engine has done
@@ -44,11 +45,11 @@
 
 // OwnRisk is the probability that a stream misses its target at an engine that goes on to
 // prefill as much as it has lately.
-func (m Model) OwnRisk(e *Engine, p Prompt, targetMS float64, now time.Time) float64 {
+func (m Model) OwnRisk(p Prompt, targetMS float64) float64 {
 	if p.Events < 1 || !m.Restricts(p.Slow, targetMS) {
 		return 0
 	}
-	risk := m.MissRisk(m.GapMS(p.Slow, e.Busy(now)*targetMS), targetMS)
+	risk := m.MissRisk(m.GapMS(p.Slow, p.Busy*targetMS), targetMS)
 	if risk == 0 {
 		return 0
 	}
@@ -63,9 +64,9 @@
 }
 
 // StreamMS is the expected time from a stream's first event to its end.
-func (m Model) StreamMS(e *Engine, p Prompt, now time.Time) float64 {
+func (m Model) StreamMS(p Prompt) float64 {
 	if !m.Known() {
 		return 0
 	}
-	return p.Events * m.EventMS(p.Slow, e.Busy(now))
+	return p.Events * m.EventMS(p.Slow, p.Busy)
 }
--- a/internal/dispatch/pace/pace_test.go
+++ b/internal/dispatch/pace/pace_test.go
@@ -41,8 +41,8 @@
 		p := Prompt{Slow: 1, BacklogMS: 9000, PrefillMS: 9000, Streams: 50, Events: 100}
 		assert.False(t, l.Model().Restricts(8, 1))
 		assert.Zero(t, l.Model().Harm(&e, p, 1, start))
-		assert.Zero(t, l.Model().OwnRisk(&e, p, 1, start))
-		assert.Zero(t, l.Model().StreamMS(&e, p, start))
+		assert.Zero(t, l.Model().OwnRisk(p, 1))
+		assert.Zero(t, l.Model().StreamMS(p))
 	}
 }
 
@@ -207,9 +207,11 @@
 		now = now.Add(10 * time.Millisecond)
 		busy.Prefilled(now.Add(-8*time.Millisecond), now)
 	}
-	short, long := Prompt{Slow: 2.2, Events: 2}, Prompt{Slow: 2.2, Events: 60}
-	assert.Less(t, truth.OwnRisk(busy, short, 250, now), truth.OwnRisk(busy, long, 250, now))
-	assert.Less(t, truth.OwnRisk(idle, long, 250, now), truth.OwnRisk(busy, long, 250, now))
-	assert.Less(t, truth.StreamMS(idle, long, now), truth.StreamMS(busy, long, now))
-	assert.Zero(t, truth.OwnRisk(busy, Prompt{Slow: 0.7, Events: 60}, 250, now))
+	at := func(e *Engine, slow, events float64) Prompt {
+		return Prompt{Slow: slow, Events: events, Busy: e.Busy(now)}
+	}
+	assert.Less(t, truth.OwnRisk(at(busy, 2.2, 2), 250), truth.OwnRisk(at(busy, 2.2, 60), 250))
+	assert.Less(t, truth.OwnRisk(at(idle, 2.2, 60), 250), truth.OwnRisk(at(busy, 2.2, 60), 250))
+	assert.Less(t, truth.StreamMS(at(idle, 2.2, 60)), truth.StreamMS(at(busy, 2.2, 60)))
+	assert.Zero(t, truth.OwnRisk(at(busy, 0.7, 60), 250))
 }
--- a/internal/dispatch/pacecost.go
+++ b/internal/dispatch/pacecost.go
@@ -62,19 +62,21 @@
 	if !m.Restricts(slow, targetMS) {
 		return
 	}
-	reading, prompt := p.learner.Model(), c.prompt
-	prompt.Fetched = 0
-	q := pace.Prompt{Slow: slow, BacklogMS: c.waitMS, PrefillMS: reading.Read(prompt) * u.queue.Slow(reading, now),
-		Streams: p.inTimeStreams(u, now), Events: p.eventsOf(int(a.Output))}
+	reading := p.learner.Model()
+	q := pace.Prompt{Slow: slow, BacklogMS: c.waitMS, PrefillMS: c.ownMS, Streams: p.inTimeStreams(u, now), Events: p.eventsOf(int(a.Output)), Busy: u.pace.Busy(now)}
+	if prompt := c.prompt; prompt.Fetched > 0 {
+		prompt.Fetched = 0 // a fetch does not slow the engine's steps
+		q.PrefillMS = reading.Read(prompt) * u.queue.Slow(reading, now)
+	}
 	harm := m.Harm(&u.pace, q, targetMS, now)
-	c.cost += paceCostRatio * p.requestTargetMS(a) * (min(harm, maxCountedHarm) + m.OwnRisk(&u.pace, q, targetMS, now))
+	c.cost += paceCostRatio * p.requestTargetMS(a) * (min(harm, maxCountedHarm) + m.OwnRisk(q, targetMS))
 	// A stall may or may not come: it counts as cost, and is no reason for a refusal.
 	certain := m
 	certain.Stall = 1
 	if harm > 0 {
 		c.pace.harm = certain.Harm(&u.pace, q, targetMS, now)
 	}
-	c.pace.endsMS = c.waitMS + reading.Base + c.ownMS + m.StreamMS(&u.pace, q, now)
+	c.pace.endsMS = c.waitMS + reading.Base + c.ownMS + m.StreamMS(q)
 	c.pace.refused = c.pace.harm >= p.pace.allowedHarm || c.pace.endsMS > float64(a.DeadlineMS)
 	if c.pace.refused {
 		c.pace.roomMS = certain.RoomAfterMS(&u.pace, q, targetMS, now)
