--- a/internal/dispatch/pacecost_test.go
+++ b/internal/dispatch/pacecost_test.go
@@ -43,15 +43,21 @@
 	f.now = f.now.Add(time.Second)
 }
 
-// A prompt that would make the streams of its engine late goes to an engine without streams,
-// although that one is in another place.
-func TestPromptGoesWhereItMakesNoStreamLate(t *testing.T) {
-	f, p := pacePool(t, 2)
-	f.addStreams(p, p.order[0], 100, 10)
-	for no := uint64(1); no <= 3; no++ {
-		v := p.decide("r", request(no, 20_000, 10), f.now)
+// A prompt that would make the streams of an engine late goes to one with fewer streams, although
+// it has to wait there for 100 ms.
+func TestPromptGoesWhereItMakesFewerStreamsLate(t *testing.T) {
+	for _, disabled := range []Disabled{{}, {PaceRefusals: true}} {
+		f, p := pacePool(t, 2)
+		p.disabled = disabled
+		f.addStreams(p, p.order[0], 100, 10)
+		p.startRun("r", request(50, 5000, 10), &choice{up: p.order[1], work: 5000, prompt: prefill.PromptOf(5000, 0, 5000)}, 1, f.now)
+		v := p.decide("r", request(1, 20_000, 10), f.now)
 		require.NotNil(t, v.choice)
 		assert.Equal(t, p.order[1], v.choice.up)
+		p.disabled.Pace = true
+		v = p.decide("r", request(2, 20_000, 10), f.now)
+		require.NotNil(t, v.choice)
+		assert.Equal(t, p.order[0], v.choice.up, "without regard to pace")
 	}
 }
 
