--- a/internal/dispatch/pacecost.go
+++ b/internal/dispatch/pacecost.go
@@ -37,9 +37,9 @@
 }
 
 // preparePace sets for the next decision whether the pace of streams is considered, and how much
-// harm is allowed. It falls with the use of the
-// organisation's share as the allowed wait does, so that while there is not room for all an
-// organisation under its share goes before those over theirs.
+// harm is allowed. The allowed harm falls with the use of the organisation's share as the allowed
+// wait does, so that while there is not room for all an organisation under its share goes before
+// those over theirs.
 //
 // Nothing is considered without a target, before there are enough samples, or while no stream
 // has missed its target.
