--- a/internal/core/wire/dispatch.go
+++ b/internal/core/wire/dispatch.go
@@ -27,6 +27,8 @@
 	Queued            []QueuedRequest    `cbor:"24,keyasint,omitempty"` // requests of the receiver that wait at the sender for a slot
 	Rejected          []uint64           `cbor:"25,keyasint,omitempty"` // numbers of requests among ProgressNotes that failed because the upstream rejected them as not run
 	Overloaded        bool               `cbor:"16,keyasint,omitempty"` // the sender is short of CPU: times that it reports include its own delay
+	PaceNotes         []PaceNote         `cbor:"22,keyasint,omitempty"` // on streams that the receiver placed
+	PaceModels        []PaceModel        `cbor:"23,keyasint,omitempty"` // sent to routers that may become schedulers
 }
 
 // PrefillModel is what the sender has learned, or inherited, of the time to the first event at
--- a/internal/dispatch/inflight.go
+++ b/internal/dispatch/inflight.go
@@ -334,6 +334,7 @@
 	delete(n.notes, id)
 	w.Rejected = append(w.Rejected, n.rejections[id]...)
 	delete(n.rejections, id)
+	n.attachPaceNotes(id, w)
 }
 
 func (n *Node) flushNotes() {
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -93,6 +93,10 @@
 	Learning  bool // the prior model of the engines' times stays in force
 	// PlainSlots places requests for plain services without regard to slots.
 	PlainSlots bool
+
+	Pace         bool // the pace of running streams is not considered
+	PaceRefusals bool // no request is refused for the pace of running streams
+	GapWarnings  bool // congested engines are not avoided
 }
 
 // Node is one router's dispatch state. It is owned by one goroutine.
@@ -123,6 +127,7 @@
 	notes      map[wire.NodeID][]wire.ProgressNote
 	notesDue   time.Time
 	rejections map[wire.NodeID][]uint64 // requests that upstreams rejected, by the router to notify
+	paceNotes  map[wire.NodeID][]wire.PaceNote
 	heartbeats heartbeats
 	demandSums fleetDemands
 	startedAt  time.Time
@@ -155,7 +160,7 @@
 
 // Counts are totals since the start. They are encoded as JSON under these names.
 type Counts struct {
-	Placed, Refused, Asked, AskedAgain, OwnDecision, OwnPlaced, AnswersLate, Woke, Ended, PlacedCold, Rejected uint64
+	Placed, Refused, Asked, AskedAgain, OwnDecision, OwnPlaced, AnswersLate, Woke, Ended, PlacedCold, Rejected, RefusedForPace uint64
 }
 
 // New returns a node that knows no other router yet.
@@ -175,6 +180,7 @@
 		store:            newStoreReadings(),
 		notes:            map[wire.NodeID][]wire.ProgressNote{},
 		rejections:       map[wire.NodeID][]uint64{},
+		paceNotes:        map[wire.NodeID][]wire.PaceNote{},
 		lastTick:         now,
 		rnd:              rnd,
 		unreportedUsage:  newLocalUsage(),
@@ -203,6 +209,8 @@
 		n.retryElsewhere(in, now)
 	case FirstEvent:
 		n.firstEvent(in, now)
+	case StreamPace:
+		n.streamPace(in, now)
 	case End:
 		n.end(in, now)
 	case Catalogue:
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -21,6 +21,7 @@
 				s.BacklogMS = int(u.backlog(p.learner.Model(), now))
 				s.KeptTokens = u.cache.used
 			}
+			s.Pace = p.paceState(u, now)
 			out = append(out, s)
 		}
 	}
@@ -66,6 +67,7 @@
 	KeptTokens int           `json:"kept_tokens"`
 	Slow       float64       `json:"slow"`
 	Slots      *SlotState    `json:"slots,omitempty"` // nil unless a plain upstream states slots
+	Pace       *PaceState    `json:"pace,omitempty"`  // of an engine's streams, nil while nothing is known
 }
 
 // ColdUpstream is the state of a cold upstream, and what this router places there.
--- a/internal/process/requestcost_bench_test.go
+++ b/internal/process/requestcost_bench_test.go
@@ -124,6 +124,7 @@
 func (c *costControl) Leaving() bool                         { return false }
 
 func (c *costControl) FirstEvent(*forward.Ticket, time.Duration)         {}
+func (c *costControl) StreamPace(*forward.Ticket, dispatch.StreamPace)   {}
 func (c *costControl) AttemptIncomplete(dispatch.AttemptIncomplete)      {}
 func (c *costControl) HealthCheckFailed(routing.Instance, time.Duration) {}
 func (c *costControl) UpstreamBacksOff(string, time.Duration)            {}
--- a/internal/process/routeddaemon.go
+++ b/internal/process/routeddaemon.go
@@ -152,9 +152,9 @@
 }
 
 // controlBehind reports whether this router is overloaded while datagrams from its peers
-// are waiting to be read.
+// are waiting to be read, behind accepted connections.
 func (d *RoutedDaemon) controlBehind() bool {
-	return d.ctrl.ShedRatio() > 0 && d.peerSocket.HasUnread()
+	return d.ctrl.ShedRatio() > 0 && d.callerServer.unread.count(time.Now()) >= minUnreadConns && d.peerSocket.HasUnread()
 }
 
 func setMemoryLimit(mb int) {
@@ -257,6 +257,7 @@
 		"places_evacuated": uint64(len(s.Evacuated)), "upstreams_cold": uint64(s.coldUpstreams()), "placed_cold": s.Counts.PlacedCold,
 		"slots_waiting": uint64(s.Slots.Waiting), "slots_queued": s.Slots.Queued, "slots_waited_ms": s.Slots.WaitedMS, "slots_refused_wait": s.Slots.Refused, "slots_refused_displaced": s.Slots.Displaced,
 		"slots_refused_expired": s.Slots.Expired, "slots_rejected": s.Slots.Rejected, "rejected_by_upstreams": s.Counts.Rejected,
+		"refused_for_pace": s.Counts.RefusedForPace,
 	} {
 		lines[promName("dispatch."+name)] = fmt.Sprint(n)
 	}
--- a/internal/request/forward/answer.go
+++ b/internal/request/forward/answer.go
@@ -36,6 +36,7 @@
 	unflushed     bool            // events were written to the caller and not yet sent
 
 	timeToFirst time.Duration // from sending to the first event
+	pace        paceMeter
 }
 
 var (
@@ -234,6 +235,7 @@
 			_ = a.flush(rc) // before the stream is resumed, which may take long
 			return a.handleBroken(err)
 		case ok:
+			a.eventRead(time.Now())
 			if err := a.writeEvent(res, e); err != nil {
 				return a.callerUnreachable()
 			}
@@ -244,6 +246,7 @@
 		if err := a.flush(rc); err != nil {
 			return a.callerUnreachable()
 		}
+		a.pace.eventWritten(time.Now())
 	}
 }
 
@@ -322,6 +325,7 @@
 		a.copyHeaders(res)
 		a.w.WriteHeader(res.StatusCode)
 	}
+	a.reportPace()
 	a.s.ctrl.End(a.ticket, wire.ProgressDone)
 	a.logAnswered(a.placement, res.StatusCode, a.timeToFirst)
 	return stepDone
--- a/internal/request/forward/counters.go
+++ b/internal/request/forward/counters.go
@@ -15,7 +15,8 @@
 	reg                                                                                                          metrics.Registry
 	arrived, answered, opened, resumed, repeated, broken, shed, unservable, quarantined, withdrawn, healthChecks metrics.Counter
 	leavingNotices, backoffNotices                                                                               metrics.Counter
-	firstEvent, decision                                                                                         metrics.Timer
+	streamEvents, streamsLate, gapWarnings                                                                       metrics.Counter
+	firstEvent, decision, longestGap                                                                             metrics.Timer
 	byStatus                                                                                                     *sync.Map // metrics.Counter by status
 }
 
@@ -26,6 +27,8 @@
 		reg:      reg, arrived: c("arrived"), answered: c("answered"), opened: c("connections"), resumed: c("resumed"),
 		repeated: c("repeated"), broken: c("broken"), shed: c("shed"), unservable: c("unservable"), quarantined: c("held"), withdrawn: c("withdrawn"), healthChecks: c("looked"),
 		leavingNotices: c("notices.leaving"), backoffNotices: c("notices.backoff"),
+		streamEvents: c("stream.events"), streamsLate: c("stream.late"), gapWarnings: c("stream.gap.warnings"),
+		longestGap: metrics.GetOrRegisterTimer("forward.stream.gap", reg),
 		firstEvent: metrics.GetOrRegisterTimer("forward.first", reg),
 		decision:   metrics.GetOrRegisterTimer("forward.decision", reg),
 	}
