--- a/internal/process/callerserver.go
+++ b/internal/process/callerserver.go
@@ -18,7 +18,8 @@
 type callerServer struct {
 	listener            net.Listener
 	connLimiter         *connLimiter
-	controlBehind       func() bool                         // see RoutedDaemon.controlBehind; may be nil
+	controlBehind       func() bool // see RoutedDaemon.controlBehind; may be nil
+	unread              unreadConns
 	relay               atomic.Pointer[func(net.Conn) bool] // takes a new connection that another router is to serve; nil for none
 	log                 zerolog.Logger
 	own                 *limitedServer // connections that this router serves for itself
@@ -44,7 +45,7 @@
 		return nil, ErrSettings.Wrap(err, "[router] caller_address = %q", addr)
 	}
 	cs := &callerServer{listener: l, connLimiter: newConnLimiter(descriptors), controlBehind: controlBehind, log: log, handler: handler, relayed: map[*limitedServer]struct{}{}, relayedLimits: initialLimits}
-	cs.own = newLimitedServer(withCloseHint(cs.connLimiter.closeHint, handler), l.Addr(), cs.connLimiter.connState, log)
+	cs.own = newLimitedServer(withCloseHint(cs.connLimiter.closeHint, handler), l.Addr(), cs.connState, log)
 	cs.own.setLimits(initialLimits)
 	go cs.accept()
 	return cs, nil
@@ -89,7 +90,8 @@
 	}
 }
 
-// Accepting a connection is delayed while the control state is behind, by at most
+// Accepting a connection is delayed while the control state is behind or many accepted ones are
+// unread (unreadconns.go), by at most
 // maxAcceptDelay, checking every acceptPollInterval. The bound lets a router always accept
 // some connections, because callers wait only a second for a new one.
 //
@@ -101,16 +103,23 @@
 	acceptPollInterval = 2 * time.Millisecond
 )
 
-// waitForControl waits while the control state is behind.
+// waitForControl waits while the control state is behind or too many connections are unread.
 func (cs *callerServer) waitForControl() {
-	if cs.controlBehind == nil {
-		return
-	}
-	for end := time.Now().Add(maxAcceptDelay); cs.controlBehind() && time.Now().Before(end); {
+	for end := time.Now().Add(maxAcceptDelay); cs.isBehind() && time.Now().Before(end); {
 		time.Sleep(acceptPollInterval)
 	}
 }
 
+func (cs *callerServer) isBehind() bool {
+	return cs.unread.count(time.Now()) >= maxUnreadConns || cs.controlBehind != nil && cs.controlBehind()
+}
+
+// connState follows the states of the connections that this router serves itself.
+func (cs *callerServer) connState(c net.Conn, state http.ConnState) {
+	cs.unread.connState(c, state, time.Now())
+	cs.connLimiter.connState(c, state)
+}
+
 const (
 	acceptRetryDelay  = 5 * time.Millisecond
 	acceptLogInterval = time.Second
--- a/internal/process/sheddecision.go
+++ b/internal/process/sheddecision.go
@@ -33,12 +33,16 @@
 	// mean. With three periods a router that is out of CPU sheds after 300 ms.
 	shedMeanPeriods = 3
 	// lagMeanPeriods is the number of periods whose mean CPU use decides what a lag means.
-	// Below lowCPUUseRatio it is a stall or a burst, from highCPUUseRatio it is all taken
-	// for a queue that does not end; between the two it counts in part. Routers with 0.192
-	// cores lagged by 4 to 80 ms at a use of 0.47 to 0.64, and were in time. With three
-	// periods, chance alone takes a router with 0.144 cores from half of its CPU to above
-	// 0.9 (nine requests in a period).
-	lagMeanPeriods = 5
+	// Below minLagUse it is a stall or a burst, from fullLagUse it is all taken for a queue
+	// that does not end; between the two it counts in part. With three periods, chance alone
+	// takes a router with 0.144 cores from half of its CPU to above 0.9 (nine requests in a
+	// period).
+	lagMeanPeriods = 10
+	// minLagUse and fullLagUse are shares of the CPU by the process's own count, which lacks
+	// what the VM spends on its behalf: a router with 0.192 cores that could not keep up counted
+	// 0.70 to 0.78. With 0.8 and 0.92 in their place its requests lay unread for seconds.
+	minLagUse  = 0.66
+	fullLagUse = 0.74
 	// lagTargetDivisor and fullLagTargetDivisor divide the target to give the lags at which
 	// shedding begins and at which it is maxShedRatio. A request waits for the CPU some
 	// twenty times until an upstream has it, so that is a fifth of the target, and all of
@@ -190,7 +194,7 @@
 
 // lagWeight is the part of the lag rule that applies at the mean CPU use.
 func (d *shedDecision) lagWeight() float64 {
-	return min(1, max(0, (d.meanUse(lagMeanPeriods)-lowCPUUseRatio)/(highCPUUseRatio-lowCPUUseRatio)))
+	return min(1, max(0, (d.meanUse(lagMeanPeriods)-minLagUse)/(fullLagUse-minLagUse)))
 }
 
 // shedTarget returns the strictest target of the requests that arrived lately.
