--- a/internal/dispatch/heartbeat.go
+++ b/internal/dispatch/heartbeat.go
@@ -109,6 +109,7 @@
 		n.heartbeats.schedulers[p.id], n.heartbeats.schedulerSince[p.id] = to, now
 		if to == n.settings.ID {
 			n.heartbeats.schedulingSince[p.id] = now
+			p.takeOver(now)
 		} else {
 			delete(n.heartbeats.schedulingSince, p.id)
 		}
--- a/internal/dispatch/prefill/queue.go
+++ b/internal/dispatch/prefill/queue.go
@@ -16,6 +16,7 @@
 	lastFirstEvent time.Time // latest first event
 	sample         Sample    // what was read since the engine last had nothing to read
 	slow           slowness
+	takenOverAt    time.Time // see MarkTakenOver, zero unless marked
 
 	// The following values are computed from the entries for one model.
 	model    Model
@@ -38,6 +39,16 @@
 // IsSuspect reports whether MarkSuspect was called.
 func (e *Entry) IsSuspect() bool { return e.suspect }
 
+// MarkTakenOver records that from now on this router places at the engine what another one
+// placed until now. Prompts of the other router may be ahead in the engine, and their first
+// events are not reported here. Times are used again after the first event of a prompt that was
+// placed from now on: engines read prompts in order of arrival.
+//
+// Load pattern: a router becomes the scheduler while engines are half a second behind. All
+// that it placed had waited for prompts unknown to it, and counted as found by an idle engine:
+// the base time of the model rose from 25 ms to 475 and 668 ms, beyond the target latency.
+func (q *Queue) MarkTakenOver(now time.Time) { q.takenOverAt = now }
+
 // Slow returns the engine's times as a ratio of the service's; 1 is normal.
 func (q *Queue) Slow(m Model, now time.Time) float64 { return q.slow.factor(m, now) }
 
@@ -113,7 +124,13 @@
 		return Sample{}, false
 	}
 	at := e.placed.Add(duration(min(max(gotMS, 0), maxSampleMS)))
-	out, ok := q.observe(e, at, gotMS, m, now)
+	var out Sample
+	ok := false
+	if q.takenOverAt.IsZero() {
+		out, ok = q.observe(e, at, gotMS, m, now)
+	} else {
+		q.skipTakenOver(e)
+	}
 	if i == 0 {
 		q.headStart = at.Add(-duration(m.Base))
 	}
@@ -151,6 +168,15 @@
 	return out, true
 }
 
+// skipTakenOver discards the time of a prompt that may have waited for prompts of another
+// router, and ends this state if the prompt was placed after the takeover.
+func (q *Queue) skipTakenOver(e *Entry) {
+	q.sample = Sample{}
+	if !e.placed.Before(q.takenOverAt) {
+		q.takenOverAt = time.Time{}
+	}
+}
+
 // takeSample returns what was read since the last sample and begins a new one.
 func (q *Queue) takeSample() Sample {
 	s := q.sample
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -21,14 +21,15 @@
 // requests less than an even share gets what it requests, and the others share the rest
 // evenly.
 type meter struct {
-	capacity      float64 // tokens in a window, 0 when unknown
-	orgs          map[version.ID]*orgUsage
-	ring          ring
-	shares        map[version.ID]float64
-	recordedUsage recordedUsage
-	grantedShares map[version.ID]float64 // max-min shares of the tokens that were granted, set while engines serve less than the stated capacity
-	leastServed   float64                // tokens granted to the least served organisation that has unmet demand
-	dirty         bool
+	capacity       float64 // stated, in tokens in a window, 0 when unknown
+	orgs           map[version.ID]*orgUsage
+	ring           ring
+	shares         map[version.ID]float64 // of the stated capacity
+	recordedUsage  recordedUsage
+	observed       float64                // capacity in tokens in a window, 0 while engines serve the stated capacity
+	observedShares map[version.ID]float64 // of the observed capacity, nil while engines serve the stated capacity
+	leastServed    float64                // tokens granted to the least served organisation that has unmet demand
+	dirty          bool
 }
 
 // orgUsage is the tokens of one organisation by step: requested, granted (got), refused
@@ -117,6 +118,16 @@
 	}
 }
 
+// granted returns the tokens granted to all organisations in the window.
+func (m *meter) granted(now time.Time) float64 {
+	m.advance(now)
+	sum := 0.0
+	for _, u := range m.orgs {
+		sum += windowTotal(&u.got)
+	}
+	return sum
+}
+
 func windowTotal(steps *[shareSteps]float64) float64 { return floats.Sum(steps[:]) }
 
 // updateShares recomputes the shares when their inputs have changed.
@@ -126,23 +137,11 @@
 		demands := m.demands()
 		m.shares = maxMinShares(demands, m.capacity)
 		m.updateLeastServed()
-		m.updateGrantedShares(demands)
+		m.updateObserved(demands)
 		m.dirty = false
 	}
 }
 
-// usedShare returns how much of its share an organisation has used: the tokens granted to it as
-// a ratio of its max-min share of the capacity. Below 1 it is under its share, from 1 on it
-// is over.
-func (m *meter) usedShare(org version.ID, now time.Time) float64 {
-	m.updateShares(now)
-	share := m.shares[org]
-	if share <= 0 {
-		return 0
-	}
-	return windowTotal(&m.usageOf(org).got) / share
-}
-
 // demand is what an organisation requested in the window, in tokens.
 type demand struct {
 	org    version.ID
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -108,6 +108,7 @@
 		}
 		p.takeover.done = true
 		p.meter.applySnapshot(s.Orgs, now)
+		p.takeOver(now)
 		n.handleModels([]wire.PrefillModel{s.Model})
 		for _, e := range s.Engines {
 			if u := p.upstreams[e.Upstream]; u != nil {
