--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -75,7 +75,9 @@
 			reason, limitMS = p.refusalReason(a, c, usedShare, now)
 		}
 		if reason != ReasonNone && p.mayRefuse(a) {
-			p.countRefusal(a, c, tokens, reason, usedShare, now)
+			if reason == ReasonCapacity && usedShare < 1 {
+				p.meter.addRefusal(a.Org, tokens, now)
+			}
 			return decision{retryAfter: p.backlogRetryAfter(a, c.waitMS, limitMS), reason: reason, bestWaitMS: c.waitMS, limitMS: limitMS, ownMS: p.learner.Model().Base + c.ownMS, usedShare: usedPercent}
 		}
 		p.meter.addGrant(a.Org, tokens, now)
@@ -122,7 +124,7 @@
 	switch {
 	case p.disabled.Shares || usedShare < minYieldUsedShare:
 		return false
-	case p.meter.usedStatedShare(org, now) < 1:
+	case usedShare < 1:
 		return p.meter.aboveObservedShare(org, now)
 	}
 	return p.meter.mustYield(org, now)
--- a/internal/dispatch/observedcapacity.go
+++ b/internal/dispatch/observedcapacity.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/silverswitch/silverswitch/internal/core/wire"
 	"github.com/silverswitch/silverswitch/internal/dispatch/prefill"
 	"github.com/silverswitch/silverswitch/internal/version"
 )
@@ -14,39 +13,36 @@
 // Observed capacity. Engines may serve less than operators state. No organisation reaches its
 // share of the stated capacity then, and by that share a flood and an organisation that
 // requests little are refused alike. While requests of organisations under their shares are
-// refused because of the wait, shares are therefore parts of the observed capacity: what is
-// granted, or what the model of the engines expects if that is more.
+// refused because of the wait, those that have used more than their shares of the observed
+// capacity let others go first. The observed capacity is what is granted, or what the model of
+// the engines expects if that is more.
 //
 // Load pattern: engines at five eighths of the stated capacity, prompts of half a second, a
 // small organisation and one that sends ten times as much. Each free engine went to the next
-// request to arrive, and the small organisation, at a third of its stated share, was refused
-// because of waits of 100 to 300 ms that the flood had caused at two thirds of its own.
+// request to arrive, and the small organisation, at a third of its share, was refused as often
+// as the other.
 
 const (
 	// minRefusedRatio is the ratio of tokens refused because of the wait, to organisations
 	// under their stated shares, to tokens granted in the window above which engines are taken
 	// to serve less than the stated capacity.
 	minRefusedRatio = 0.2
-	// maxGrantedRatio is how many times its share of what is granted an organisation may have
-	// used before others go first, while the observed capacity is not known. Nobody is held
-	// back where all have been granted about the same.
-	maxGrantedRatio = 1.25
-	// maxObservedRatio is the same for shares of the observed capacity, which are closer to
-	// what engines can serve.
-	maxObservedRatio = 1.1
+	// maxObservedRatio is how many times its share of what engines serve an organisation may
+	// have used before others go first. Nobody is held back where all have been granted about
+	// the same: with 1.1 engines at 0.4 of their rate served 2 to 4 in a hundred less in time.
+	maxObservedRatio = 1.25
 	// modelledRatio is the part of the capacity that the model of the engines expects which
 	// engines are taken to serve at least: they do not read without a break.
 	modelledRatio = 0.8
-	// minYieldUsedShare is the use of its stated share below which the observed capacity does
-	// not count for an organisation: after an outage, the first to be served has used more
+	// minYieldUsedShare is the use of its share of the stated capacity below which an
+	// organisation is never held back: after an outage, the first to be served has used more
 	// than its share of next to nothing.
 	minYieldUsedShare = 0.25
 )
 
 // updateObserved divides what engines serve between organisations while requests of
-// organisations under their stated shares are refused because of the wait. The observed capacity
-// is known once the window is covered and while it is below the stated one; until then only
-// large differences in what was granted count.
+// organisations under their stated shares are refused because of the wait: the observed capacity
+// where it is below the stated one, else what was granted.
 func (m *meter) updateObserved(demands []demand) {
 	got, refusedUnderShare := 0.0, 0.0
 	for _, u := range m.orgs {
@@ -90,65 +86,12 @@
 	p.meter.modelled = float64(p.openUpstreams) * usualTokens / ms * float64(shareSteps*shareStep/time.Millisecond)
 }
 
-// usedShare returns how much of its share an organisation has used: the tokens granted to it as
-// a ratio of its max-min share. Below 1 it is under its share, from 1 on it is over. While
-// engines serve less than is stated and it is under its stated share, the ratio is multiplied by
-// the square of its use of its share of the observed capacity. An organisation at that share may
-// wait as long as before, one above it less and one below it longer, so that what is accepted in
-// total does not fall. Exponents of 2, 3 and 4 made no difference.
-func (m *meter) usedShare(org version.ID, now time.Time) float64 {
-	stated := m.usedStatedShare(org, now)
-	if stated < minYieldUsedShare || stated >= 1 || m.observed == 0 {
-		return stated
-	}
-	lead := m.observedLead(org)
-	return stated * lead * lead
-}
-
-// usedStatedShare is usedShare by the stated capacity.
-func (m *meter) usedStatedShare(org version.ID, now time.Time) float64 {
-	m.updateShares(now)
-	share := m.shares[org]
-	if share <= 0 {
-		return 0
-	}
-	return windowTotal(&m.usageOf(org).got) / share
-}
-
-// observedLead returns the tokens granted to an organisation as a ratio of its share of what
-// engines serve, 0 while engines serve the stated capacity.
-func (m *meter) observedLead(org version.ID) float64 {
-	share := m.observedShares[org]
-	if share <= 0 {
-		return 0
-	}
-	return windowTotal(&m.usageOf(org).got) / share
-}
-
-// aboveObservedShare reports whether an organisation has been granted so much more than its
-// share of what engines serve that others go first.
+// aboveObservedShare reports whether an organisation has used so much more than its share of
+// what engines serve that others go first.
 func (m *meter) aboveObservedShare(org version.ID, now time.Time) bool {
-	stated := m.usedStatedShare(org, now)
-	limit := maxGrantedRatio
-	if m.observed > 0 {
-		limit = maxObservedRatio
-	}
-	return stated >= minYieldUsedShare && m.observedLead(org) > limit
-}
-
-// countRefusal counts a refused request as evidence that engines serve less than the stated
-// capacity: its organisation is under its stated share, and would have been refused because of
-// the wait by the stated capacity too. Other refusals are caused by the observed capacity and
-// must not prolong it after engines have recovered.
-func (p *pool) countRefusal(a *wire.PlacementRequest, c *choice, tokens float64, reason Reason, usedShare float64, now time.Time) {
-	stated := p.meter.usedStatedShare(a.Org, now)
-	if stated >= 1 || reason != ReasonCapacity {
-		return
-	}
-	if usedShare > stated && p.countedWaitMS(c, stated) <= p.waitLimit(a, c, stated) {
-		return
-	}
-	p.meter.addRefusal(a.Org, tokens, now)
+	m.updateShares(now)
+	share, short := m.observedShares[org]
+	return short && windowTotal(&m.usageOf(org).got) > maxObservedRatio*share
 }
 
 // refund takes back what was granted to an organisation at a time, in the step of the grant.
--- a/internal/dispatch/observedcapacity_test.go
+++ b/internal/dispatch/observedcapacity_test.go
@@ -257,21 +257,24 @@
 }
 
 // Guards against refusing a small organisation nearly as often as one that floods, where engines
-// serve five eighths of the stated capacity and schedulers follow each other. The bound is that
-// of the soak. A single replay holds 10 to 30 requests of the small organisation, so some of them
-// miss the bound by chance; without shares of the observed capacity three times as many do.
+// serve five eighths of the stated capacity and schedulers follow each other. The soak allows 0.6
+// of the flood's ratio. One replay holds only 10 to 30 requests of the small organisation, so
+// some replays miss that by chance: before, 54 of 300 did, with a mean of 0.41.
 func TestSmallOrganisationGoesFirstAtSlowEngines(t *testing.T) {
 	t.Parallel()
-	const replays, maxMissed = 60, 6
-	missed := 0
+	const replays, maxMissed, maxMean = 300, 40, 0.36
+	missed, sum := 0, 0.0
 	for seed := range uint64(replays) {
 		w := replay4017(t, 5, seed)
-		if w.ratio("flood") > 0.25 && w.ratio("small") > 0.6*w.ratio("flood") {
+		small, flood := w.ratio("small"), w.ratio("flood")
+		if flood > 0.25 && small > 0.6*flood {
 			missed++
 		}
+		sum += small / max(flood, 0.01)
 	}
-	t.Logf("%d of %d replays missed the bound", missed, replays)
+	t.Logf("%d of %d replays missed the bound, mean %.3f", missed, replays, sum/replays)
 	assert.LessOrEqual(t, missed, maxMissed)
+	assert.LessOrEqual(t, sum/replays, maxMean)
 }
 
 // slowMeter returns a meter of engines that serve half of what is stated, after a window in
@@ -284,8 +287,8 @@
 		now = now.Add(shareStep)
 		m.addRequest(1, 200, now)
 		m.addRequest(2, 2000, now)
-		m.addGrant(1, 50, now)
-		m.addGrant(2, 75, now)
+		m.addGrant(1, 45, now)
+		m.addGrant(2, 80, now)
 		m.addRefusal(1, refused, now)
 	}
 	return m, now
@@ -295,40 +298,49 @@
 // its part of what engines serve, because both are under their shares of the stated capacity.
 func TestSharesArePartsOfTheObservedCapacity(t *testing.T) {
 	m, now := slowMeter(t, 100)
-	assert.InDelta(t, 0.40, m.usedStatedShare(1, now), 0.01)
-	assert.InDelta(t, 0.60, m.usedStatedShare(2, now), 0.01)
+	assert.Less(t, m.usedShare(2, now), 1.0)
 	assert.InDelta(t, 2000, m.observed, 1)
-	assert.InDelta(t, 0.40*0.8*0.8, m.usedShare(1, now), 0.01)
-	assert.InDelta(t, 0.60*1.2*1.2, m.usedShare(2, now), 0.01)
 	assert.True(t, m.aboveObservedShare(2, now))
 	assert.False(t, m.aboveObservedShare(1, now))
 }
 
+// Guards against a hold by what a window with gaps holds: just after a change of scheduler the
+// window lacked the last second of a flood's grants, and the small organisation was refused
+// because of its share in front of idle engines. The model of the engines expects more.
+func TestModelBoundsTheObservedCapacityFromBelow(t *testing.T) {
+	m, now := slowMeter(t, 100)
+	m.modelled, m.dirty = 2800/modelledRatio, true
+	assert.False(t, m.aboveObservedShare(2, now))
+	assert.InDelta(t, 2800, m.observed, 1)
+}
+
 // Guards against changed decisions where engines serve what is stated: nobody under its share is
 // refused, or as much is granted, or the model of the engines expects as much.
 func TestStatedCapacityCountsWhileEnginesServeIt(t *testing.T) {
 	m, now := slowMeter(t, 0)
+	assert.False(t, m.aboveObservedShare(2, now))
 	assert.Zero(t, m.observed)
-	assert.Equal(t, m.usedStatedShare(2, now), m.usedShare(2, now))
 	m, now = slowMeter(t, 100)
 	m.modelled, m.dirty = 4000/modelledRatio, true
-	assert.Equal(t, m.usedStatedShare(2, now), m.usedShare(2, now))
-	m, now = slowMeter(t, 100)
+	m.updateShares(now)
+	assert.Zero(t, m.observed)
+	m, now = slowMeter(t, 500)
 	m.addGrant(2, 2000, now)
 	m.dirty = true
-	assert.Equal(t, m.usedStatedShare(2, now), m.usedShare(2, now))
+	assert.False(t, m.aboveObservedShare(1, now))
+	assert.Zero(t, m.observed)
 	m = newMeter(1000)
 	m.addRequest(1, 500, start)
 	m.addGrant(1, 300, start)
 	m.addRefusal(1, 200, start)
-	assert.Equal(t, m.usedStatedShare(1, start), m.usedShare(1, start), "little is granted in the first second at any engine")
+	assert.False(t, m.aboveObservedShare(1, start))
+	assert.Zero(t, m.observed, "little is granted in the first second at any engine")
 }
 
 // Guards against shares of the observed capacity that outlast slow engines.
 func TestSharesReturnToTheStatedCapacityWithinAWindow(t *testing.T) {
 	m, now := slowMeter(t, 100)
-	require.Positive(t, m.usedShare(2, now))
-	require.Positive(t, m.observed)
+	require.True(t, m.aboveObservedShare(2, now))
 	for range shareSteps {
 		now = now.Add(shareStep)
 		m.addRequest(1, 50, now)
@@ -336,7 +348,7 @@
 		m.addRequest(2, 2000, now)
 		m.addGrant(2, 200, now)
 	}
-	assert.Equal(t, m.usedStatedShare(2, now), m.usedShare(2, now))
+	assert.False(t, m.aboveObservedShare(2, now))
 	assert.Zero(t, m.observed)
 }
 
@@ -345,11 +357,12 @@
 // what it requested, or has used its stated share, infers nothing.
 func TestObservedCapacityOutlastsAScheduler(t *testing.T) {
 	old, now := slowMeter(t, 100)
+	old.updateShares(now)
 	p := newPool(&routing.Service{Name: engines, Engine: &routing.Engine{Slots: 32, MemoryTokens: 200_000}}, 1000)
 	p.meter.applySnapshot(old.window(now), now)
-	require.Equal(t, p.meter.usedStatedShare(2, now), p.meter.usedShare(2, now))
+	require.False(t, p.meter.aboveObservedShare(2, now))
 	p.takeOver(now)
-	assert.InDelta(t, old.usedShare(2, now), p.meter.usedShare(2, now), 0.01)
+	assert.True(t, p.meter.aboveObservedShare(2, now))
 	assert.InDelta(t, old.observed, p.meter.observed, 1)
 	served := newMeter(1000)
 	served.addRequest(1, 100, start)
@@ -380,22 +393,6 @@
 	assert.Zero(t, m.usageOf(9).got)
 }
 
-// Guards against refusals that are caused by the observed capacity and prolong it: they count
-// only if the request would have waited too long by the stated capacity too.
-func TestRefusalsByTheObservedCapacityAreNoEvidence(t *testing.T) {
-	p := newPool(&routing.Service{Name: engines, Engine: &routing.Engine{Slots: 32, MemoryTokens: 200_000}}, 1000)
-	m, now := slowMeter(t, 100)
-	p.meter = m
-	used := m.usedShare(2, now)
-	a := &wire.PlacementRequest{Org: 2, TargetMS: 600, DeadlineMS: 6000}
-	stated, observed := p.waitLimit(a, &choice{}, m.usedStatedShare(2, now)), p.waitLimit(a, &choice{}, used)
-	require.Less(t, observed, stated)
-	p.countRefusal(a, &choice{waitMS: (stated + observed) / 2}, 100, ReasonCapacity, used, now)
-	assert.Zero(t, windowTotal(&m.usageOf(2).refusedUnderShare))
-	p.countRefusal(a, &choice{waitMS: stated + 1}, 100, ReasonCapacity, used, now)
-	assert.InDelta(t, 100, windowTotal(&m.usageOf(2).refusedUnderShare), 0.01)
-}
-
 // Guards against a division by zero, or a capacity below zero, without engines, without a stated
 // capacity or with a model that expects no time.
 func TestObservedCapacityWithoutEngines(t *testing.T) {
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -143,6 +143,18 @@
 	}
 }
 
+// usedShare returns how much of its share an organisation has used: the tokens granted to it as
+// a ratio of its max-min share of the capacity. Below 1 it is under its share, from 1 on it
+// is over.
+func (m *meter) usedShare(org version.ID, now time.Time) float64 {
+	m.updateShares(now)
+	share := m.shares[org]
+	if share <= 0 {
+		return 0
+	}
+	return windowTotal(&m.usageOf(org).got) / share
+}
+
 // demand is what an organisation requested in the window, in tokens.
 type demand struct {
 	org    version.ID
