--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -60,6 +60,7 @@
 	if a.Try <= 1 {
 		p.meter.addRequest(a.Org, tokens, now)
 	}
+	p.updateModelled()
 	usedShare := p.meter.usedShare(a.Org, now)
 	usedPercent := usedSharePercent(usedShare)
 	p.preparePace(usedShare, now)
@@ -137,7 +138,7 @@
 	case p.disabled.Shares || usedShare < minYieldUsedShare:
 		return false
 	case usedShare < 1:
-		return p.meter.aboveGrantedShare(org, now)
+		return p.meter.aboveObservedShare(org, now)
 	}
 	return p.meter.mustYield(org, now)
 }
@@ -159,6 +160,7 @@
 		tokens:       privateTokens(int(a.Input), int(a.Output), a.Parts),
 		outputTokens: int(a.Output),
 		parts:        a.Parts,
+		placedAt:     now,
 		until:        now.Add(time.Duration(a.DeadlineMS)*time.Millisecond + runGrace),
 	}
 	if p.engine != nil {
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -21,14 +21,16 @@
 // requests less than an even share gets what it requests, and the others share the rest
 // evenly.
 type meter struct {
-	capacity      float64 // tokens in a window, 0 when unknown
-	orgs          map[version.ID]*orgUsage
-	ring          ring
-	shares        map[version.ID]float64
-	recordedUsage recordedUsage
-	grantedShares map[version.ID]float64 // max-min shares of the tokens that were granted, set while engines serve less than the stated capacity
-	leastServed   float64                // tokens granted to the least served organisation that has unmet demand
-	dirty         bool
+	capacity       float64 // stated, in tokens in a window, 0 when unknown
+	orgs           map[version.ID]*orgUsage
+	ring           ring
+	shares         map[version.ID]float64 // of the stated capacity
+	recordedUsage  recordedUsage
+	modelled       float64                // capacity that the model of the engines expects, in tokens in a window
+	observed       float64                // capacity in tokens in a window, 0 while engines serve the stated capacity
+	observedShares map[version.ID]float64 // of what engines serve, nil while that is the stated capacity
+	leastServed    float64                // tokens granted to the least served organisation that has unmet demand
+	dirty          bool
 }
 
 // orgUsage is the tokens of one organisation by step: requested, granted (got), refused
@@ -117,6 +119,16 @@
 	}
 }
 
+// granted returns the tokens granted to all organisations in the window.
+func (m *meter) granted(now time.Time) float64 {
+	m.advance(now)
+	sum := 0.0
+	for _, u := range m.orgs {
+		sum += windowTotal(&u.got)
+	}
+	return sum
+}
+
 func windowTotal(steps *[shareSteps]float64) float64 { return floats.Sum(steps[:]) }
 
 // updateShares recomputes the shares when their inputs have changed.
@@ -126,7 +138,7 @@
 		demands := m.demands()
 		m.shares = maxMinShares(demands, m.capacity)
 		m.updateLeastServed()
-		m.updateGrantedShares(demands)
+		m.updateObserved(demands)
 		m.dirty = false
 	}
 }
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -78,6 +78,7 @@
 	entry        *prefill.Entry
 	pace         runPace
 	firstEvent   bool
+	placedAt     time.Time
 	reported     bool                // another router is the scheduler, and gets a report of it
 	try          uint32              // number of the placement request that placed it
 	reply        wire.PlacementReply // to that placement request
--- a/internal/process/routedcontroller.go
+++ b/internal/process/routedcontroller.go
@@ -79,6 +79,7 @@
 	Held      []quarantine.HeldRequest `json:"held"`
 	Counts    dispatch.Counts          `json:"counts"`
 	Slots     dispatch.SlotStatus      `json:"slots"`
+	Capacity  []dispatch.Capacity      `json:"capacity"` // of the services that this router schedules
 	Role      dispatch.Role            `json:"role"`
 }
 
@@ -339,6 +340,6 @@
 func (rc *RoutedController) statusAt(now time.Time) *Status {
 	return &Status{
 		Router: rc.id, Ready: rc.ready.Load(), Leaving: rc.leaving.Load(), Version: rc.tableVersion(), Revision: rc.view.Revision,
-		Running: len(rc.tickets), Routers: rc.node.Routers(), Upstreams: rc.node.Upstreams(now), Evacuated: rc.view.Evacuations(), Held: rc.node.Held(now), Counts: rc.node.Counts, Slots: rc.node.SlotStatus(), Role: rc.node.Role(now),
+		Running: len(rc.tickets), Routers: rc.node.Routers(), Upstreams: rc.node.Upstreams(now), Evacuated: rc.view.Evacuations(), Held: rc.node.Held(now), Counts: rc.node.Counts, Slots: rc.node.SlotStatus(), Capacity: rc.node.Capacities(now), Role: rc.node.Role(now),
 	}
 }
--- a/internal/process/routeddaemon.go
+++ b/internal/process/routeddaemon.go
@@ -257,13 +257,24 @@
 		"places_evacuated": uint64(len(s.Evacuated)), "upstreams_cold": uint64(s.coldUpstreams()), "placed_cold": s.Counts.PlacedCold,
 		"slots_waiting": uint64(s.Slots.Waiting), "slots_queued": s.Slots.Queued, "slots_waited_ms": s.Slots.WaitedMS, "slots_refused_wait": s.Slots.Refused, "slots_refused_displaced": s.Slots.Displaced,
 		"slots_refused_expired": s.Slots.Expired, "slots_rejected": s.Slots.Rejected, "rejected_by_upstreams": s.Counts.Rejected,
-		"refused_for_pace": s.Counts.RefusedForPace,
+		"refused_for_pace":      s.Counts.RefusedForPace,
+		"observed_tokens_per_s": s.observedCapacity(),
 	} {
 		lines[promName("dispatch."+name)] = fmt.Sprint(n)
 	}
 	return lines
 }
 
+// observedCapacity returns the observed capacity, in tokens a second, of the services that this
+// router schedules and whose engines serve less than is stated.
+func (s *Status) observedCapacity() uint64 {
+	sum := 0
+	for _, c := range s.Capacity {
+		sum += c.Observed
+	}
+	return uint64(max(0, sum))
+}
+
 // coldUpstreams returns the number of upstreams considered cold.
 func (s *Status) coldUpstreams() int {
 	n := 0
