--- a/internal/dispatch/observedcapacity.go
+++ b/internal/dispatch/observedcapacity.go
@@ -34,6 +34,9 @@
 	// modelledRatio is the part of the capacity that the model of the engines expects which
 	// engines are taken to serve at least: they do not read without a break.
 	modelledRatio = 0.8
+	// refusedLatelySteps is the number of steps, including the current one, in which a refusal
+	// because of the wait shows that engines still serve less: one and a half seconds.
+	refusedLatelySteps = 6
 	// minYieldUsedShare is the use of its share of the stated capacity below which an
 	// organisation is never held back: after an outage, the first to be served has used more
 	// than its share of next to nothing.
@@ -50,7 +53,7 @@
 		refusedUnderShare += windowTotal(&u.refusedUnderShare)
 	}
 	m.observed, m.observedShares = 0, nil
-	if refusedUnderShare <= minRefusedRatio*got {
+	if refusedUnderShare <= minRefusedRatio*got || !m.refusedLately() {
 		return
 	}
 	served := got
@@ -60,6 +63,23 @@
 	m.observedShares = maxMinShares(demands, served)
 }
 
+// refusedLately reports whether any request of an organisation under its stated share was refused
+// because of the wait in the last steps.
+//
+// Load pattern: all routers restart under load. Refusals of the first second, with a model that
+// knows nothing yet, made shares parts of the little that had been granted; for the rest of the
+// window requests were refused at idle engines, and so nothing more was granted.
+func (m *meter) refusedLately() bool {
+	for _, u := range m.orgs {
+		for age := range int64(refusedLatelySteps) {
+			if u.refusedUnderShare[m.ring.slot(age)] > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // isCovered reports whether the window has requests that are a second old. Shortly after the
 // first requests little has been granted, however fast engines are.
 func (m *meter) isCovered() bool {
--- a/internal/dispatch/observedcapacity_test.go
+++ b/internal/dispatch/observedcapacity_test.go
@@ -11,6 +11,7 @@
 	"github.com/silverswitch/silverswitch/internal/core/wire"
 	"github.com/silverswitch/silverswitch/internal/dispatch/prefill"
 	"github.com/silverswitch/silverswitch/internal/routing"
+	"github.com/silverswitch/silverswitch/internal/version"
 )
 
 // slowLoad replays the load of soak seed 4017 without processes: three engines that may serve
@@ -438,3 +439,26 @@
 	assert.Positive(t, values[0])
 	assert.Zero(t, values[1])
 }
+
+// Guards against engines that stand idle after a restart of all routers: refusals of the first
+// second made shares parts of the little that had been granted, and organisations at half of
+// their stated shares were refused for the rest of the window.
+func TestSharesOfTheGrantedEndWithTheRefusals(t *testing.T) {
+	m := newMeter(1_000_000)
+	now := start
+	a, b := version.ID(1), version.ID(2)
+	for range 4 {
+		for _, org := range []version.ID{a, b} {
+			m.addRequest(org, 100_000, now)
+			m.addRefusal(org, 50_000, now)
+		}
+		m.addGrant(a, 40_000, now)
+		now = now.Add(shareStep)
+	}
+	m.modelled = 1e9 // the engines are taken to serve what is stated
+	assert.True(t, m.aboveObservedShare(a, now), "requests are still refused because of the wait")
+	now = now.Add(refusedLatelySteps * shareStep)
+	m.addRequest(a, 100_000, now)
+	m.addRequest(b, 100_000, now)
+	assert.False(t, m.aboveObservedShare(a, now), "none is any more, so the engines have room")
+}
