--- a/internal/process/callerserver.go
+++ b/internal/process/callerserver.go
@@ -20,6 +20,7 @@
 	connLimiter         *connLimiter
 	controlBehind       func() bool // see RoutedDaemon.controlBehind; may be nil
 	unread              unreadConns
+	backlog             acceptBacklog
 	relay               atomic.Pointer[func(net.Conn) bool] // takes a new connection that another router is to serve; nil for none
 	log                 zerolog.Logger
 	own                 *limitedServer // connections that this router serves for itself
@@ -75,7 +76,9 @@
 func (cs *callerServer) accept() {
 	for {
 		cs.waitForControl()
+		cs.backlog.beforeAccept(time.Now())
 		c, err := cs.listener.Accept()
+		cs.backlog.afterAccept(time.Now())
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
--- a/internal/process/overload.go
+++ b/internal/process/overload.go
@@ -43,6 +43,9 @@
 	arrivals arrivalStats
 	decision shedDecision // of the goroutine that runs run
 	state    atomic.Pointer[overloadState]
+	// backlogAge returns how long connections may have waited to be accepted; may be nil. Set
+	// before run.
+	backlogAge func(now time.Time) time.Duration
 }
 
 // overloadState is the latest decision, and what it was made from.
@@ -65,6 +68,9 @@
 			s.use = float64(u-used) / float64(s.wall) / d.cores
 		}
 		s.target, s.unread = d.arrivals.take()
+		if d.backlogAge != nil {
+			s.backlog = d.backlogAge(t)
+		}
 		used, at = u, t
 		d.observe(s)
 	}
--- a/internal/process/routeddaemon.go
+++ b/internal/process/routeddaemon.go
@@ -102,6 +102,7 @@
 	}
 	d.ctrl.OnTable = d.callerServer.setLimits
 	d.ctrl.overload.observeCallers(d.callerServer.connLimiter, reg)
+	d.ctrl.overload.backlogAge = d.callerServer.backlog.age
 	d.startRelaying(ctx, reg)
 	go d.ctrl.Run(ctx)
 	go newSourceWatcher(source, d.ctrl, log, reg).run(ctx)
--- a/internal/process/sheddecision.go
+++ b/internal/process/sheddecision.go
@@ -12,7 +12,9 @@
 	use    float64       // CPU use as a fraction of the cores that this router has
 	lag    time.Duration // scheduling lag, a moving average
 	unread time.Duration // median time for which requests had lain unread, 0 if none were sampled
-	target time.Duration // strict target latency of the requests that arrived, 0 if none arrived
+	// backlog is the longest that a connection may have waited to be accepted.
+	backlog time.Duration
+	target  time.Duration // strict target latency of the requests that arrived, 0 if none arrived
 }
 
 // shedReason is why a router sheds load.
@@ -131,7 +133,7 @@
 	if s.wall <= 0 {
 		s.wall = overloadCheckInterval
 	}
-	s.lag, s.unread, s.target = max(0, s.lag), max(0, s.unread), max(0, s.target)
+	s.lag, s.unread, s.backlog, s.target = max(0, s.lag), max(0, s.unread), max(0, s.backlog), max(0, s.target)
 	return s
 }
 
