--- a/internal/dispatch/pacecost.go
+++ b/internal/dispatch/pacecost.go
@@ -71,7 +71,8 @@
 }
 
 // judgePace works out what a request does to the pace of the streams at an engine, and adds its
-// cost. Nothing is changed where the engine keeps to the target while it prefills without a break.
+// cost. Where an engine that is not congested keeps to the target while it prefills without a
+// break, nothing is changed.
 func (p *pool) judgePace(c *choice, a *wire.PlacementRequest, now time.Time) {
 	if !p.pace.active {
 		return
