Usage replicated to a standby is counted once

Cause: a standby recorded the usage that it received as usage of its own. When it became the scheduler within the next second, it replicated it once more, and the next scheduler counted it twice. The second of usage also counted in one step of the window, and left it at once four seconds later.

TestReplicatedUsageIsNotReplicatedAgain found 100,000 and 40,000 tokens where 50,000 and 20,000 had been recorded.

Change: received usage is not recorded, and is spread over the steps in which it was counted.

--- a/internal/dispatch/recordedusage.go
+++ b/internal/dispatch/recordedusage.go
@@ -80,8 +80,27 @@
 func (n *Node) handleRecordedUsage(rows []wire.LocalUsage, now time.Time) {
 	for _, r := range rows {
 		if p := n.pools[r.Service]; p != nil && p.engine != nil {
-			p.meter.addRequest(r.Org, float64(r.Requested), now)
-			p.meter.addGrant(r.Org, float64(r.Placed), now)
+			p.meter.addReplicated(r.Org, float64(r.Requested), float64(r.Placed), now)
 		}
 	}
 }
+
+// addReplicated counts usage of the last recordedUsageInterval that another router recorded,
+// evenly over the steps of that time. It is not recorded here: every standby has received it.
+//
+// Load pattern: three schedulers follow each other within four seconds. Each recorded what it
+// had received as a standby as usage of its own, and its successor counted it twice. An
+// organisation at three quarters of its share was then refused as if it had used it up. Counted
+// in one step, a second of usage left the window at once, and a flood was below its share
+// again.
+func (m *meter) addReplicated(org version.ID, requested, placed float64, now time.Time) {
+	const steps = int64(recordedUsageInterval / shareStep)
+	m.advance(now)
+	u := m.usageOf(org)
+	for age := range steps {
+		i := m.ring.slot(age)
+		u.requested[i] += requested / float64(steps)
+		u.got[i] += placed / float64(steps)
+	}
+	m.dirty = true
+}
--- a/internal/dispatch/shareupdate_test.go
+++ b/internal/dispatch/shareupdate_test.go
@@ -177,6 +177,44 @@
 	assert.InDelta(t, 9000, windowTotal(&p.meter.at(8, f.now).got), 1)
 }
 
+// Guards against refusing an organisation below its share after two changes of scheduler: a
+// standby recorded the usage that it had received as its own, and replicated it once more when
+// it became the scheduler, so that the next one counted a second of usage twice.
+func TestReplicatedUsageIsNotReplicatedAgain(t *testing.T) {
+	f := newFleet(t, 3, 4)
+	first := f.nodes[f.scheduler()]
+	service := serviceID(engines)
+	ranked := first.ranked(service, f.now)
+	second, third := f.nodes[ranked[1]], f.nodes[ranked[2]]
+	f.run(recordedUsageInterval)
+	first.pools[service].meter.addRequest(7, 50_000, f.now)
+	first.pools[service].meter.addGrant(7, 20_000, f.now)
+	for windowTotal(&second.pools[service].meter.at(7, f.now).got) == 0 {
+		f.run(TickInterval)
+	}
+	first.Step(Leave{}, f.now)
+	second.recordedUsageDue = f.now.Add(4 * TickInterval) // before the received usage is discarded
+	f.run(3 * TickInterval)
+	require.Equal(t, second.settings.ID, second.schedulerOf(service, f.now))
+	f.run(recordedUsageInterval)
+	for _, n := range []*Node{second, third} {
+		assert.InDelta(t, 50_000, windowTotal(&n.pools[service].meter.at(7, f.now).requested), 1)
+		assert.InDelta(t, 20_000, windowTotal(&n.pools[service].meter.at(7, f.now).got), 1)
+	}
+}
+
+// Guards against a share that seems unused for a moment: usage that a standby received for a
+// whole second counted in one step, and so left the window at once.
+func TestReplicatedUsageLeavesTheWindowInSteps(t *testing.T) {
+	m := newMeter(1000)
+	m.addReplicated(7, 4000, 400, start)
+	assert.InDelta(t, 400, windowTotal(&m.at(7, start).got), 0.01)
+	later := start.Add((shareSteps - 3) * shareStep)
+	assert.InDelta(t, 300, windowTotal(&m.at(7, later).got), 0.01)
+	assert.InDelta(t, 100, windowTotal(&m.at(7, later.Add(2*shareStep)).got), 0.01)
+	assert.Zero(t, windowTotal(&m.at(7, later.Add(3*shareStep)).got))
+}
+
 // A placement that was not used counted as granted to its organisation, and for good at the
 // scheduler if another router had placed it.
 func TestUnstartedWorkIsSubtractedFromUsage(t *testing.T) {
