--- a/internal/process/sheddecision.go
+++ b/internal/process/sheddecision.go
@@ -148,25 +148,28 @@
 	}
 }
 
-// updateUnread raises the ratio while requests lie unread for too long, whatever the CPU use
-// says: the VM may provide less CPU than the settings state.
+// updateUnread raises the ratio while requests lie unread for too long, in accepted connections or
+// in the kernel's queue of the listener, whatever the CPU use says: the VM may provide less CPU
+// than the settings state. The age of that queue is an upper bound of the time for which requests
+// lie there, so it raises the ratio to maxShedRatio only.
 func (d *shedDecision) updateUnread(s loadSample) {
-	if s.target == 0 && s.unread == 0 && !d.empty { // nothing was read, perhaps because of a stall
+	nothingRead := s.target == 0 && s.unread == 0 && s.backlog == 0
+	if nothingRead && !d.empty { // perhaps because of a stall
 		d.empty = true
 		return
 	}
-	d.empty = s.target == 0 && s.unread == 0
+	d.empty = nothingRead
 	limit := d.shedTarget() / unreadTargetDivisor
-	switch excess := float64(s.unread) / float64(limit); {
+	switch excess := float64(max(s.unread, s.backlog)) / float64(limit); {
 	case excess >= 1:
 		if d.unreadPeriods++; d.unreadPeriods < minUnreadPeriods {
 			return
 		}
-		limit := maxShedRatio
-		if excess >= farUnreadExcess {
-			limit = maxUnreadShedRatio
+		most := maxShedRatio
+		if float64(s.unread) >= farUnreadExcess*float64(limit) {
+			most = maxUnreadShedRatio
 		}
-		d.byUnread = min(limit, d.byUnread+unreadShedStep*min(excess, maxUnreadExcess))
+		d.byUnread = min(most, d.byUnread+unreadShedStep*min(excess, maxUnreadExcess))
 	case excess < idleUnreadRatio:
 		d.byUnread, d.unreadPeriods = decayed(d.byUnread, shedRatioDecay), 0
 	case excess < calmUnreadRatio:
--- a/internal/process/sheddecision_test.go
+++ b/internal/process/sheddecision_test.go
@@ -362,3 +362,41 @@
 	a.sample(pipe, now.Add(time.Second))
 	assert.Empty(t, a.unread)
 }
+
+// Guards against requests that wait in the kernel's queue of the listener until their callers are
+// about to give up, at a router that reads what it has accepted at once and does not lag: the age
+// of that queue was measured, but no decision used it.
+func TestConnectionsWaitingToBeAcceptedAreShed(t *testing.T) {
+	const target = 400 * time.Millisecond
+	waiting := loadSample{use: 0.6, lag: time.Millisecond, unread: 5 * time.Millisecond, backlog: 200 * time.Millisecond, target: target}
+	d := shedDecision{cores: 0.144}
+	d.update(waiting)
+	ratio, _ := d.ratio()
+	assert.Zero(t, ratio, "after a single pause connections have waited once")
+	d.update(waiting)
+	ratio, reason := d.ratio()
+	assert.Positive(t, ratio)
+	assert.Equal(t, shedUnread, reason)
+	waiting.backlog = 3 * time.Second
+	for range 100 {
+		d.update(waiting)
+	}
+	ratio, _ = d.ratio()
+	assert.Equal(t, maxShedRatio, ratio, "the age of the queue is only an upper bound")
+	for range 30 {
+		d.update(loadSample{use: 0.3, unread: 5 * time.Millisecond, backlog: 10 * time.Millisecond, target: target})
+	}
+	ratio, _ = d.ratio()
+	assert.Zero(t, ratio)
+}
+
+// Guards against a stall of the process that counts as the end of an overload while connections
+// wait: nothing is read then either.
+func TestWaitingConnectionsCountWhileNothingIsRead(t *testing.T) {
+	d := shedDecision{cores: 0.144}
+	for range 3 {
+		d.update(loadSample{use: 0.1, backlog: 500 * time.Millisecond})
+	}
+	ratio, _ := d.ratio()
+	assert.Positive(t, ratio)
+}
