--- a/internal/process/sheddecision_test.go
+++ b/internal/process/sheddecision_test.go
@@ -364,8 +364,8 @@
 }
 
 // Guards against requests that wait in the kernel's queue of the listener until their callers are
-// about to give up, at a router that reads what it has accepted at once and does not lag: the age
-// of that queue was measured, but no decision used it.
+// about to give up, at a router that reads what it has accepted at once and does not lag: no
+// decision used the age of that queue.
 func TestConnectionsWaitingToBeAcceptedAreShed(t *testing.T) {
 	const target = 400 * time.Millisecond
 	waiting := loadSample{use: 0.6, lag: time.Millisecond, unread: 5 * time.Millisecond, backlog: 200 * time.Millisecond, target: target}
