Floods through a router starved of CPU, in the emulator (known red)

The starved router sends four requests a second, reads datagrams 1.5 s late, and its callers leave after 2 s; callers that it refuses retry at other routers.

--- a/internal/lab/tokens/fair_test.go
+++ b/internal/lab/tokens/fair_test.go
@@ -79,3 +79,40 @@
 		assert.Less(t, float64(r.Late)/served, 0.1, "seed %d", s.Seed)
 	}
 }
+
+// Guards against counting what is placed but never started as received: an organisation that
+// flooded through a router starved of CPU started 154,000 tokens in four seconds, where other
+// organisations started a million. The router placed 431,000 tokens by itself in one second,
+// and its callers left before most of these requests were sent. The placements counted as
+// received, so that the scheduler refused the organisation's retries at other routers for
+// having used its share.
+func TestFloodAtStarvedRouterStartsHalfOfAnotherFlood(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(3) {
+		s := Scenario{Duration: 2 * shortRun, LoadFactor: 1, Routers: 24, FloodFactor: 50, Starved: true, Seed: 4 + seed}
+		w, err := s.simulate()
+		require.NoError(t, err)
+		lowest := w.fair.minRatio(overloadedOrg, secondFloodOrg, 14, 26)
+		t.Logf("seed %d: smallest ratio %.2f, %+v", s.Seed, lowest, w.result())
+		assert.GreaterOrEqual(t, lowest, minFairRatio, "seed %d", s.Seed)
+		assert.GreaterOrEqual(t, w.result().Fair, 1.0, "seed %d", s.Seed)
+	}
+}
+
+// Guards against an overloaded router that keeps the scheduler's role: an organisation flooded
+// through the scheduler's own router, and got 1.4 of 4.0 million tokens that another one got in
+// six seconds. Other routers took that scheduler for silent and heard it again in turns, so
+// that it, its standby and each router alone placed requests with different knowledge of what
+// organisations had received.
+func TestFloodAtStarvedSchedulerStartsHalfOfAnotherFlood(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(3) {
+		s := Scenario{Duration: 2 * shortRun, LoadFactor: 1, Routers: 24, FloodFactor: 50, Starved: true, StarvedRole: true, Seed: 4 + seed}
+		w, err := s.simulate()
+		require.NoError(t, err)
+		lowest := w.fair.minRatio(overloadedOrg, secondFloodOrg, 14, 26)
+		t.Logf("seed %d: smallest ratio %.2f, %+v", s.Seed, lowest, w.result())
+		assert.GreaterOrEqual(t, lowest, minFairRatio, "seed %d", s.Seed)
+		assert.GreaterOrEqual(t, w.result().Fair, 1.0, "seed %d", s.Seed)
+	}
+}
--- a/internal/lab/tokens/overload.go
+++ b/internal/lab/tokens/overload.go
@@ -24,24 +24,32 @@
 	overloadDuration = 3 * time.Second
 )
 
-// overloadedOrg and secondFloodOrg flood in a run with an overloaded or load shedding
-// router: the first through that router, the second through another one.
+// overloadedOrg and secondFloodOrg flood in a run with an overloaded, load shedding or
+// starved router: the first through that router, the second through another one.
 const (
 	overloadedOrg  = floodOrg
 	secondFloodOrg = 3
 )
 
-func (w *world) overloadedRouter() wire.NodeID { return w.order[len(w.order)-1] }
+func (w *world) overloadedRouter() wire.NodeID {
+	if w.StarvedRole && w.starved.scheduler != "" {
+		return w.starved.scheduler
+	}
+	return w.order[len(w.order)-1]
+}
 
 func (w *world) secondFloodRouter() wire.NodeID { return w.order[len(w.order)-2] }
 
 // isOverloaded reports whether a router is overloaded now.
 func (w *world) isOverloaded(id wire.NodeID) bool {
+	if w.isStarved(id) {
+		return true
+	}
 	return w.Overloaded && id == w.overloadedRouter() && w.isFlooding() && w.now.Sub(startTime)%overloadPeriod < overloadDuration
 }
 
 // hasTwoFloods reports whether two organisations flood, each through a router of its own.
-func (w *world) hasTwoFloods() bool { return w.Overloaded || w.LoadShedding }
+func (w *world) hasTwoFloods() bool { return w.Overloaded || w.LoadShedding || w.Starved }
 
 // isFlooding reports whether the run is in its middle third, in which organisations flood.
 func (w *world) isFlooding() bool {
@@ -52,7 +60,7 @@
 // fixedRouter returns the router that receives a call, if it is not drawn at random.
 func (w *world) fixedRouter(c *call) (wire.NodeID, bool) {
 	switch {
-	case !w.hasTwoFloods():
+	case !w.hasTwoFloods() || w.Starved && c.tries > 0:
 		return "", false
 	case c.org == overloadedOrg:
 		return w.overloadedRouter(), true
@@ -90,9 +98,13 @@
 	}
 }
 
-// deliverInput passes an input to a router, after overloadReadDelay if it is overloaded.
+// deliverInput passes an input to a router, late if it is short of CPU.
 func (w *world) deliverInput(id wire.NodeID, in dispatch.Input) {
-	w.doOrDelay(id, overloadReadDelay, func() {
+	delay := overloadReadDelay
+	if w.Starved {
+		delay = starvedReadDelay
+	}
+	w.doOrDelay(id, delay, func() {
 		if n := w.nodes[id]; n != nil {
 			n.Step(in, w.now)
 		}
--- a/internal/lab/tokens/tokens.go
+++ b/internal/lab/tokens/tokens.go
@@ -63,6 +63,8 @@
 	Routers       int           // 0 for Routers
 	Overloaded    bool          // two organisations flood, one of them through an overloaded router
 	LoadShedding  bool          // two organisations flood, one of them through a load shedding router
+	Starved       bool          // two organisations flood, one of them through a starved router
+	StarvedRole   bool          // the starved router is the scheduler
 	Disabled      dispatch.Disabled
 	Engine        engine.Config // of all engines; the zero value stands for engine.DefaultConfig
 	Pace          *PaceLoad     // other engines and requests, and a target for the gap between events; may be nil
@@ -118,6 +120,7 @@
 	fair               fairness
 	delayed            []delayed
 	shedder            loadShedder
+	starved            starvedRouter
 	readingMS          int // summed over the engines that have an unread prompt
 	lastUsed           map[uint64]time.Time
 	res                Result
@@ -238,6 +241,7 @@
 	}
 	w.sendRetries()
 	w.tickShedder()
+	w.tickStarved()
 	w.runDelayed()
 	w.setSpeeds()
 	w.advanceEngines()
@@ -261,12 +265,7 @@
 	if !w.KillScheduler || !w.now.Equal(startTime.Add(warmUpDuration+w.Duration/2)) {
 		return
 	}
-	for _, id := range w.order {
-		if n := w.nodes[id]; n != nil && len(n.ScheduledEngines(w.now)) > 0 {
-			delete(w.nodes, id)
-			return
-		}
-	}
+	delete(w.nodes, w.scheduler())
 }
 
 // applyOutputs carries out what a router has decided.
@@ -285,7 +284,7 @@
 			if c := w.calls[o.ID]; c != nil {
 				c.placedAt = w.now
 			}
-			w.doOrDelay(id, overloadSendDelay, func() { w.sendToEngine(o) })
+			w.send(id, o)
 		case dispatch.Refuse:
 			w.retryRefused(o)
 		}
