A router that sheds load for long yields its roles

Cause: the ranking of schedulers knows the CPU that a router has, not whether it has any left.

Change: a router that has shed load for a second without a pause announces through the membership that it takes no roles: scheduler, standby, watcher of the store, relay. It takes them again after eight seconds without load shedding. The announcement is the one of a leaving router, in each of its datagrams, so no message changes and older routers understand it. If all yield, the usual ranking stands.

--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -56,6 +56,7 @@
 	lastDeadRetry   time.Time
 	lastExpiry      time.Time
 	alone           bool // no datagram of another router has arrived yet
+	left            bool // this router is leaving for good
 	started         time.Time
 	seeds           []wire.NodeID
 	join            join
@@ -115,13 +116,31 @@
 
 // Leave marks this router as leaving: it takes no new scheduler role.
 func (t *Table) Leave() {
-	t.self.State = wire.Leaving
+	t.left = true
+	t.setSelf(wire.Leaving)
+}
+
+func (t *Table) setSelf(state wire.State) {
+	t.self.State = state
 	t.self.Refutations++
 	t.queueGossip(t.self.ID)
 	t.join.changed(nil)
 	t.changed(t.self.ID)
 }
 
+// Yield sets whether this router takes no roles for other routers, as if it were leaving, while
+// it is short of CPU. It does nothing once the router is leaving for good.
+func (t *Table) Yield(on bool) {
+	state := wire.Alive
+	if on {
+		state = wire.Leaving
+	}
+	if t.left || t.self.State == state {
+		return
+	}
+	t.setSelf(state)
+}
+
 // Refresh raises this router's own refutation number, after a pause in which others may have
 // declared it dead.
 func (t *Table) Refresh() {
--- a/internal/dispatch/io.go
+++ b/internal/dispatch/io.go
@@ -103,8 +103,9 @@
 // StoreUnreachable reports that the store did not answer this router.
 type StoreUnreachable struct{}
 
-// CPUOverload reports whether this router is overloaded (short of CPU).
-type CPUOverload struct{ On bool }
+// CPUOverload reports whether this router is overloaded (short of CPU), and whether it sheds
+// load for that.
+type CPUOverload struct{ On, Shedding bool }
 
 // CaughtUp reports that every change of the store up to a revision is known.
 type CaughtUp struct{ AsOf uint64 }
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -142,6 +142,7 @@
 	lastReceivedAt   time.Time // when a datagram of any router was last received
 	lastSilenceAt    time.Time // when a scheduler was last suspected because it did not reply
 	overloadState    overloadState
+	yielding         yielding
 	recordedUsageDue time.Time
 	loadsUpdatedAt   time.Time // when the stated loads were last reduced
 	leaving          bool
@@ -225,6 +226,7 @@
 		n.store.failedAt = now
 	case CPUOverload:
 		n.cpuStrained = in.On
+		n.yielding.shedding(in.Shedding, now)
 	case LoadShed:
 		n.handleShedWork(in, now)
 	case UpdateSettings:
@@ -256,6 +258,7 @@
 	n.detectPause(now)
 	n.lastTick = now
 	n.tickOverload(now)
+	n.tickYielding(now)
 	n.tickStatedLoads(now)
 	for _, s := range n.members.Tick(now) {
 		n.outbox.Add(s)
--- a/internal/dispatch/rank.go
+++ b/internal/dispatch/rank.go
@@ -33,7 +33,11 @@
 	}
 	r = &ranking{changes: n.members.Changes, at: now}
 	var list []rankedRouter
-	for _, id := range n.members.Live(false) {
+	candidates := n.members.Live(false)
+	if len(candidates) == 0 {
+		candidates = n.members.Live(true) // all routers are leaving or short of CPU
+	}
+	for _, id := range candidates {
 		if until, excluded := n.excluded[id]; !excluded || now.After(until) {
 			list = append(list, rankedRouter{id, n.cpuClass(id), rendezvousHash(service, id)})
 		}
--- a/internal/lab/tokens/starved.go
+++ b/internal/lab/tokens/starved.go
@@ -81,7 +81,7 @@
 	}
 	w.starved.told = !w.starved.told
 	if n := w.nodes[w.overloadedRouter()]; n != nil {
-		n.Step(dispatch.CPUOverload{On: w.starved.told}, w.now)
+		n.Step(dispatch.CPUOverload{On: w.starved.told, Shedding: w.starved.told}, w.now)
 	}
 }
 
--- a/internal/process/routedcontroller.go
+++ b/internal/process/routedcontroller.go
@@ -151,13 +151,14 @@
 	rc.quarantined.publish(rc.node.Quarantine())
 	rc.ticks++
 	load := rc.overload.current()
-	if on := load.delaysMessages(); on != rc.delaysMessages {
-		rc.delaysMessages = on
-		rc.node.Step(dispatch.CPUOverload{On: on}, now)
+	delays, overloaded := load.delaysMessages(), load.ratio > 0
+	if delays != rc.delaysMessages || overloaded != rc.overloaded {
+		rc.delaysMessages = delays
+		rc.node.Step(dispatch.CPUOverload{On: delays, Shedding: overloaded}, now)
 	}
-	if on := load.ratio > 0; on != rc.overloaded {
-		rc.overloaded = on
-		load.addFields(rc.log.Info().Bool("on", on)).Msg("short-of-processor")
+	if overloaded != rc.overloaded {
+		rc.overloaded = overloaded
+		load.addFields(rc.log.Info().Bool("on", overloaded)).Msg("short-of-processor")
 	}
 	if rc.overloaded && rc.ticks%overloadLogTicks == 0 {
 		load.addFields(rc.log.Info()).Msg("processor-use")
