A stream goes on only at the software version that began it

Cause: the version of a server's entry was checked to be there and dropped, and Resumes was read nowhere, so every way on with a stream (within an answer, the caller's next attempts at any router) was an ordinary placement.

Change: instances carry their version, beside the fixed messages, so that routers of the release before still read them. Whoever places a stream while its service has more than one version keeps the version by a hash of the organisation and the attempt that began it, and sends it to the service's scheduler group, before the first event; a new member of the group gets all of them. A request that goes on is placed at that version alone, by the scheduler, alone, in the queue of a plain service, and the router checks the reply; it is not refused for shares, and waits longer than others, since few servers of its version may be left. A version that nobody knows, or that no server runs, is refused at once; a router that decides alone on an old list counts as not knowing. Resumable streams of split routes go to the same service at each attempt.

--- a/internal/core/wire/dispatch.go
+++ b/internal/core/wire/dispatch.go
@@ -29,6 +29,10 @@
 	Overloaded        bool               `cbor:"16,keyasint,omitempty"` // the sender is short of CPU: times that it reports include its own delay
 	PaceNotes         []PaceNote         `cbor:"22,keyasint,omitempty"` // on streams that the receiver placed
 	PaceModels        []PaceModel        `cbor:"23,keyasint,omitempty"` // sent to routers that may become schedulers
+	DeltaVersions     []string           `cbor:"26,keyasint,omitempty"` // software versions of Delta.Put, in order
+	StreamRequests    []StreamRequest    `cbor:"27,keyasint,omitempty"` // streams of PlacementRequests
+	StreamReplies     []StreamReply      `cbor:"28,keyasint,omitempty"` // versions that placement requests of the receiver are bound to
+	StreamRecords     []StreamRecord     `cbor:"29,keyasint,omitempty"` // sent to scheduler groups
 }
 
 // PrefillModel is what the sender has learned, or inherited, of the time to the first event at
@@ -119,6 +123,50 @@
 	Born     int64
 	Revision uint64
 	ColdMS   uint32 // remaining cold time when the message was sent
+	Version  string `cbor:"-"` // of its software; travels beside the entries
+}
+
+// StreamRequest is the stream of a placement request in the same message: a hash that stands for
+// the stream over its caller's attempts.
+type StreamRequest struct {
+	_       struct{} `cbor:",toarray"`
+	No      uint64   // of the placement request
+	Stream  uint64
+	Version version.ID // that it has to keep, 0 if none or unknown to the sender
+	Resumed bool       // the caller has events of it
+}
+
+// StreamReply tells which version a request that goes on with a stream has to keep.
+type StreamReply struct {
+	_       struct{} `cbor:",toarray"`
+	No      uint64
+	Version version.ID
+}
+
+// StreamRecord is the software version at which a stream was placed.
+type StreamRecord struct {
+	_       struct{} `cbor:",toarray"`
+	Stream  uint64
+	Service version.ID
+	Version version.ID
+	Try     uint32 // number of the attempt at an upstream that was placed
+	ForMS   uint32 // for how long the record is needed
+}
+
+// VersionsOf returns the software versions of entries, in order.
+func VersionsOf(list []InstanceEntry) []string {
+	out := make([]string, len(list))
+	for i := range list {
+		out[i] = list[i].Version
+	}
+	return out
+}
+
+// SetVersions sets the software versions of entries. A router of a release without them sends none.
+func SetVersions(list []InstanceEntry, versions []string) {
+	for i := range min(len(list), len(versions)) {
+		list[i].Version = versions[i]
+	}
 }
 
 // PlacementRequest asks the receiver, as the scheduler of a service, to place a request.
@@ -138,6 +186,9 @@
 	Avoid      []version.ID // upstreams that failed this request
 	Regions    []version.ID // in which it may run; empty means all
 	Backoffs   []Backoff    `cbor:"-"` // of the message that carried the request
+	Stream     uint64       `cbor:"-"` // these three are those of its StreamRequest
+	Version    version.ID   `cbor:"-"`
+	Resumed    bool         `cbor:"-"`
 }
 
 // Backoff says for how long an upstream accepts no requests of the sender (Retry-After).
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -25,6 +25,9 @@
 	// maxOwnTimeRatio is the ratio of the target beyond which the prompt's own reading time
 	// makes the answer late in any case. Such prompts may wait half as long as others.
 	maxOwnTimeRatio = 1.0
+	// maxResumeWaitRatio applies to a request that goes on with a stream, whatever its organisation
+	// has used: its caller holds the events so far, and few upstreams of its version may be left.
+	maxResumeWaitRatio = 1.5
 	// priorityRankWaitFactor multiplies the allowed wait once for each rank of priority
 	// below the most urgent one. Where routes or organisations of one service differ in
 	// priority, the more urgent requests are served more often while there is not room for
@@ -104,6 +107,10 @@
 // may wait there, in milliseconds.
 func (p *pool) refusalReason(a *wire.PlacementRequest, c *choice, usedShare float64, now time.Time) (Reason, float64) {
 	limitMS := p.waitLimit(a, c, usedShare)
+	if a.Resumed && a.Version != 0 {
+		limitMS = max(limitMS, maxResumeWaitRatio*p.requestTargetMS(a))
+		usedShare = 0
+	}
 	switch {
 	case p.countedWaitMS(c, usedShare) > limitMS:
 		return ReasonCapacity, limitMS
@@ -233,6 +240,8 @@
 		return ReasonRegions
 	case p.fullyEvacuated():
 		return ReasonEvacuated
+	case a.Version != 0 && !slices.ContainsFunc(p.order, func(u *upstream) bool { return u.version == a.Version && !u.closed() }):
+		return ReasonStreamVersion
 	case p.hasCold(now) && p.open(now) == 0:
 		return ReasonCold
 	case p.allBackOff(a):
@@ -244,7 +253,7 @@
 // noUpstreamRetryAfter is the Retry-After time when no upstream accepts the request now.
 func (p *pool) noUpstreamRetryAfter(a *wire.PlacementRequest, reason Reason, now time.Time) time.Duration {
 	switch reason {
-	case ReasonEvacuated, ReasonRegions:
+	case ReasonEvacuated, ReasonRegions, ReasonStreamVersion:
 		return maxRetryAfter // when that changes is unknown
 	case ReasonCold:
 		return min(max(p.timeUntilWarm(now), minRetryAfter), maxRetryAfter)
--- a/internal/dispatch/inflight.go
+++ b/internal/dispatch/inflight.go
@@ -26,6 +26,9 @@
 	queued        bool      // its scheduler, or this router, keeps it waiting for a slot
 	waitUntil     time.Time // until then the scheduler is not asked again
 	reported      bool      // it was placed here, and the scheduler has been informed
+
+	version version.ID    // of upstreams that it has to keep to, 0 for any
+	asked   []wire.NodeID // routers asked for that version that have not replied
 }
 
 // cost is the request's work as counted in shares.
@@ -55,7 +58,7 @@
 		return
 	}
 	to := n.settings.ID
-	if n.needsScheduler(p, now) {
+	if n.needsScheduler(p, now) || n.mustAskForStream(f, p, now) {
 		to = n.schedulerOf(p.id, now)
 	}
 	if to == n.settings.ID {
@@ -80,6 +83,7 @@
 	f.lastRequestAt = now
 	w := n.work(f.scheduler)
 	w.PlacementRequests = append(w.PlacementRequests, n.placementRequest(f, now))
+	n.attachStream(f, w, now)
 	w.Backoffs = n.allBackoffs(now)
 	n.attachNotes(f.scheduler, w)
 }
@@ -100,6 +104,9 @@
 		Parts:      r.Parts,
 		Avoid:      f.avoid,
 		Regions:    regionIDs(r.Regions),
+		Stream:     r.Stream,
+		Version:    f.version,
+		Resumed:    r.Resumed,
 	}
 }
 
@@ -117,6 +124,11 @@
 func (n *Node) decideLocally(f *inflightRequest, p *pool, now time.Time) {
 	a := n.placementRequest(f, now)
 	a.Backoffs = p.backoffs.list(now)
+	if reason := n.bindStream(p, &a, now); reason != ReasonNone {
+		n.refuseStream(f, reason)
+		return
+	}
+	f.version = a.Version
 	p.withoutScheduler = !n.KnowsFleet(now) || n.schedulerOf(p.id, now) != n.settings.ID
 	n.prepareColdDecision(p, now)
 	n.prepareSlots(p, now)
@@ -132,12 +144,14 @@
 		n.refuse(f, v, n.settings.ID)
 		return
 	}
+	n.placedStream(p, &a, v.choice.up, now)
 	n.assign(f, v.choice.up, v.choice.source, n.settings.ID, p.expectation(v.choice, now), now)
 }
 
 func (n *Node) assign(f *inflightRequest, u, source *upstream, scheduler wire.NodeID, e expectation, now time.Time) {
 	f.upstreamID, f.scheduler, f.work, f.firstEvent, f.orphan = u.id, scheduler, e.work, false, false
 	n.Counts.Placed++
+	n.recordOwnStream(f, u, now)
 	n.addLocalGrant(f, f.cost(), now)
 	o := Placement{ID: f.req.ID, Instance: u.inst, By: scheduler, WaitMS: e.waitMS, PrefillTokens: e.work, PrefillMS: e.ownMS, Revision: n.catalogue.Revision}
 	if source != nil {
@@ -169,6 +183,12 @@
 func (n *Node) refuse(f *inflightRequest, v decision, by wire.NodeID) {
 	delete(n.inflight, f.req.ID)
 	n.Counts.Refused++
+	switch v.reason {
+	case ReasonStreamUnknown:
+		n.Counts.StreamsUnknown++
+	case ReasonStreamVersion:
+		n.Counts.StreamsLost++
+	}
 	n.out = append(n.out, Refuse{ID: f.req.ID, Reason: v.reason, After: v.retryAfter, By: by, WaitMS: int(v.bestWaitMS), LimitMS: int(v.limitMS), PrefillMS: int(v.ownMS), SharePercent: v.usedShare, Revision: n.catalogue.Revision})
 }
 
@@ -218,6 +238,9 @@
 		return
 	}
 	f.try++ // a reply that still arrives belongs to an earlier attempt
+	if n.askNextForStream(f, p, now) {
+		return
+	}
 	org := version.IDOf(f.req.Org)
 	if usedShare := n.localUsedShare(p, org, now); usedShare >= 1 && len(f.avoid) == 0 && p.engine != nil {
 		n.reports.addDecision(serviceOrg{p.id, org}, 0, false)
@@ -286,6 +309,7 @@
 		n.reportStart(f.service, version.IDOf(f.req.Org), f.cost())
 	}
 	f.firstEvent = true
+	n.keepVersion(f)
 	n.observeOwnAnswer(f, in.After, now)
 	n.sendNote(f, wire.ProgressNote{No: f.req.ID, Event: wire.ProgressFirstEvent, FirstMS: uint32(in.After.Milliseconds())}, now)
 	if f.scheduler == n.settings.ID {
--- a/internal/dispatch/io.go
+++ b/internal/dispatch/io.go
@@ -13,20 +13,22 @@
 
 // Reasons for a refusal.
 const (
-	ReasonNone       Reason = iota
-	ReasonNoUpstream        // the service has no upstream
-	ReasonCapacity          // no upstream can serve the request within its target latency
-	ReasonBudget            // the retry budget is spent
-	ReasonShare             // the organisation has used its share, and others go first
-	ReasonEvacuated         // all places of its upstreams are evacuated
-	ReasonCold              // its upstreams are cold, and have received all that cold ones may get
-	ReasonRegions           // no upstream is in an allowed region
-	ReasonBackoff           // its upstreams have asked this router to back off (Retry-After)
+	ReasonNone          Reason = iota
+	ReasonNoUpstream           // the service has no upstream
+	ReasonCapacity             // no upstream can serve the request within its target latency
+	ReasonBudget               // the retry budget is spent
+	ReasonShare                // the organisation has used its share, and others go first
+	ReasonEvacuated            // all places of its upstreams are evacuated
+	ReasonCold                 // its upstreams are cold, and have received all that cold ones may get
+	ReasonRegions              // no upstream is in an allowed region
+	ReasonBackoff              // its upstreams have asked this router to back off (Retry-After)
+	ReasonStreamVersion        // no upstream runs the software version that began its stream
+	ReasonStreamUnknown        // it is not known which software version began its stream
 )
 
 // String returns the reason as written in logs and responses.
 func (r Reason) String() string {
-	names := [...]string{"none", "no-upstream", "no-capacity-in-time", "retry-budget-spent", "share-used", "places-evacuated", "upstreams-cold", "no-upstream-in-allowed-regions", "upstreams-back-off"}
+	names := [...]string{"none", "no-upstream", "no-capacity-in-time", "retry-budget-spent", "share-used", "places-evacuated", "upstreams-cold", "no-upstream-in-allowed-regions", "upstreams-back-off", "no-upstream-of-stream-version", "stream-version-unknown"}
 	if int(r) >= len(names) {
 		return "unknown" // sent by a router of another release
 	}
@@ -45,6 +47,8 @@
 	TargetTime time.Time // an answer after this is late
 	Deadline   time.Time
 	Regions    routing.Regions // in which it may run
+	Stream     uint64          // stands for the stream over its caller's attempts, 0 unless it may be resumed
+	Resumed    bool            // the caller has events of the stream
 }
 
 // Input is an event for the node. The types below are all of them.
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -143,6 +143,8 @@
 	lastSilenceAt    time.Time // when a scheduler was last suspected because it did not reply
 	overloadState    overloadState
 	yielding         yielding
+	streams          streamRecords
+	streamSync       streamSync
 	recordedUsageDue time.Time
 	loadsUpdatedAt   time.Time // when the stated loads were last reduced
 	leaving          bool
@@ -162,6 +164,9 @@
 // Counts are totals since the start. They are encoded as JSON under these names.
 type Counts struct {
 	Placed, Refused, Asked, AskedAgain, OwnDecision, OwnPlaced, AnswersLate, Woke, Ended, PlacedCold, Rejected, RefusedForPace uint64
+	// StreamsUnknown and StreamsLost count refusals to go on with a stream: its software version
+	// is unknown, or no upstream runs it.
+	StreamsUnknown, StreamsLost uint64
 }
 
 // New returns a node that knows no other router yet.
@@ -195,6 +200,8 @@
 		firstReadDelay:   firstReadDelayOf(settings, rnd),
 		heartbeats:       heartbeats{schedulers: map[version.ID]wire.NodeID{}, schedulerSince: map[version.ID]time.Time{}, schedulingSince: map[version.ID]time.Time{}},
 		demandSums:       fleetDemands{},
+		streams:          newStreamRecords(),
+		streamSync:       streamSync{queues: map[wire.NodeID][]streamRecord{}, groups: map[version.ID][]wire.NodeID{}},
 	}
 }
 
@@ -263,6 +270,7 @@
 	for _, s := range n.members.Tick(now) {
 		n.outbox.Add(s)
 	}
+	n.tickStreams(now)
 	n.tickSlots(now)
 	n.tickPlacementRequests(now)
 	n.tickFetch(now)
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -52,6 +52,8 @@
 	for _, u := range w.LocalUsage {
 		n.handleLocalUsage(from, u, now)
 	}
+	takeStreamRequests(w)
+	n.handleStreamRecords(w.StreamRecords, now)
 	for i := range w.PlacementRequests {
 		w.PlacementRequests[i].Backoffs = w.Backoffs
 		n.reply(from, &w.PlacementRequests[i], now)
@@ -61,6 +63,7 @@
 	for _, q := range w.Queued {
 		n.handleQueued(from, q, now)
 	}
+	n.handleStreamReplies(from, w.StreamReplies)
 	for _, a := range w.PlacementReplies {
 		n.handleReply(from, a, now)
 	}
@@ -68,6 +71,7 @@
 		n.handleReading(from, w.Reading, now)
 	}
 	if w.Delta != nil {
+		wire.SetVersions(w.Delta.Put, w.DeltaVersions)
 		n.handleDelta(from, w.Delta, now)
 	}
 	if w.Revision != 0 || w.Heartbeat != 0 {
@@ -111,6 +115,9 @@
 // pattern: an overloaded router took its scheduler for silent; the router that it asked
 // instead placed 428 requests of its flood in a second, of which few were started.
 func (n *Node) decideFor(from wire.NodeID, p *pool, a *wire.PlacementRequest, now time.Time) (v decision, reported bool) {
+	if reason := n.bindStream(p, a, now); reason != ReasonNone {
+		return decision{reason: reason, retryAfter: maxRetryAfter}, false
+	}
 	standIn := p.engine != nil && n.schedulerOf(p.id, now) != n.settings.ID
 	if usedShare := p.meter.usedShare(a.Org, now); standIn && usedShare >= 1 && p.mayRefuse(a) {
 		n.countLocalDecision(p, a, false, now)
@@ -119,6 +126,9 @@
 	n.prepareColdDecision(p, now)
 	n.prepareSlots(p, now)
 	v = p.decide(from, a, now)
+	if v.choice != nil {
+		n.placedStream(p, a, v.choice.up, now)
+	}
 	n.settleQueue(p, now)
 	n.sendShareUpdate(from, p, a.Org, now)
 	return v, n.countLocalDecision(p, a, v.choice != nil, now)
@@ -142,6 +152,7 @@
 	}
 	if r := p.runs[runKey{from, a.No}]; r != nil && r.try == a.Try {
 		w.PlacementReplies = append(w.PlacementReplies, r.reply)
+		n.replyStream(from, a, r.up)
 		return
 	}
 	if n.replyIfQueued(from, p, a, now) {
@@ -167,6 +178,7 @@
 // replyPlaced replies with a placement, and keeps the reply for a repeated placement request.
 func (n *Node) replyPlaced(to wire.NodeID, p *pool, a *wire.PlacementRequest, v decision, reported bool, now time.Time) {
 	e := p.expectation(v.choice, now)
+	n.replyStream(to, a, v.choice.up)
 	ans := wire.PlacementReply{No: a.No, Try: a.Try, Upstream: v.choice.up.id, PrefillTokens: uint32(e.work), WaitMS: uint32(e.waitMS), PrefillMS: uint32(e.ownMS), SharePercent: v.usedShare, Cold: e.cold, CheckHealth: e.needsHealthCheck}
 	if v.choice.source != nil {
 		ans.CacheSource = v.choice.source.id
@@ -194,7 +206,12 @@
 		return
 	}
 	p, regions := n.pools[f.service], regionIDs(f.req.Regions)
-	if p == nil || !p.acceptsReply(a, regions, now) {
+	if p != nil && f.version == 0 && n.mustAskForStream(f, p, now) {
+		n.sendUnused(from, a.No)
+		n.refuseStream(f, ReasonStreamUnknown) // the scheduler's release knows nothing of versions
+		return
+	}
+	if p == nil || !p.acceptsReply(a, regions, now) || f.version != 0 && p.upstreams[a.Upstream].version != f.version {
 		// The scheduler knows an upstream that is unknown here, or does not yet know that it
 		// is leaving, evacuated or cold.
 		w := n.work(from)
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -39,7 +39,7 @@
 // is skipped unless includeEjected is set, because all candidates are ejected: a try there
 // is better than a refusal. An upstream in backoff is never tried.
 func (u *upstream) accepts(a *wire.PlacementRequest, includeEjected bool, now time.Time) bool {
-	if u.closed() || !u.inAllowedRegion(a.Regions) || u.ejection.active(now) && !includeEjected || u.backsOff(a) {
+	if u.closed() || a.Version != 0 && u.version != a.Version || !u.inAllowedRegion(a.Regions) || u.ejection.active(now) && !includeEjected || u.backsOff(a) {
 		return false
 	}
 	for _, id := range a.Avoid {
--- a/internal/dispatch/plainqueue.go
+++ b/internal/dispatch/plainqueue.go
@@ -84,7 +84,7 @@
 				n.placeItem(p, it, a, &best.cheapest, now)
 				return true
 			}
-			if len(a.Avoid)+len(a.Regions)+len(a.Backoffs) == 0 {
+			if len(a.Avoid)+len(a.Regions)+len(a.Backoffs) == 0 && a.Version == 0 {
 				return false // it may run anywhere: no slot is free for the others either
 			}
 		}
@@ -103,6 +103,7 @@
 	}
 	p.slots.counts.WaitedMS += uint64(now.Sub(it.Since).Milliseconds())
 	p.startRun(it.Key.Node, a, c, Cost(int(a.Input), int(a.Output)), now)
+	n.placedStream(p, a, c.up, now)
 	if own {
 		f.queued = false
 		n.assign(f, c.up, nil, n.settings.ID, p.expectation(c, now), now)
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -53,6 +53,7 @@
 
 	slots    *slotPool // nil unless it is a plain service whose instances state slots
 	takeover takeoverState
+	versions versions // of the upstreams' software
 	backoffs backoffs // for this router
 }
 
@@ -107,6 +108,9 @@
 	if u := p.upstreams[id]; u != nil {
 		inst.Draining = inst.Draining || u.inst.Draining
 		u.inst = inst
+		p.versions.add(u.version, -1)
+		u.version = version.IDOf(inst.Version)
+		p.versions.add(u.version, 1)
 		return
 	}
 	u := newUpstream(inst, p.engine)
@@ -117,6 +121,7 @@
 		u.cache.recorder = p.holders.recorderFor(u)
 	}
 	p.upstreams[id] = u
+	p.versions.add(u.version, 1)
 	p.order = insertSorted(p.order, u)
 	p.placeSetOf(inst.Place).add(u)
 }
@@ -130,6 +135,7 @@
 		u.cache.clear()
 	}
 	delete(p.upstreams, u.id)
+	p.versions.add(u.version, -1)
 	delete(p.backoffs, u.id)
 	p.order = removeSorted(p.order, u)
 	set := u.set
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -99,6 +99,7 @@
 		if id != n.settings.ID {
 			w := n.work(id)
 			w.Delta, w.Reading = d, n.store.current(now)
+			w.DeltaVersions = wire.VersionsOf(d.Put)
 		}
 	}
 }
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -26,6 +26,7 @@
 type upstream struct {
 	id              version.ID
 	inst            routing.Instance
+	version         version.ID // of its software
 	place           version.ID
 	region          version.ID                   // 0 if unknown
 	runs            map[runKey]*run              // nil until the first use
@@ -91,6 +92,7 @@
 	u := &upstream{
 		id:         version.IDOf(inst.StartID()),
 		inst:       inst,
+		version:    version.IDOf(inst.Version),
 		place:      version.IDOf(inst.Place),
 		slowFactor: 1,
 		inUse:      notInUse,
--- a/internal/process/peercontent.go
+++ b/internal/process/peercontent.go
@@ -35,6 +35,7 @@
 	Places    []wire.PlaceEntry    `cbor:"8,keyasint,omitempty"` // evacuated places
 	Sum       uint64               `cbor:"9,keyasint"`           // routing.View.Sum of the full list
 	Lapsing   []lapse              `cbor:"10,keyasint,omitempty"`
+	Versions  []string             `cbor:"11,keyasint,omitempty"` // software versions of Instances, in order
 }
 
 // lapse is an instance whose entry is missing, and the grace period until it is removed.
@@ -63,6 +64,7 @@
 	for _, i := range list {
 		c.Instances = append(c.Instances, entryOf(i, now))
 	}
+	c.Versions = wire.VersionsOf(c.Instances)
 	for _, l := range rc.view.Lapsing(now) {
 		c.Lapsing = append(c.Lapsing, lapse{ID: l.ID, ForMS: uint32(l.Remaining.Milliseconds())})
 	}
@@ -174,6 +176,7 @@
 		rc.view.SetTable(t, c.TableRaw, c.TableRev)
 	}
 	var list []routing.Instance
+	wire.SetVersions(c.Instances, c.Versions)
 	for _, e := range c.Instances {
 		list = append(list, instanceOf(e, now))
 	}
--- a/internal/process/routeddaemon.go
+++ b/internal/process/routeddaemon.go
@@ -258,7 +258,8 @@
 		"places_evacuated": uint64(len(s.Evacuated)), "upstreams_cold": uint64(s.coldUpstreams()), "placed_cold": s.Counts.PlacedCold,
 		"slots_waiting": uint64(s.Slots.Waiting), "slots_queued": s.Slots.Queued, "slots_waited_ms": s.Slots.WaitedMS, "slots_refused_wait": s.Slots.Refused, "slots_refused_displaced": s.Slots.Displaced,
 		"slots_refused_expired": s.Slots.Expired, "slots_rejected": s.Slots.Rejected, "rejected_by_upstreams": s.Counts.Rejected,
-		"refused_for_pace":      s.Counts.RefusedForPace,
+		"refused_for_pace":               s.Counts.RefusedForPace,
+		"refused_stream_version_unknown": s.Counts.StreamsUnknown, "refused_no_upstream_of_stream_version": s.Counts.StreamsLost,
 		"observed_tokens_per_s": s.observedCapacity(),
 	} {
 		lines[promName("dispatch."+name)] = fmt.Sprint(n)
--- a/internal/process/storecontent.go
+++ b/internal/process/storecontent.go
@@ -20,6 +20,7 @@
 		Born:     i.Born,
 		Revision: i.Revision,
 		ColdMS:   uint32(i.ColdRemaining(now).Milliseconds()),
+		Version:  i.Version,
 	}
 }
 
@@ -32,6 +33,7 @@
 		Place:     e.Place,
 		Slots:     e.Slots,
 		Draining:  e.Draining,
+		Version:   e.Version,
 		Born:      e.Born,
 		Revision:  e.Revision,
 		ColdUntil: coldUntil(time.Duration(e.ColdMS)*time.Millisecond, now),
--- a/internal/request/forward/counters.go
+++ b/internal/request/forward/counters.go
@@ -88,4 +88,7 @@
 	if p.Source != "" {
 		e.Str("source", p.Source)
 	}
+	if p.Instance.Version != "" {
+		e.Str("software", p.Instance.Version)
+	}
 }
--- a/internal/request/forward/dialect.go
+++ b/internal/request/forward/dialect.go
@@ -29,6 +29,7 @@
 	LengthHint     string   // the caller's estimate of the output tokens
 	CacheSource    string   // set by the router: address to fetch cached parts from
 	ColdFor        string   // on health answers: milliseconds for which the upstream is still cold
+	Resumes        string   // ID of the caller's attempt that brought the first event of a stream that it takes up
 	Leaving        string   // 1 on every answer of an upstream that is leaving
 	RouterOnly     []string // other headers that only a router may set
 }
@@ -37,6 +38,18 @@
 // continues after it.
 const headerLastEventID = "Last-Event-Id"
 
+// stream identifies a stream that may be resumed over its caller's attempts, and reports whether
+// the caller has events of it. It stands for the organisation and the ID of the attempt that
+// brought the first event.
+func (d *Dialect) stream(h http.Header, org, attempt string) (id uint64, resumed bool) {
+	first := h.Get(d.Resumes)
+	resumed = first != "" || parseLastEventID(h) > 0
+	if first == "" {
+		first = attempt
+	}
+	return max(1, xxhash.Sum64String(org+"\x00"+first)), resumed
+}
+
 // hopByHopHeaders concern a single connection and are not forwarded (RFC 9110, 7.6.1).
 var hopByHopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length"}
 
--- a/internal/request/forward/server.go
+++ b/internal/request/forward/server.go
@@ -62,6 +62,8 @@
 	service  string // drawn once from the route's traffic split
 	org      string
 	priority int
+	stream   uint64 // see dispatch.Request
+	resumed  bool
 	regions  routing.Regions
 	body     []byte
 	deadline time.Time
@@ -193,6 +195,10 @@
 		}
 		req.regions = req.regions.Intersect(org.Regions)
 	}
+	if req.route.Kind == routing.Stream && req.route.Resumable {
+		req.stream, req.resumed = req.s.dialect.stream(req.r.Header, req.org, req.id)
+		req.service = req.route.Pick(float64(req.stream>>11) / (1 << 53)) // the same one at each attempt
+	}
 	req.deadline = req.arrived.Add(req.s.dialect.deadline(req.r.Header, req.route.Timeout))
 	return nil
 }
@@ -272,6 +278,8 @@
 		TargetTime: req.arrived.Add(req.route.TargetLatency),
 		Deadline:   req.deadline,
 		Regions:    req.regions,
+		Stream:     req.stream,
+		Resumed:    req.resumed,
 	})
 	r := &run{callerRequest: req, ctx: ctx, ticket: t, lastPosition: parseLastEventID(req.r.Header)}
 	r.loop()
--- a/internal/routing/view.go
+++ b/internal/routing/view.go
@@ -15,7 +15,8 @@
 	Place    string
 	Slots    int
 	Draining bool
-	Born     int64 // Unix milliseconds of its start, 0 when not stated
+	Version  string // of its software, "" when not stated
+	Born     int64  // Unix milliseconds of its start, 0 when not stated
 	// Revision is the revision of the entry's last write, 0 when unknown.
 	Revision uint64
 	// ColdUntil is the end of the cold period stated in the entry, by this router's clock.
