Releases in the emulator; what versions of streams cost

The emulator gets engines of two versions that end without notice and are replaced by ones of the next version, routers that learn of it at different times, two killed routers, and callers that leave streams and take them up at others. It checks what callers hold.

Records for standbys are sent each 50 ms in place of 20: 40 datagrams a second in place of 100, and only a scheduler that is lost within that time loses them.

--- a/internal/dispatch/streamversion.go
+++ b/internal/dispatch/streamversion.go
@@ -33,7 +33,7 @@
 	// dropped first.
 	maxStreamRecords = 60_000
 	// streamSyncInterval is how often records are sent.
-	streamSyncInterval = 2 * TickInterval
+	streamSyncInterval = 5 * TickInterval
 	// maxStreamsPerDatagram bounds the records in one datagram, of 20 bytes each.
 	maxStreamsPerDatagram = 150
 	// maxStreamAsks is the number of routers that are asked for a stream's version.
--- a/internal/dispatch/streamversion_test.go
+++ b/internal/dispatch/streamversion_test.go
@@ -263,3 +263,38 @@
 	assert.Equal(t, []string{"v1", "v2"}, wire.VersionsOf(got.Dispatch.Delta.Put))
 	wire.SetVersions(got.Dispatch.Delta.Put, []string{"x", "y", "z"}) // more than entries
 }
+
+// BenchmarkStreamVersionTraffic counts what the whole fleet sends for each stream that begins and
+// each that goes on, beside heartbeats, with one version and with two.
+func BenchmarkStreamVersionTraffic(b *testing.B) {
+	for _, list := range [][]string{{"v1"}, {"v1", "v2"}} {
+		b.Run(list[len(list)-1], func(b *testing.B) {
+			for b.Loop() {
+				f := newFleet(&testing.T{}, 8, 6)
+				f.setVersions(list...)
+				f.run(versionMemory + time.Second)
+				bytes, counting := 0, true
+				f.onSend = func(_ wire.NodeID, s Send) {
+					if raw, err := wire.Encode(s.Datagram); err == nil && counting {
+						bytes += len(raw)
+					}
+				}
+				f.run(time.Second)
+				idle := bytes
+				bytes = 0
+				for no := range uint64(200) {
+					f.stream(f.order[no%8], no+1, no+1, engines, false)
+				}
+				f.run(time.Second)
+				began := bytes - idle
+				bytes = 0
+				for no := range uint64(200) {
+					f.stream(f.order[(no+1)%8], no+1000, no+1, engines, true)
+				}
+				f.run(time.Second)
+				b.ReportMetric(float64(began)/200, "B/begun")
+				b.ReportMetric(float64(bytes-idle)/200, "B/gone-on")
+			}
+		})
+	}
+}
--- a/internal/lab/tokens/arrivals.go
+++ b/internal/lab/tokens/arrivals.go
@@ -120,6 +120,7 @@
 	if id, fixed := w.fixedRouter(c); fixed {
 		c.router = id
 	}
+	w.askedFor(c)
 	w.countRequested(c)
 	w.calls[c.req.ID] = c
 	if w.shed(c) {
--- a/internal/lab/tokens/calls.go
+++ b/internal/lab/tokens/calls.go
@@ -25,6 +25,10 @@
 	engine     string
 	output     int // actual tokens of the answer
 	pace       callPace
+
+	held    string // software version of the events that the caller holds, "" for none
+	got     bool   // this attempt has brought an event
+	counted bool   // in ReleaseResult
 }
 
 // sendToEngine sends a placed request to its engine.
@@ -34,6 +38,10 @@
 		return
 	}
 	e := w.engines[o.Instance.ID]
+	if e == nil { // it has ended, and its router does not know yet
+		w.deliverInput(c.router, dispatch.PlaceAgain{ID: o.ID, Event: wire.ProgressRefused})
+		return
+	}
 	r := engine.Request{ID: o.ID, Parts: c.parts, Output: c.output}
 	for _, id := range w.ids {
 		if o.Source != "" && o.Source == "10.9.0."+fmt.Sprint(indexOf(w.ids, id))+":1" {
@@ -84,6 +92,12 @@
 		return
 	}
 	delete(w.calls, o.ID)
+	if c.held != "" { // its answer breaks off, or its caller could not go on
+		if !c.req.Resumed {
+			w.takeUpElsewhere(c)
+		}
+		return
+	}
 	w.second(c.org, w.now).waited = true
 	if c.tries++; c.tries > 1 {
 		w.res.Refused++
@@ -113,6 +127,7 @@
 // recordFirstEvent records the first event of a call: the predicted and the actual time, and
 // whether it met the target.
 func (w *world) recordFirstEvent(c *call, at time.Time) {
+	w.gotEvent(c)
 	w.countStarted(c, at)
 	w.predictedMS = append(w.predictedMS, c.expectedMS)
 	took := float64(at.Sub(c.sentAt).Microseconds()) / 1000
--- a/internal/lab/tokens/tokens.go
+++ b/internal/lab/tokens/tokens.go
@@ -60,6 +60,7 @@
 	LoadFactor    float64       // of the normal load
 	FloodFactor   float64       // of one organisation's normal load, in the middle third; 0 for no flood
 	KillScheduler bool          // kill the scheduler halfway
+	Releases      bool          // engines run two software versions and are replaced: see releases.go
 	Routers       int           // 0 for Routers
 	Overloaded    bool          // two organisations flood, one of them through an overloaded router
 	LoadShedding  bool          // two organisations flood, one of them through a load shedding router
@@ -81,9 +82,10 @@
 	Fetched                        int     // tokens fetched from other engines
 	Control                        float64 // control bytes/s sent by a router
 	Predicted, Seen                [3]float64
-	Ratio                          [3]float64 // seen time over predicted time of each request, once the model has learned
-	Fair                           float64    // see fair.go: the run was fair if at least 1
-	Pace                           PaceResult // of runs with a PaceLoad
+	Ratio                          [3]float64    // seen time over predicted time of each request, once the model has learned
+	Fair                           float64       // see fair.go: the run was fair if at least 1
+	Pace                           PaceResult    // of runs with a PaceLoad
+	Release                        ReleaseResult // of runs with releases
 }
 
 // Quantiles are the quantiles in Predicted, Seen (times to the first event, in milliseconds)
@@ -121,7 +123,9 @@
 	delayed            []delayed
 	shedder            loadShedder
 	starved            starvedRouter
-	readingMS          int // summed over the engines that have an unread prompt
+	releases           releases
+	listAt             map[wire.NodeID]uint64 // revision of each router's list of engines
+	readingMS          int                    // summed over the engines that have an unread prompt
 	lastUsed           map[uint64]time.Time
 	res                Result
 	predictedMS        []float64
@@ -152,7 +156,7 @@
 // simulate returns the world at the end of the scenario.
 func (s Scenario) simulate() (*world, error) {
 	w := &world{Scenario: s, rnd: rand.New(rand.NewPCG(s.Seed, 7)), now: startTime, nodes: map[wire.NodeID]*dispatch.Node{}, engines: map[string]*engine.Engine{},
-		calls: map[uint64]*call{}, lastUsed: map[uint64]time.Time{}, stallUntil: map[string]time.Time{}, shedder: newLoadShedder()}
+		calls: map[uint64]*call{}, lastUsed: map[uint64]time.Time{}, stallUntil: map[string]time.Time{}, shedder: newLoadShedder(), listAt: map[wire.NodeID]uint64{}}
 	w.retryRnd, w.stallRnd = w.rnd, w.rnd
 	if s.Pace != nil {
 		w.retryRnd, w.stallRnd = rand.New(rand.NewPCG(s.Seed, 8)), rand.New(rand.NewPCG(s.Seed, 9))
@@ -192,13 +196,7 @@
 // boot starts the engines and the routers, with a table and a list of instances.
 func (w *world) boot() error {
 	b := routing.Builder{Number: 1, Limits: routing.Limits{TokensPerSecond: w.capacity()}}
-	f := w.Engine
-	if f == (engine.Config{}) {
-		f = engine.DefaultConfig
-	}
-	if w.Pace != nil {
-		f = w.Pace.engine
-	}
+	f := w.engineConfig()
 	b.Services = []*routing.Service{{Name: serviceName, Engine: &routing.Engine{Slots: f.Slots, MemoryTokens: f.MemoryTokens, TokenBytes: 327_680, EventTokens: f.EventTokens}}}
 	for _, c := range w.classes() {
 		b.Routes = append(b.Routes, &routing.Route{Name: c.name, Host: "h", Prefix: "/" + c.name + "/", Kind: routing.Stream, Timeout: c.deadline, TargetLatency: c.target, TargetGap: w.gapTarget(),
@@ -218,6 +216,7 @@
 		w.engines[id] = engine.New(f, startTime)
 		w.ids = append(w.ids, id)
 	}
+	w.bootReleases(list, table)
 	for i := range w.routers() {
 		id := wire.NodeID(fmt.Sprintf("10.1.0.%d:1", i))
 		n := dispatch.New(dispatch.Settings{ID: id, Inc: 1, Place: placeName(i), Seeds: []wire.NodeID{"10.1.0.0:1"}, Retry: dispatch.DefaultRetryRules, Seed: uint64(i), Disabled: w.Disabled}, startTime)
@@ -228,6 +227,16 @@
 	return nil
 }
 
+func (s *Scenario) engineConfig() engine.Config {
+	switch {
+	case s.Pace != nil:
+		return s.Pace.engine
+	case s.Engine == engine.Config{}:
+		return engine.DefaultConfig
+	}
+	return s.Engine
+}
+
 func (s *Scenario) routers() int { return cmp.Or(s.Routers, Routers) }
 
 func placeName(i int) string { return fmt.Sprintf("p%d", i%places) }
@@ -242,6 +251,7 @@
 	w.sendRetries()
 	w.tickShedder()
 	w.tickStarved()
+	w.tickReleases()
 	w.runDelayed()
 	w.setSpeeds()
 	w.advanceEngines()
