A scheduler records a stream's version when the stream has started

Cause, by the logs: the scheduler was suspended for 2.1 s.

Change: a scheduler records a stream of another router when its first event is reported, and sends the record on then. A router records its own placements at once. The later attempt's record counts still; one of the same version renews it.

TestSuspendedSchedulerDoesNotRecordWhatWasDecidedElsewhere fails before. What is given up: a stream whose router is killed in the few ms before its first event is reported is unknown, and refused.

--- a/internal/dispatch/inflight.go
+++ b/internal/dispatch/inflight.go
@@ -144,7 +144,7 @@
 		n.refuse(f, v, n.settings.ID)
 		return
 	}
-	n.placedStream(p, &a, v.choice.up, now)
+	n.recordStream(p, streamOf(&a, now), v.choice.up, now)
 	n.assign(f, v.choice.up, v.choice.source, n.settings.ID, p.expectation(v.choice, now), now)
 }
 
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -96,6 +96,7 @@
 			if r.reported && !r.firstEvent {
 				n.reportStart(p.id, r.org, r.cost)
 			}
+			n.recordStream(p, r.stream, r.up, now)
 		}
 		p.note(from, note, now)
 		n.placeWaiting(p, now)
@@ -126,9 +127,6 @@
 	n.prepareColdDecision(p, now)
 	n.prepareSlots(p, now)
 	v = p.decide(from, a, now)
-	if v.choice != nil {
-		n.placedStream(p, a, v.choice.up, now)
-	}
 	n.settleQueue(p, now)
 	n.sendShareUpdate(from, p, a.Org, now)
 	return v, n.countLocalDecision(p, a, v.choice != nil, now)
@@ -184,7 +182,7 @@
 		ans.CacheSource = v.choice.source.id
 	}
 	r := p.runs[runKey{to, a.No}]
-	r.try, r.reply, r.reported = a.Try, ans, reported
+	r.try, r.reply, r.reported, r.stream = a.Try, ans, reported, streamOf(a, now)
 	w := n.work(to)
 	w.PlacementReplies = append(w.PlacementReplies, ans)
 }
--- a/internal/dispatch/plainqueue.go
+++ b/internal/dispatch/plainqueue.go
@@ -103,9 +103,9 @@
 	}
 	p.slots.counts.WaitedMS += uint64(now.Sub(it.Since).Milliseconds())
 	p.startRun(it.Key.Node, a, c, Cost(int(a.Input), int(a.Output)), now)
-	n.placedStream(p, a, c.up, now)
 	if own {
 		f.queued = false
+		n.recordStream(p, streamOf(a, now), c.up, now)
 		n.assign(f, c.up, nil, n.settings.ID, p.expectation(c, now), now)
 		return
 	}
--- a/internal/dispatch/streamversion.go
+++ b/internal/dispatch/streamversion.go
@@ -13,8 +13,9 @@
 // at the version that began it, in one answer and over its caller's attempts at any router.
 //
 // While a service has more than one version, whoever places a stream records its version and
-// sends the record to the service's scheduler group: before the first event reaches the caller,
-// and so that the record outlives the router that has the stream. A router that is asked to go on
+// sends the record to the service's scheduler group, so that it outlives the router that has the
+// stream. A router records its own streams when it sends them, a scheduler those of others when
+// they have started: the request may have reached it late, and its router decided otherwise. A router that is asked to go on
 // with a stream of an unknown version asks the scheduler. A stream whose version nobody knows, or
 // no upstream runs any more, is refused at once. Nothing is recorded or sent while a service has
 // one version.
@@ -65,7 +66,7 @@
 
 // put keeps a record for a duration. A record of an earlier attempt does not replace a later one's.
 func (s *streamRecords) put(r wire.StreamRecord, d time.Duration, now time.Time) {
-	if old, known := s.byStream[r.Stream]; known && old.Try > r.Try {
+	if old, known := s.byStream[r.Stream]; known && old.Try > r.Try && old.Version != r.Version {
 		return
 	}
 	until := now.Add(d)
@@ -180,16 +181,27 @@
 	return n.bindStream(p, &a, now) == ReasonStreamUnknown
 }
 
-// placedStream records the version at which a stream was placed by this router, and sends the
-// record to the scheduler group.
-func (n *Node) placedStream(p *pool, a *wire.PlacementRequest, u *upstream, now time.Time) {
-	if a.Stream == 0 || !p.versions.several(now) {
+// recordStream records the version at which a stream was placed, and sends the record to the
+// scheduler group.
+func (n *Node) recordStream(p *pool, s runStream, u *upstream, now time.Time) {
+	if s.id == 0 || !p.versions.several(now) {
 		return
 	}
-	r := wire.StreamRecord{Stream: a.Stream, Service: p.id, Version: u.version, Try: a.Try}
-	d := time.Duration(a.DeadlineMS)*time.Millisecond + streamRecordGrace
-	n.streams.put(r, d, now)
-	n.replicateStream(p, streamRecord{r, now.Add(d)}, now)
+	r := wire.StreamRecord{Stream: s.id, Service: p.id, Version: u.version, Try: s.try}
+	n.streams.put(r, s.until.Sub(now), now)
+	n.replicateStream(p, streamRecord{r, s.until}, now)
+}
+
+// runStream is the stream of a run, and until when its record is kept.
+type runStream struct {
+	id    uint64
+	try   uint32
+	until time.Time
+}
+
+// streamOf returns the stream of a placement request.
+func streamOf(a *wire.PlacementRequest, now time.Time) runStream {
+	return runStream{a.Stream, a.Try, now.Add(time.Duration(a.DeadlineMS)*time.Millisecond + streamRecordGrace)}
 }
 
 // replicateStream queues a record for the other members of the service's scheduler group.
@@ -250,7 +262,7 @@
 			continue
 		}
 		a := n.placementRequest(f, now)
-		n.placedStream(p, &a, u, now)
+		n.recordStream(p, streamOf(&a, now), u, now)
 	}
 }
 
--- a/internal/dispatch/streamversion_test.go
+++ b/internal/dispatch/streamversion_test.go
@@ -298,3 +298,18 @@
 		})
 	}
 }
+
+// A scheduler that was suspended reads a placement request of seconds ago, whose router has decided
+// otherwise since. What it places then is no record: a caller that took its stream up there got
+// events of another version.
+func TestSuspendedSchedulerDoesNotRecordWhatWasDecidedElsewhere(t *testing.T) {
+	f := newFleet(t, 3, 6)
+	f.setVersions("v1", "v2")
+	sched, id := f.scheduler(), f.other()
+	for no := uint64(1); no < 20; no++ {
+		a := wire.PlacementRequest{No: no, Try: 1, Service: serviceID(engines), Org: 1, Input: 400, Output: 50, TargetMS: 600, DeadlineMS: 6000}
+		f.nodes[sched].Step(Receive{Datagram: &wire.Datagram{From: id, Inc: 1, Dispatch: &wire.Dispatch{
+			PlacementRequests: []wire.PlacementRequest{a}, StreamRequests: []wire.StreamRequest{{No: no, Stream: 500 + no}}}}}, f.now)
+		assert.Equal(t, ReasonStreamUnknown.String(), f.stream(sched, 100+no, 500+no, engines, true))
+	}
+}
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -86,6 +86,7 @@
 	try          uint32              // number of the placement request that placed it
 	reply        wire.PlacementReply // to that placement request
 	slot         slotRun
+	stream       runStream // of another router's request
 }
 
 func newUpstream(inst routing.Instance, engine *routing.Engine) *upstream {
