A router that has yielded its roles still passes changes on

Cause: a reader of the store sends a change to the two relays of each other place, by its own ranking.

Change: a router that has yielded passes on what it is sent from another place, and announces what it has fetched.

--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -105,9 +105,10 @@
 }
 
 // relayDelta passes a change on to the own place, if this router is a relay and received it
-// from another place.
+// from another place. So does a router that has yielded its roles: its sender takes it for a relay
+// still.
 func (n *Node) relayDelta(from wire.NodeID, d *wire.StoreDelta, now time.Time) {
-	if d.To <= n.store.relayedUpTo || n.InSamePlace(from) || !n.isRelay(now) {
+	if d.To <= n.store.relayedUpTo || n.InSamePlace(from) || !n.isRelay(now) && !n.yielding.on {
 		return
 	}
 	n.store.relayedUpTo = d.To
@@ -121,7 +122,7 @@
 		return
 	}
 	n.store.fetchPending = false
-	if !n.isRelay(now) {
+	if !n.isRelay(now) && !n.yielding.on {
 		return
 	}
 	n.offerContent(n.neighbours(), now)
--- a/internal/dispatch/yield_test.go
+++ b/internal/dispatch/yield_test.go
@@ -50,3 +50,25 @@
 	f.run(2 * yieldEnd)
 	assert.NotEqual(t, sched, f.scheduler())
 }
+
+// A change of the store that is sent to relays which have just yielded must reach their place.
+func TestYieldedRelayPassesChangesOn(t *testing.T) {
+	f := newMultiPlaceFleet(t, 60, 5)
+	f.runReadingStore(6 * time.Second)
+	reader := f.watching()[0]
+	for place, relays := range f.nodes[reader].relays(f.now) {
+		for _, id := range relays {
+			if n := f.nodes[id]; place != f.nodes[reader].settings.Place {
+				n.yielding.on = true
+				n.members.Yield(true)
+				clear(n.rankings)
+			}
+		}
+	}
+	f.readChange(reader, 12, false)
+	f.deliver()
+	assert.Zero(t, f.countBehind(12))
+	f.readChange(reader, 13, true)
+	f.run(relayGracePeriod)
+	assert.Zero(t, f.countBehind(13), "a new table")
+}
