An overloaded router takes back nothing that did not start

Placements count at the scheduler when they start, and an overloaded router took back from its own allowance what failed: connections that timed out because it was late itself. So it placed 526, 938 and 292 requests in three seconds, three times the organisation's share, which kept engines from others and hardly started.

Change: while a router is short of CPU nothing that did not start is taken back, whether its caller left or its upstream did not answer.

--- a/internal/dispatch/inflight.go
+++ b/internal/dispatch/inflight.go
@@ -168,8 +168,9 @@
 }
 
 // addLocalGrant counts what was placed for this router's callers; a negative number takes
-// it back. A router short of CPU does not take back what it never sent: the less it sends of
-// what it has placed, the less it may place.
+// it back. A router short of CPU does not take back what never started, since callers leave and
+// connections time out for its own sake: the less it sends of what it has placed, the less it may
+// place.
 //
 // Load pattern: a flood at a router that is starved of CPU. It placed 2.4 million tokens by itself
 // in three seconds, more than twice the organisation's share, because most callers left before
@@ -333,7 +334,7 @@
 // sendNote reports progress of a run to the router that placed it.
 func (n *Node) sendNote(f *inflightRequest, note wire.ProgressNote, now time.Time) {
 	n.noteRejection(f, &note, now)
-	if !f.firstEvent && (wire.IsFailure(note.Event) || note.Event == wire.ProgressUnused && !n.overloadState.announced) {
+	if !f.firstEvent && !n.overloadState.announced && (wire.IsFailure(note.Event) || note.Event == wire.ProgressUnused) {
 		n.addLocalGrant(f, -f.cost(), now)
 	}
 	n.recordConnRefused(f, note.Event, now)
--- a/internal/dispatch/localdecision_test.go
+++ b/internal/dispatch/localdecision_test.go
@@ -144,9 +144,11 @@
 	assert.Zero(t, local())
 	f.nodes[id].Step(CPUOverload{On: true}, f.now)
 	f.run(TickInterval)
-	f.arrive(id, 2, engines, "own", 4000)
-	f.nodes[id].Step(End{ID: 2, Event: wire.ProgressUnused}, f.now)
-	assert.InDelta(t, Cost(4000, 50), local(), 1)
+	for no, event := range []uint8{wire.ProgressUnused, wire.ProgressFailed, wire.ProgressRefused} {
+		f.arrive(id, uint64(2+no), engines, "own", 4000)
+		f.nodes[id].Step(End{ID: uint64(2 + no), Event: event}, f.now)
+	}
+	assert.InDelta(t, 3*Cost(4000, 50), local(), 1)
 	f.run(shareSteps * shareStep)
 	assert.Zero(t, local())
 }
