Margin of fairness: the least served organisation and the gate that turns it away

The scheduler counts for six seconds what each organisation requested, was granted, started (whoever decided) and had turned away, by gate and router. Once a second, while somebody is refused something in every second, a line `least-served` names the least and the best served, the margin between them, the gate and the router; `silverswitch_dispatch_least_served_percent` is the margin as a metric. No decision rests on it.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -63,6 +63,7 @@
 	if a.Try <= 1 {
 		p.meter.addRequest(a.Org, tokens, now)
 	}
+	p.meter.ledger.observeSize(tokens, now)
 	p.updateModelled()
 	usedShare := p.meter.usedShare(a.Org, now)
 	usedPercent := usedSharePercent(usedShare)
@@ -73,6 +74,7 @@
 			return d
 		}
 		reason := p.noUpstreamReason(a, now)
+		p.meter.ledger.addTurned(a.Org, gateWait, tokens, now)
 		return decision{retryAfter: p.noUpstreamRetryAfter(a, reason, now), reason: reason, usedShare: usedPercent}
 	}
 	c := best.best(p.requestTargetMS(a))
@@ -86,6 +88,7 @@
 			if reason == ReasonCapacity && usedShare < 1 {
 				p.meter.addRefusal(a.Org, tokens, now)
 			}
+			p.meter.ledger.addTurned(a.Org, gateOf(reason), tokens, now)
 			return decision{retryAfter: p.backlogRetryAfter(a, c.waitMS, limitMS), reason: reason, bestWaitMS: c.waitMS, limitMS: limitMS, ownMS: p.learner.Model().Base + c.ownMS, usedShare: usedPercent}
 		}
 		paced := p.choosePaced(a, best, c, usedShare, now)
@@ -93,6 +96,7 @@
 			if usedShare < 1 {
 				p.meter.addRefusal(a.Org, tokens, now)
 			}
+			p.meter.ledger.addTurned(a.Org, gatePace, tokens, now)
 			return decision{retryAfter: paceRetryAfter(c), reason: ReasonCapacity, bestWaitMS: c.waitMS, limitMS: limitMS, ownMS: p.learner.Model().Base + c.ownMS, usedShare: usedPercent}
 		}
 		c = paced
@@ -103,6 +107,14 @@
 	return decision{choice: c, usedShare: usedPercent}
 }
 
+// gateOf returns the gate of a refusal by refusalReason.
+func gateOf(reason Reason) gate {
+	if reason == ReasonShare {
+		return gateShare
+	}
+	return gateWait
+}
+
 // refusalReason returns why a request should not be placed, or ReasonNone, and how long it
 // may wait there, in milliseconds.
 func (p *pool) refusalReason(a *wire.PlacementRequest, c *choice, usedShare float64, now time.Time) (Reason, float64) {
--- /dev/null
+++ b/internal/dispatch/ledger_test.go
@@ -0,0 +1,100 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/silverswitch/silverswitch/internal/core/wire"
+	"github.com/silverswitch/silverswitch/internal/version"
+)
+
+// shortLedger returns a ledger of six seconds in which organisation 1 requested four times what it
+// started, organisation 2 started four times as much, and organisation 3 was served whole.
+func shortLedger() (*ledger, time.Time) {
+	l := newLedger()
+	now := start
+	for step := range ledgerSteps {
+		now = start.Add(time.Duration(step) * shareStep)
+		l.observeSize(100, now)
+		for org, tokens := range map[version.ID]float64{1: 1000, 2: 4000, 3: 200} {
+			l.addGrant(org, tokens, now)
+			l.addStart(org, tokens, now)
+		}
+		l.addRequest(1, 4000, now)
+		l.addRequest(2, 8000, now)
+		l.addRequest(3, 200, now)
+		l.addTurned(1, gateShare, 1000, now)
+		l.addTurnedAt(1, "10.1.0.9:1", 2000, now)
+	}
+	return &l, now
+}
+
+// An organisation that started far less than another one while both were refused requests in every
+// second could be found only by adding up log lines of all routers.
+func TestLeastServedOrganisationIsNamed(t *testing.T) {
+	l, now := shortLedger()
+	m, short := l.margin(now)
+	require.True(t, short)
+	assert.Equal(t, version.ID(1), m.least)
+	assert.Equal(t, version.ID(2), m.best)
+	assert.InDelta(t, 0.25, m.ratio, 0.001)
+
+	f := newFleet(t, 1, 2)
+	n := f.nodes[f.order[0]]
+	p := n.pools[serviceID(engines)]
+	p.meter.ledger = *l
+	n.reports.orgNames = map[version.ID]string{1: "one", 2: "two", 3: "three"}
+	n.reportFairness(p, now)
+	assert.Equal(t, 25, n.LeastServedPercent(f.now))
+	assert.Contains(t, n.out, FairnessReport{Service: engines, Least: "one", Best: "two", Margin: 0.25, Requested: 96_000, Granted: 24_000, Started: 24_000, BestStarted: 96_000,
+		Gate: "router", TurnedByGate: 48_000, TurnedByRouters: 48_000, Router: "10.1.0.9:1"})
+}
+
+// Nobody is short who was served whole in some second, who requested little, or after the requests
+// have ended.
+func TestNobodyGoesShortWithoutUnmetDemandInEverySecond(t *testing.T) {
+	l, now := shortLedger()
+	for back := 8; back < 12; back++ {
+		i := l.ring.slot(int64(back))
+		l.rows[1].requested[i] = l.rows[1].granted[i]
+	}
+	_, short := l.margin(now)
+	assert.False(t, short, "it was served whole in a second")
+
+	l, now = shortLedger()
+	l.observeSize(100_000, now)
+	_, short = l.margin(now)
+	assert.False(t, short, "three requests would make up for it")
+
+	l, now = shortLedger()
+	_, short = l.margin(now.Add(ledgerSteps * shareStep))
+	assert.False(t, short)
+	assert.Empty(t, l.rows)
+}
+
+// What a router placed without the scheduler was missing in what an organisation had started.
+func TestStartsOfLocalDecisionsAreCounted(t *testing.T) {
+	f := newFleet(t, 2, 2)
+	n := f.nodes[f.scheduler()]
+	p := n.pools[serviceID(engines)]
+	n.handleLocalUsage(f.other(), wire.LocalUsage{Service: p.id, Org: 7, Requested: 9000, Placed: 3000}, f.now)
+	r := p.meter.ledger.rows[7]
+	assert.InDelta(t, 3000, p.meter.ledger.latest(&r.started, ledgerSteps), 0.1)
+	assert.InDelta(t, 6000, p.meter.ledger.latest(&r.turned[gateRouter], ledgerSteps), 0.1)
+	assert.InDelta(t, 3000, windowTotal(&p.meter.at(7, f.now).started), 0.1)
+}
+
+// A refund is taken back in the step of its grant, or nowhere.
+func TestLedgerRefundsInTheStepOfTheGrant(t *testing.T) {
+	l := newLedger()
+	l.addRequest(1, 500, start)
+	l.addGrant(1, 500, start)
+	l.refund(1, 500, start, start.Add(time.Second))
+	assert.Zero(t, l.latest(&l.rows[1].granted, ledgerSteps))
+	l.refund(1, 500, start, start.Add(7*time.Second))
+	l.refund(9, 500, start, start)
+	assert.Empty(t, l.rows[9])
+}
--- a/internal/dispatch/localdecision.go
+++ b/internal/dispatch/localdecision.go
@@ -117,6 +117,8 @@
 	}
 	p.meter.addRequest(u.Org, float64(u.Requested), now)
 	p.meter.addGrant(u.Org, float64(u.Placed), now)
+	p.meter.addStart(u.Org, float64(u.Placed), now)
+	p.meter.ledger.addTurnedAt(u.Org, from, max(0, float64(u.Requested-u.Placed)), now)
 	p.meter.recordedUsage.addKnown(from, u.Org, float64(u.Requested), float64(u.Placed))
 	if to := n.schedulerOf(p.id, now); to != n.settings.ID && to != from {
 		n.unreportedUsage.add(serviceOrg{p.id, u.Org}, float64(u.Requested), float64(u.Placed))
--- a/internal/dispatch/observedcapacity.go
+++ b/internal/dispatch/observedcapacity.go
@@ -126,6 +126,7 @@
 	if u := m.orgs[org]; u != nil && age >= 0 && age < shareSteps {
 		u.got[m.ring.slot(age)] -= tokens
 	}
+	m.ledger.refund(org, tokens, grantedAt, now)
 }
 
 // takeOver prepares the model of a service for decisions after another scheduler, whose usage
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -34,6 +34,7 @@
 	runs             map[runKey]*run
 	learner          *prefill.Learner // of the engines' times to the first event
 	loggedModel      prefill.Model    // as last written to the log
+	margin           float64          // as of the last report: see LeastServedPercent
 	loggedObserved   bool             // shares were parts of the observed capacity as last written to the log
 	targetMS         float64          // the strictest target latency of the routes to it, in milliseconds, 0 if unknown
 	baseline         baselineLatency  // of a plain service
@@ -72,6 +73,7 @@
 		meter:       newMeter(tokensPerSecond),
 		local:       newMeter(tokensPerSecond),
 		busy:        newBusyMeter(),
+		margin:      1,
 		overloaded:  map[wire.NodeID]bool{},
 		backoffs:    backoffs{},
 
--- a/internal/dispatch/recordedusage.go
+++ b/internal/dispatch/recordedusage.go
@@ -102,5 +102,6 @@
 		u.requested[i] += requested / float64(steps)
 		u.got[i] += placed / float64(steps)
 	}
+	m.ledger.addReplicated(org, requested, placed, steps, now)
 	m.dirty = true
 }
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -116,6 +116,7 @@
 		}
 		n.reportCapacity(p, now)
 		n.reportShares(p, now)
+		n.reportFairness(p, now)
 		n.reportEngines(p, now)
 	}
 }
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -30,6 +30,7 @@
 	observed       float64                // capacity in tokens in a window, 0 while engines serve the stated capacity
 	observedShares map[version.ID]float64 // of what engines serve, nil while that is the stated capacity
 	leastServed    float64                // tokens granted to the least served organisation that has unmet demand
+	ledger         ledger
 	dirty          bool
 }
 
@@ -44,6 +45,7 @@
 		shares:        map[version.ID]float64{},
 		recordedUsage: newRecordedUsage(),
 		ring:          ring{interval: shareStep, size: shareSteps},
+		ledger:        newLedger(),
 	}
 	m.setCapacity(tokensPerSecond)
 	return m
@@ -94,6 +96,7 @@
 func (m *meter) addRequest(org version.ID, tokens float64, now time.Time) {
 	i := m.advance(now)
 	m.usageOf(org).requested[i] += tokens
+	m.ledger.addRequest(org, tokens, now)
 	m.recordedUsage.add(org, tokens, 0)
 }
 
@@ -101,6 +104,7 @@
 func (m *meter) addGrant(org version.ID, tokens float64, now time.Time) {
 	i := m.advance(now)
 	m.usageOf(org).got[i] += tokens
+	m.ledger.addGrant(org, tokens, now)
 	m.recordedUsage.add(org, 0, tokens)
 }
 
@@ -116,6 +120,7 @@
 	i := m.advance(now)
 	if u := m.orgs[org]; u != nil {
 		u.started[i] += tokens
+		m.ledger.addStart(org, tokens, now)
 	}
 }
 
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -150,6 +150,7 @@
 			if age < int64(len(r.Received)) {
 				u.got[i] = max(u.got[i], finite(r.Received[age]))
 			}
+			m.ledger.applySnapshot(r.Org, age, u.requested[i], u.got[i], now)
 		}
 	}
 	m.dirty = true
--- a/internal/process/routedcontroller.go
+++ b/internal/process/routedcontroller.go
@@ -78,9 +78,11 @@
 	Evacuated []routing.Evacuation     `json:"evacuated"`
 	Held      []quarantine.HeldRequest `json:"held"`
 	Counts    dispatch.Counts          `json:"counts"`
-	Slots     dispatch.SlotStatus      `json:"slots"`
-	Capacity  []dispatch.Capacity      `json:"capacity"` // of the services that this router schedules
-	Role      dispatch.Role            `json:"role"`
+	// LeastServed is the margin of fairness, in per cent: see dispatch.LeastServedPercent.
+	LeastServed int                 `json:"least_served_percent"`
+	Slots       dispatch.SlotStatus `json:"slots"`
+	Capacity    []dispatch.Capacity `json:"capacity"` // of the services that this router schedules
+	Role        dispatch.Role       `json:"role"`
 }
 
 // NewRoutedController returns a controller that is not running yet.
@@ -239,7 +241,7 @@
 			rc.drainUpstream(o)
 		case dispatch.Probe:
 			go rc.probe(o.Instance)
-		case dispatch.ShareReport, dispatch.EngineReport, dispatch.LocalDecisionReport, dispatch.SlotReport, dispatch.UpstreamEnded, dispatch.QuarantineReport:
+		case dispatch.ShareReport, dispatch.FairnessReport, dispatch.EngineReport, dispatch.LocalDecisionReport, dispatch.SlotReport, dispatch.UpstreamEnded, dispatch.QuarantineReport:
 			logReport(rc.log, o)
 		case dispatch.ColdChange:
 			logColdChange(rc.log, o)
@@ -341,6 +343,6 @@
 func (rc *RoutedController) statusAt(now time.Time) *Status {
 	return &Status{
 		Router: rc.id, Ready: rc.ready.Load(), Leaving: rc.leaving.Load(), Version: rc.tableVersion(), Revision: rc.view.Revision,
-		Running: len(rc.tickets), Routers: rc.node.Routers(), Upstreams: rc.node.Upstreams(now), Evacuated: rc.view.Evacuations(), Held: rc.node.Held(now), Counts: rc.node.Counts, Slots: rc.node.SlotStatus(), Capacity: rc.node.Capacities(now), Role: rc.node.Role(now),
+		Running: len(rc.tickets), Routers: rc.node.Routers(), Upstreams: rc.node.Upstreams(now), Evacuated: rc.view.Evacuations(), Held: rc.node.Held(now), Counts: rc.node.Counts, Slots: rc.node.SlotStatus(), Capacity: rc.node.Capacities(now), LeastServed: rc.node.LeastServedPercent(now), Role: rc.node.Role(now),
 	}
 }
--- a/internal/process/routeddaemon.go
+++ b/internal/process/routeddaemon.go
@@ -261,6 +261,7 @@
 		"refused_for_pace":               s.Counts.RefusedForPace,
 		"refused_stream_version_unknown": s.Counts.StreamsUnknown, "refused_no_upstream_of_stream_version": s.Counts.StreamsLost,
 		"observed_tokens_per_s": s.observedCapacity(),
+		"least_served_percent":  uint64(max(0, s.LeastServed)),
 	} {
 		lines[promName("dispatch."+name)] = fmt.Sprint(n)
 	}
