Floods that overlap while routers and engines are lost, in the emulator (known red)

One organisation floods through all routers; ten seconds into the run a second one begins to flood through a small router, to which its refused callers come back. Before that four of 24 routers lose power, the scheduler first; two seconds after it a quarter of the engines crash. Result.Margin is what the least served organisation that was refused something in each of six seconds started, of the lesser of what it requested and what the best served one started.

--- a/internal/lab/tokens/arrivals.go
+++ b/internal/lab/tokens/arrivals.go
@@ -34,7 +34,12 @@
 	out := make([]float64, len(orgWeights))
 	for i, weight := range orgWeights {
 		out[i] = weight / total
-		if w.FloodFactor > 0 && w.isFlooding() && (i == floodOrg || w.hasTwoFloods() && i == secondFloodOrg) {
+		switch {
+		case w.Overlap != nil:
+			if w.isOverlapping(i) {
+				out[i] *= w.FloodFactor
+			}
+		case w.FloodFactor > 0 && w.isFlooding() && (i == floodOrg || w.hasTwoFloods() && i == secondFloodOrg):
 			out[i] *= w.FloodFactor
 		}
 	}
@@ -123,7 +128,7 @@
 	w.askedFor(c)
 	w.countRequested(c)
 	w.calls[c.req.ID] = c
-	if w.shed(c) {
+	if w.shed(c) || w.shedBySmallRouter(c) {
 		return
 	}
 	w.nodes[c.router].Step(dispatch.Arrive{Request: c.req}, w.now)
--- a/internal/lab/tokens/calls.go
+++ b/internal/lab/tokens/calls.go
@@ -147,6 +147,7 @@
 func (w *world) result() Result {
 	w.owed()
 	w.res.Fair = w.fair.worst(int(w.Duration / time.Second))
+	w.res.Margin = w.fair.margin(int(w.Duration / time.Second))
 	for _, e := range w.engines {
 		w.res.Fetched += e.Fetched
 	}
--- a/internal/lab/tokens/fair.go
+++ b/internal/lab/tokens/fair.go
@@ -69,6 +69,35 @@
 	return worst
 }
 
+// margin returns the smallest ratio, over all windows, of what an organisation that waited in
+// each second started to the lesser of what it requested and what the best served one started,
+// without slack. Organisations that requested less than the slack do not count.
+func (f *fairness) margin(seconds int) float64 {
+	lowest := math.Inf(1)
+	for from := 0; from+fairWindowSeconds <= min(seconds, maxFairSeconds); from++ {
+		best := f.best(from)
+		for org := range f.orgs {
+			if due := f.due(org, best, from); org != best && due > fairSlackRequests*f.largestRequest {
+				lowest = min(lowest, f.started(org, from)/due)
+			}
+		}
+	}
+	return lowest
+}
+
+// due returns the lesser of what an organisation requested and what the best served one started
+// in a window, second by second, or 0 if the organisation did not wait in each second.
+func (f *fairness) due(org, best, from int) float64 {
+	due := 0.0
+	for i, s := range f.orgs[org][from : from+fairWindowSeconds] {
+		if !s.waited {
+			return 0
+		}
+		due += min(s.requested, f.orgs[best][from+i].started)
+	}
+	return due
+}
+
 // best returns the organisation that started most in a window.
 func (f *fairness) best(from int) int {
 	best, highest := 0, -1.0
--- a/internal/lab/tokens/loadshedder.go
+++ b/internal/lab/tokens/loadshedder.go
@@ -48,7 +48,7 @@
 // tickShedder updates the ratios from the node, and reports shed work to it, when due.
 func (w *world) tickShedder() {
 	n := w.nodes[w.overloadedRouter()]
-	if !w.LoadShedding || n == nil {
+	if !w.LoadShedding && w.Overlap == nil || n == nil {
 		return
 	}
 	age := w.now.Sub(startTime)
--- a/internal/lab/tokens/overload.go
+++ b/internal/lab/tokens/overload.go
@@ -59,6 +59,9 @@
 
 // fixedRouter returns the router that receives a call, if it is not drawn at random.
 func (w *world) fixedRouter(c *call) (wire.NodeID, bool) {
+	if w.Overlap != nil {
+		return w.overloadedRouter(), c.org == overloadedOrg
+	}
 	switch {
 	case !w.hasTwoFloods() || w.Starved && c.tries > 0:
 		return "", false
--- a/internal/lab/tokens/tokens.go
+++ b/internal/lab/tokens/tokens.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/silverswitch/silverswitch/internal/core/wire"
@@ -66,6 +67,7 @@
 	LoadShedding  bool          // two organisations flood, one of them through a load shedding router
 	Starved       bool          // two organisations flood, one of them through a starved router
 	StarvedRole   bool          // the starved router is the scheduler
+	Overlap       *Overlap      // floods that overlap while routers and engines are lost: see overlap.go; may be nil
 	Disabled      dispatch.Disabled
 	Engine        engine.Config // of all engines; the zero value stands for engine.DefaultConfig
 	Pace          *PaceLoad     // other engines and requests, and a target for the gap between events; may be nil
@@ -84,6 +86,7 @@
 	Predicted, Seen                [3]float64
 	Ratio                          [3]float64    // seen time over predicted time of each request, once the model has learned
 	Fair                           float64       // see fair.go: the run was fair if at least 1
+	Margin                         float64       // what the least served organisation started of what it could have, as a ratio of the best served: see fair.go
 	Pace                           PaceResult    // of runs with a PaceLoad
 	Release                        ReleaseResult // of runs with releases
 }
@@ -123,6 +126,7 @@
 	delayed            []delayed
 	shedder            loadShedder
 	starved            starvedRouter
+	overlap            overlap
 	releases           releases
 	listAt             map[wire.NodeID]uint64 // revision of each router's list of engines
 	readingMS          int                    // summed over the engines that have an unread prompt
@@ -219,14 +223,21 @@
 	w.bootReleases(list, table)
 	for i := range w.routers() {
 		id := wire.NodeID(fmt.Sprintf("10.1.0.%d:1", i))
-		n := dispatch.New(dispatch.Settings{ID: id, Inc: 1, Place: placeName(i), Seeds: []wire.NodeID{"10.1.0.0:1"}, Retry: dispatch.DefaultRetryRules, Seed: uint64(i), Disabled: w.Disabled}, startTime)
+		w.order = append(w.order, id)
+		n := w.newNode(id, 1)
 		n.Step(dispatch.Catalogue{Table: table, Instances: list, Revision: 5, AsOf: 9}, startTime)
 		w.nodes[id] = n
-		w.order = append(w.order, id)
 	}
 	return nil
 }
 
+// newNode returns a router that knows the seed alone. Its place and random numbers follow from its
+// position in the order of routers.
+func (w *world) newNode(id wire.NodeID, inc wire.Incarnation) *dispatch.Node {
+	i := slices.Index(w.order, id)
+	return dispatch.New(dispatch.Settings{ID: id, Inc: inc, Place: placeName(i), Seeds: []wire.NodeID{"10.1.0.0:1"}, Retry: dispatch.DefaultRetryRules, Seed: uint64(i), Disabled: w.Disabled}, w.now)
+}
+
 func (s *Scenario) engineConfig() engine.Config {
 	switch {
 	case s.Pace != nil:
@@ -252,6 +263,7 @@
 	w.tickShedder()
 	w.tickStarved()
 	w.tickReleases()
+	w.tickOverlap()
 	w.runDelayed()
 	w.setSpeeds()
 	w.advanceEngines()
