A scheduler that starts again gets the window before it grants more than even parts

A restarted router asked the first router it knew for the window; one outside the scheduler group had nothing, and the next was asked 300 ms later. Where the whole group had started again its members inherited empty windows from each other, and the routers that had scheduled meanwhile had nothing to tell as they were members no more.

Now a router that lacks the window is followed by the next one at once, members of a moment ago tell the window too and are asked after the group, a router tells only what it has asked for itself, and until it knows, a scheduler grants each organisation an even part of the capacity, as a router that decides alone does.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -145,8 +145,11 @@
 
 // mustYield reports whether an organisation has to let others go first.
 func (p *pool) mustYield(a *wire.PlacementRequest, now time.Time) bool {
-	if p.disabled.Shares || a.Resumed && a.Version != 0 {
+	switch {
+	case p.disabled.Shares || a.Resumed && a.Version != 0:
 		return false
+	case p.awaitsSnapshot():
+		return windowTotal(&p.meter.at(a.Org, now).got) >= p.evenPart()
 	}
 	return p.meter.mustYield(a.Org, now)
 }
--- a/internal/dispatch/catalogue.go
+++ b/internal/dispatch/catalogue.go
@@ -48,6 +48,7 @@
 	for _, p := range n.pools {
 		p.setEvacuated(evacuated, now)
 		p.setCapacity(c.Table.Limits.TokensPerSecond)
+		p.organisations = len(n.reports.orgNames)
 	}
 	n.announceFetched(before.AsOf, now)
 }
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -53,8 +53,10 @@
 
 	slots    *slotPool // nil unless it is a plain service whose instances state slots
 	takeover takeoverState
-	versions versions // of the upstreams' software
-	backoffs backoffs // for this router
+	// organisations is the number of organisations in the routing table.
+	organisations int
+	versions      versions // of the upstreams' software
+	backoffs      backoffs // for this router
 }
 
 func newPool(s *routing.Service, tokensPerSecond float64) *pool {
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -30,7 +30,35 @@
 	inGroup  bool
 	done     bool
 	attempts int
+	asked    []wire.NodeID // since all sources were last asked in turn
 	due      time.Time
+	leftAt   time.Time // when this router was last a member that knew the window
+}
+
+// knowsWindow reports whether this router knows what the group knows, as a member that has asked
+// the others, or a member of a moment ago.
+func (h *takeoverState) knowsWindow(now time.Time) bool {
+	return h.inGroup && (h.done || h.attempts >= maxSnapshotFetches) || now.Sub(h.leftAt) < shareSteps*shareStep
+}
+
+// nextSource returns the first router that was not asked yet in this turn.
+func (h *takeoverState) nextSource(sources []wire.NodeID) wire.NodeID {
+	if h.askedAll(sources) {
+		h.asked = nil
+	}
+	i := slices.IndexFunc(sources, func(id wire.NodeID) bool { return !slices.Contains(h.asked, id) })
+	return sources[i]
+}
+
+func (h *takeoverState) askedAll(sources []wire.NodeID) bool {
+	return !slices.ContainsFunc(sources, func(id wire.NodeID) bool { return !slices.Contains(h.asked, id) })
+}
+
+// snapshotSources returns the routers that may know what a service's scheduler group knows: its
+// members, and those that come after them, which were members while members were down.
+func (n *Node) snapshotSources(service version.ID, now time.Time) []wire.NodeID {
+	ranked := n.ranked(service, now)
+	return ranked[:min(2*schedulerGroupSize, len(ranked))]
 }
 
 // FetchSnapshot asks the driver to fetch a service's state from a member of its scheduler group.
@@ -57,22 +85,46 @@
 		group := n.schedulerGroup(p.id, now)
 		h := &p.takeover
 		if !slices.Contains(group, n.settings.ID) {
-			*h = takeoverState{}
+			if h.inGroup && h.knowsWindow(now) {
+				h.leftAt = now
+			}
+			*h = takeoverState{leftAt: h.leftAt}
 			continue
 		}
 		if !h.inGroup {
-			*h = takeoverState{inGroup: true, due: now}
+			*h = takeoverState{inGroup: true, due: now, leftAt: h.leftAt}
+		}
+		otherRouters := n.otherRouters(n.snapshotSources(p.id, now))
+		if !n.HasPeers() && now.Sub(n.startedAt) >= shareSteps*shareStep {
+			h.done = true // it has been the whole fleet for the whole window
 		}
-		otherRouters := n.otherRouters(group)
 		if h.done || len(otherRouters) == 0 || h.attempts >= maxSnapshotFetches || now.Before(h.due) {
 			continue
 		}
-		n.out = append(n.out, FetchSnapshot{From: otherRouters[h.attempts%len(otherRouters)], Service: p.service})
+		from := h.nextSource(otherRouters)
+		n.out = append(n.out, FetchSnapshot{From: from, Service: p.service})
+		h.asked = append(h.asked, from)
 		h.attempts++
 		h.due = now.Add(snapshotFetchInterval)
 	}
 }
 
+// awaitsSnapshot reports whether this router is a member of the scheduler group and does not know
+// yet what the other members know. Until then it grants each organisation an even part of the
+// capacity, as a router that decides alone does.
+//
+// Load pattern: an organisation floods at several times its share, and the scheduler's router
+// starts again. It took everybody for unserved, and granted the flood half a million tokens in the
+// tenth of a second that it waited for the window.
+func (p *pool) awaitsSnapshot() bool {
+	h := &p.takeover
+	return h.inGroup && !h.done && h.attempts > 0 && h.attempts < maxSnapshotFetches
+}
+
+// evenPart is an even part of the capacity for each organisation, in tokens of the window of
+// shares.
+func (p *pool) evenPart() float64 { return p.meter.capacity / float64(max(1, p.organisations)) }
+
 // takeOver prepares the model of a service for decisions after another scheduler, whose usage
 // is in the window. Without usage there was no other scheduler, or it placed nothing.
 func (p *pool) takeOver(now time.Time) {
@@ -89,7 +141,7 @@
 func (n *Node) Snapshot(asker wire.NodeID, now time.Time) *wire.Snapshot {
 	out := &wire.Snapshot{}
 	for _, p := range n.pools {
-		if p.engine == nil || !p.takeover.inGroup {
+		if p.engine == nil || !p.takeover.knowsWindow(now) {
 			continue
 		}
 		out.Services = append(out.Services, p.snapshot(now))
@@ -110,8 +162,15 @@
 	return s
 }
 
-// applySnapshot applies the state that was fetched from a member of a scheduler group.
+// applySnapshot applies the state that was fetched from a member of a scheduler group. A router
+// that was no member of a service's group knows nothing of it, so another one is asked at once.
 func (n *Node) applySnapshot(in SnapshotFetched, now time.Time) {
+	for _, p := range n.pools {
+		h := &p.takeover
+		if sources := n.otherRouters(n.snapshotSources(p.id, now)); !h.done && slices.Contains(h.asked, in.From) && !h.askedAll(sources) {
+			h.due = now
+		}
+	}
 	for _, s := range in.Snapshot.Services {
 		p := n.pools[s.Service]
 		if p == nil || p.engine == nil || p.takeover.done {
--- a/internal/dispatch/takeover_test.go
+++ b/internal/dispatch/takeover_test.go
@@ -106,3 +106,61 @@
 	f := newFleet(t, 3, 1)
 	f.nodes[f.order[0]].Step(SnapshotFetched{Snapshot: &wire.Snapshot{Services: []wire.ServiceSnapshot{{Service: 99}, {Service: serviceID(counter)}}}}, f.now)
 }
+
+// Guards against a scheduler group that starts again and asks only itself: the routers that had
+// scheduled meanwhile were members no more, so each member inherited an empty window from another
+// one, and granted a flood half a million tokens in a tenth of a second.
+func TestRestartedGroupTakesOverTheWindowOfItsStandIns(t *testing.T) {
+	f := newFleet(t, 8, 4)
+	p := serviceID(engines)
+	group := append([]wire.NodeID(nil), f.nodes[f.order[0]].ranked(p, f.now)[:schedulerGroupSize]...)
+	for _, id := range group {
+		f.cut[id] = true
+	}
+	f.run(5 * time.Second)
+	var standIn *Node
+	for _, id := range f.order {
+		if n := f.nodes[id]; !f.cut[id] && n.schedulerOf(p, f.now) == id {
+			standIn = n
+		}
+	}
+	require.NotNil(t, standIn)
+	flood := version.IDOf("flood")
+	standIn.pools[p].meter.addRequest(flood, 5_000_000, f.now)
+	standIn.pools[p].meter.addGrant(flood, 2_000_000, f.now)
+	for _, id := range group {
+		f.cut[id] = false
+		f.restart(id)
+	}
+	for standIn.schedulerOf(p, f.now) != group[0] {
+		f.run(TickInterval)
+	}
+	f.run(20 * TickInterval)
+	assert.InDelta(t, 2_000_000, windowTotal(&f.nodes[group[0]].pools[p].meter.at(flood, f.now).got), 5000)
+}
+
+// Guards against a scheduler that takes everybody for unserved until it has the window.
+func TestSchedulerWithoutTheWindowGrantsEvenParts(t *testing.T) {
+	f := newFleet(t, 4, 4)
+	id := f.scheduler()
+	p := f.nodes[id].pools[serviceID(engines)]
+	p.organisations = 10
+	p.takeover = takeoverState{inGroup: true, attempts: 1, due: f.now.Add(time.Second)}
+	placed := 0.0
+	for no := uint64(1); no <= 30; no++ {
+		f.arrive(id, no, engines, "flood", 9900)
+		switch o := f.got[id][no].(type) {
+		case Placement:
+			placed += Cost(9900, 50)
+			f.nodes[id].Step(FirstEvent{ID: no, After: time.Millisecond}, f.now)
+			f.nodes[id].Step(End{ID: no, Event: wire.ProgressDone}, f.now)
+		case Refuse:
+			assert.Equal(t, ReasonShare, o.Reason)
+		}
+	}
+	assert.InDelta(t, statedWindowTokens/10, placed, Cost(9900, 50))
+	p.takeover.attempts = maxSnapshotFetches
+	assert.False(t, p.awaitsSnapshot(), "nobody has it")
+	p.takeover = takeoverState{inGroup: true, attempts: 1, done: true}
+	assert.False(t, p.awaitsSnapshot())
+}
