A stream with neither a length nor chunks that ends before any event is not whole

Callers got an empty 200 for a request under which its engine had ended after the header, where the answer had neither a length nor chunks: the end of the connection was taken for the end of the answer. It was logged as answered, so the crash was seen by nobody, and it cleared the suspicion of the very request that had caused it.

Such an end is a broken attempt now: the request goes on at another upstream where its route allows that, else it gets 502, and the upstream is probed. Ends between events cannot be told from whole answers by their bytes and stay as they are for the caller. TestStreamThatEndsBeforeAnyEventIsNotWhole failed before (200, no attempt reported).

--- a/internal/request/forward/answer.go
+++ b/internal/request/forward/answer.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -41,6 +42,7 @@
 
 var (
 	errUnproven       = errors.New("the answer lacks the upstream's proof header or has a content encoding")
+	errNoEvent        = fmt.Errorf("the stream ended before any event: %w", io.ErrUnexpectedEOF)
 	errNotResumed     = errors.New("the upstream did not resume the stream")
 	errUnprovenNotRun = errors.New("the upstream's status says that the request did not run, but it may have run")
 )
@@ -76,6 +78,11 @@
 	return false
 }
 
+// isUnframed reports whether an answer has neither a length nor chunks and ends with its connection.
+func isUnframed(res *http.Response) bool {
+	return res.ContentLength < 0 && len(res.TransferEncoding) == 0
+}
+
 func isEventStream(res *http.Response) bool {
 	return strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream")
 }
@@ -311,12 +318,16 @@
 	return stepDone
 }
 
-// streamEnded forwards the end of a stream. Without a length or chunked encoding, a
-// connection that ended with the request's context is a broken stream.
+// streamEnded forwards the end of a stream. Without a length or chunked encoding a connection that
+// ended with the request's context, or before any event, is a broken stream. Between events the
+// end of such a stream cannot be told from one that is broken off.
 func (a *answer) streamEnded(res *http.Response) step {
-	if res.ContentLength < 0 && len(res.TransferEncoding) == 0 && a.ctx.Err() != nil {
+	if isUnframed(res) && a.ctx.Err() != nil {
 		return a.handleBroken(a.ctx.Err())
 	}
+	if isUnframed(res) && !a.firstReported {
+		return a.handleBroken(errNoEvent)
+	}
 	a.whole = true
 	a.answeredWhole()
 	if !a.headersSent {
