Parts of prompts that crash upstreams are held at every router

Routers remembered crashes by whole requests (organisation, method, host, target, body), and no two of these were alike.

Routers remember crashes by the parts that requests share as well: of a part, the crashes since the latest attempt that was answered whole and began after them, at any router. Three consecutive ones hold it a second later, five that overlap after a second and a half, unless it is answered meanwhile; what a held part explains holds nothing else. Every attempt passes the check, whoever placed it. Unframed answers count by what becomes of their upstream.

--- a/internal/core/member/outbox.go
+++ b/internal/core/member/outbox.go
@@ -57,6 +57,38 @@
 	}
 }
 
+// Parts returns the part of a router's datagram about prompt parts that crash upstreams.
+func (o *Outbox) Parts(id wire.NodeID) *wire.PartUpdate {
+	d := o.To(id)
+	if d.Parts == nil {
+		d.Parts = &wire.PartUpdate{}
+	}
+	return d.Parts
+}
+
+// ReplyParts adds a reply about prompt parts that crash upstreams; nil means none.
+func (o *Outbox) ReplyParts(to wire.NodeID, answer *wire.PartUpdate) {
+	if answer == nil {
+		return
+	}
+	p := o.Parts(to)
+	p.Records = append(p.Records, answer.Records...)
+	p.HasChecksum, p.Checksum = answer.HasChecksum, answer.Checksum
+}
+
+// SendParts adds records of prompt parts to the datagrams of all live routers but one.
+func (o *Outbox) SendParts(live []wire.NodeID, but wire.NodeID, records []wire.PartRecord) {
+	if len(records) == 0 {
+		return
+	}
+	for _, id := range live {
+		if id != but {
+			p := o.Parts(id)
+			p.Records = append(p.Records, records...)
+		}
+	}
+}
+
 // Add adds a ping or ack.
 func (o *Outbox) Add(s Send) {
 	d := o.To(s.To)
--- a/internal/core/quarantine/crash.go
+++ b/internal/core/quarantine/crash.go
@@ -20,9 +20,9 @@
 const crashTolerance = 20 * time.Millisecond
 
 // mergeCrash adds a crash to the known ones, which are sorted by time, and reports whether that
-// changed anything. Of a crash that is known already, the times recorded first stay, so that
+// changed anything. At most so many are kept. Of a crash that is known already, the times recorded first stay, so that
 // routers that exchange records repeatedly converge.
-func mergeCrash(known []Crash, c Crash) ([]Crash, bool) {
+func mergeCrash(known []Crash, c Crash, most int) ([]Crash, bool) {
 	for i := range known {
 		if known[i].Upstream != c.Upstream {
 			continue
@@ -31,7 +31,7 @@
 		known[i].Early = known[i].Early || c.Early
 		return known, changed
 	}
-	if len(known) >= maxCrashesPerRequest {
+	if len(known) >= most {
 		return known, false
 	}
 	known = append(known, c)
@@ -39,22 +39,29 @@
 	return known, true
 }
 
-// levelOf returns the level for crashes that are sorted by time. A crash counts only if its
-// attempt began after the previous crash that counted: many upstreams may lose power at once,
-// and what several of them ran then is no more suspect than what one of them ran. Load pattern:
-// a request that everyone sends is at three upstreams of a rack when it loses power.
-func levelOf(crashes []Crash) int {
-	count, early := 0, 0
-	var before time.Time
+// consecutive returns the crashes that count, of crashes that are sorted by time. A crash counts
+// only if its attempt began after the previous crash that counted: many upstreams may lose power
+// at once, and what several of them ran then is no more suspect than what one of them ran. Load
+// pattern: a request that everyone sends is at three upstreams of a rack when it loses power.
+func consecutive(crashes []Crash) []Crash {
+	var out []Crash
 	for _, c := range crashes {
-		if count > 0 && c.Began.Before(before.Add(-crashTolerance)) {
+		if n := len(out); n > 0 && c.Began.Before(out[n-1].At.Add(-crashTolerance)) {
 			continue
 		}
-		count++
+		out = append(out, c)
+	}
+	return out
+}
+
+// levelOf returns the level for crashes that are sorted by time.
+func levelOf(crashes []Crash) int {
+	list := consecutive(crashes)
+	count, early := len(list), 0
+	for _, c := range list {
 		if c.Early {
 			early++
 		}
-		before = c.At
 	}
 	switch {
 	case count >= HoldAfterCrashes:
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -56,6 +56,8 @@
 	changed  bool // since the last call of View
 	sum      uint64
 	sumValid bool // sum is up to date; it is cached since every heartbeat carries it
+
+	explained map[version.ID]bool // crashes that held parts of prompts explain
 }
 
 type entry struct {
@@ -104,7 +106,7 @@
 // addCrash adds a crash, and reports whether it changed the entry.
 func (e *entry) addCrash(c Crash) bool {
 	var changed bool
-	e.crashes, changed = mergeCrash(e.crashes, c)
+	e.crashes, changed = mergeCrash(e.crashes, c, maxCrashesPerRequest)
 	e.level = max(e.level, levelOf(e.crashes))
 	return changed
 }
@@ -226,21 +228,32 @@
 	return max(0, s.Until.Sub(now))
 }
 
-func (e *entry) state() State {
+// stateOf returns what is known of an entry. Crashes that a held part of a prompt explains do not
+// hold it.
+func (l *List) stateOf(e *entry) State {
 	s := State{Crashes: len(e.crashes)}
+	if left := unexplained(e.crashes, l.explained); len(left) < len(e.crashes) && levelOf(left) == levelNone {
+		return s
+	}
 	if hold := e.hold(); hold > 0 {
 		s.Until = e.lastCrash.Add(hold)
 	}
 	return s
 }
 
+// setExplained sets the crashes that held parts of prompts explain.
+func (l *List) setExplained(explained map[version.ID]bool) {
+	l.explained = explained
+	l.changed = true
+}
+
 // State returns what is known of a request.
 func (l *List) State(f fingerprint.Fingerprint) State {
 	e := l.entries[f]
 	if e == nil {
 		return State{}
 	}
-	return e.state()
+	return l.stateOf(e)
 }
 
 // View is an immutable copy of the list, by organisation. For requests of an organisation
@@ -255,7 +268,7 @@
 	l.changed = false
 	out := View{}
 	for f, e := range l.entries {
-		s := e.state()
+		s := l.stateOf(e)
 		if s.Crashes == 0 {
 			continue
 		}
--- a/internal/core/quarantine/tracker.go
+++ b/internal/core/quarantine/tracker.go
@@ -35,6 +35,16 @@
 	maxHeldRecords = 500
 	// exchangeInterval is the minimum time between two such exchanges of two routers.
 	exchangeInterval = time.Second
+	// partAnnounceDelay is how long the first announcement of a part's crash waits.
+	partAnnounceDelay = 150 * time.Millisecond
+	// partUpdateInterval is the shortest time between two changes of the held parts.
+	partUpdateInterval = 50 * time.Millisecond
+	// maxHeldParts bounds the records of held parts that two routers exchange, at up to 400 bytes
+	// each.
+	maxHeldParts = 50
+	// sameEndTolerance is how much earlier than the last answer that an upstream's end broke off an
+	// unframed answer may have ended with it.
+	sameEndTolerance = 50 * time.Millisecond
 	// expireInterval is how often expired state is removed.
 	expireInterval = time.Second
 )
@@ -46,22 +56,31 @@
 // off, or given up by its caller. It becomes a crash once the upstream is known to have ended.
 // One goroutine owns a tracker.
 type Tracker struct {
-	self      wire.NodeID
-	list      *List
-	suspects  map[version.ID][]suspectAttempt // by upstream
-	ended     map[version.ID]time.Time        // by crash
-	left      map[version.ID]time.Time        // upstreams that ended as planned
-	probed    map[version.ID]time.Time
-	pending   map[fingerprint.Fingerprint]pending
-	exchanged map[wire.NodeID]time.Time // by router: when all records of held requests were last sent to it
-	expireAt  time.Time
-	changes   []Change
+	self     wire.NodeID
+	list     *List
+	parts    *partList
+	suspects map[version.ID][]suspectAttempt // by upstream
+	unframed map[version.ID][]suspectAttempt // by upstream: answers that may be whole
+	ended    map[version.ID]time.Time        // by crash
+	left     map[version.ID]time.Time        // upstreams that ended as planned
+	probed   map[version.ID]time.Time
+	pending  map[fingerprint.Fingerprint]pending
+	// pendingParts has the changes of parts that are still to be announced.
+	pendingParts  map[PartKey]pending
+	partsChanged  bool                      // since the last call of PartView
+	partsUpdated  time.Time                 // when held parts last changed
+	exchanged     map[wire.NodeID]time.Time // by router: when all records of held requests were last sent to it
+	exchangedPart map[wire.NodeID]time.Time // the same for held parts
+	expireAt      time.Time
+	changes       []Change
+	partChanges   []PartChange
 }
 
 // suspectAttempt is an attempt that ended without a complete answer.
 type suspectAttempt struct {
 	content fingerprint.Fingerprint
 	org     version.ID
+	parts   []PartKey
 	early   bool // the answer had no event yet
 	began   time.Time
 	at      time.Time
@@ -87,12 +106,17 @@
 	return &Tracker{
 		self:      self,
 		list:      New(),
+		parts:     newPartList(),
+		unframed:  map[version.ID][]suspectAttempt{},
 		suspects:  map[version.ID][]suspectAttempt{},
 		ended:     map[version.ID]time.Time{},
 		left:      map[version.ID]time.Time{},
 		probed:    map[version.ID]time.Time{},
 		pending:   map[fingerprint.Fingerprint]pending{},
 		exchanged: map[wire.NodeID]time.Time{},
+
+		pendingParts:  map[PartKey]pending{},
+		exchangedPart: map[wire.NodeID]time.Time{},
 	}
 }
 
@@ -112,8 +136,9 @@
 	Content fingerprint.Fingerprint
 	Org     version.ID
 	Began   time.Time
-	Early   bool // its answer had no event yet
-	Lost    bool // the upstream's side closed the connection
+	Parts   []PartKey // of its prompt, but for the last one
+	Early   bool      // its answer had no event yet
+	Lost    bool      // the upstream's side closed the connection
 }
 
 // AttemptIncomplete records an attempt at an upstream that ended without a complete answer. It reports whether the upstream is to be probed now.
@@ -121,7 +146,7 @@
 	if _, left := t.left[up]; left {
 		return false // a planned end is no evidence against the requests that it still ran
 	}
-	d := suspectAttempt{a.Content, a.Org, a.Early, a.Began, now}
+	d := suspectAttempt{a.Content, a.Org, a.Parts, a.Early, a.Began, now}
 	if _, ended := t.ended[up]; ended {
 		t.addCrash(up, d, now)
 		return false
@@ -151,18 +176,45 @@
 		return 0, false
 	}
 	t.ended[crash] = now
-	for _, d := range t.suspects[up] {
+	for _, d := range t.brokenOffBy(up) {
 		if now.Sub(d.at) < suspectAttemptTTL {
 			running++
 			t.addCrash(crash, d, now)
 		}
 	}
 	delete(t.suspects, up)
+	delete(t.unframed, up)
 	return running, true
 }
 
+// brokenOffBy returns the attempts that the end of an upstream broke off, as far as this router
+// knows: those without a whole answer, and those whose unframed answers ended with the last of
+// them.
+func (t *Tracker) brokenOffBy(up version.ID) []suspectAttempt {
+	out := t.suspects[up]
+	var last time.Time
+	for _, list := range [][]suspectAttempt{out, t.unframed[up]} {
+		for _, d := range list {
+			if d.at.After(last) {
+				last = d.at
+			}
+		}
+	}
+	for _, d := range t.unframed[up] {
+		if last.Sub(d.at) <= sameEndTolerance {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
 // addCrash attributes an upstream's crash to an attempt that was running there.
 func (t *Tracker) addCrash(up version.ID, d suspectAttempt, now time.Time) {
+	for _, k := range d.parts {
+		if t.parts.addCrash(k, d.org, Crash{Upstream: up, Early: d.early, Began: d.began, At: d.at}) {
+			t.announcePart(k, now)
+		}
+	}
 	before := t.list.State(d.content).Crashes
 	if t.list.AddCrash(d.content, d.org, Crash{Upstream: up, Early: d.early, Began: d.began, At: d.at}) {
 		t.changed(d.content, d.org, t.self, before, now)
@@ -179,6 +231,189 @@
 	t.changed(f, record.Org, t.self, before, now)
 }
 
+// Answer is an attempt that was answered whole.
+type Answer struct {
+	Parts []PartKey // of its prompt, but for the last one
+	Began time.Time
+	// Framed is false if the answer had neither a length nor chunks: the end of such an answer
+	// cannot be told from one that its upstream broke off.
+	Framed  bool
+	Content fingerprint.Fingerprint // of an unframed answer
+	Org     version.ID
+}
+
+// AnsweredBy records the whole answer of an attempt at an upstream. It clears the crashes of its
+// parts before it. An unframed answer counts once a later attempt at the upstream has been
+// answered, or no end of the upstream has become known in time.
+func (t *Tracker) AnsweredBy(up version.ID, a Answer, now time.Time) {
+	t.confirmUnframed(up, a.Began, now)
+	if a.Framed {
+		t.clearParts(a.Parts, a.Began, now)
+		return
+	}
+	d := suspectAttempt{a.Content, a.Org, a.Parts, false, a.Began, now}
+	if _, ended := t.ended[up]; ended {
+		t.addCrash(up, d, now)
+		return
+	}
+	if list := t.unframed[up]; len(list) < maxSuspectAttempts {
+		t.unframed[up] = append(list, d)
+	}
+}
+
+// confirmUnframed counts the unframed answers of an upstream that ended before an attempt which
+// was answered began: the upstream was alive.
+func (t *Tracker) confirmUnframed(up version.ID, began, now time.Time) {
+	list := t.unframed[up]
+	if len(list) == 0 {
+		return
+	}
+	t.unframed[up] = slices.DeleteFunc(list, func(d suspectAttempt) bool {
+		if !d.at.Before(began) {
+			return false
+		}
+		t.clearUnframed(d, now)
+		return true
+	})
+}
+
+// clearUnframed counts an unframed answer as whole.
+func (t *Tracker) clearUnframed(d suspectAttempt, now time.Time) {
+	t.clearParts(d.parts, d.began, now)
+	if t.list.State(d.content).Crashes > 0 {
+		t.Answered(d.content, now)
+	}
+}
+
+// clearParts clears the crashes of parts before an attempt that was answered whole.
+func (t *Tracker) clearParts(parts []PartKey, began, now time.Time) {
+	for _, k := range parts {
+		if t.parts.answer(k, began) {
+			t.announcePart(k, now)
+		}
+	}
+}
+
+// announcePart plans the announcement of a change of a part. It waits for a moment, in which most
+// parts that ran beside the guilty one are cleared, here or at another router.
+func (t *Tracker) announcePart(k PartKey, now time.Time) {
+	t.partsChanged = true
+	w := t.pendingParts[k]
+	if w.remaining == 0 {
+		w.due = now.Add(partAnnounceDelay)
+	}
+	w.remaining = announceCount
+	t.pendingParts[k] = w
+}
+
+// takePendingParts returns the records of parts that are due, those with the most crashes first.
+// Parts that were cleared before anybody was told of them are left out.
+func (t *Tracker) takePendingParts(now time.Time) []wire.PartRecord {
+	var due []PartKey
+	for k, w := range t.pendingParts {
+		switch p := t.parts.parts[k]; {
+		case p == nil || len(p.crashes) == 0 && !p.told:
+			delete(t.pendingParts, k)
+		case !now.Before(w.due):
+			due = append(due, k)
+		}
+	}
+	slices.SortFunc(due, func(a, b PartKey) int {
+		return cmp.Or(cmp.Compare(len(t.parts.parts[b].crashes), len(t.parts.parts[a].crashes)), a.compare(b))
+	})
+	var out []wire.PartRecord
+	for _, k := range due[:min(len(due), maxAnnounced)] {
+		w := t.pendingParts[k]
+		w.remaining, w.due = w.remaining-1, now.Add(announceInterval)
+		t.parts.parts[k].told = true
+		t.pendingParts[k] = w
+		if w.remaining == 0 {
+			delete(t.pendingParts, k)
+		}
+		if r, known := t.parts.record(k, now); known {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// TickParts removes expired state of parts, holds the parts that are due, and returns the records
+// to send to all routers now. It is called after Tick.
+func (t *Tracker) TickParts(now time.Time) []wire.PartRecord {
+	if now.Sub(t.partsUpdated) >= partUpdateInterval && t.parts.update(now) {
+		t.partsChanged, t.partsUpdated = true, now
+		t.list.setExplained(t.parts.explained)
+		t.logParts(now)
+	}
+	return t.takePendingParts(now)
+}
+
+// PartChange is a part that is held, or no longer is, for the log.
+type PartChange struct {
+	Part    PartKey
+	Crashes int
+	Held    bool
+}
+
+// PartChanges returns the changes since the last call.
+func (t *Tracker) PartChanges() []PartChange {
+	out := t.partChanges
+	t.partChanges = nil
+	return out
+}
+
+// logParts records which parts are held now.
+func (t *Tracker) logParts(now time.Time) {
+	for _, w := range t.parts.heldRecords(now) {
+		t.partChanges = append(t.partChanges, PartChange{Part: PartKey{w.Service, w.Part}, Crashes: len(w.Crashes), Held: true})
+	}
+	if len(t.parts.held) == 0 {
+		t.partChanges = append(t.partChanges, PartChange{})
+	}
+}
+
+// PartView returns a copy of the held parts, and whether it has changed since the last call. rank
+// is this router's rank for a part.
+func (t *Tracker) PartView(rank func(PartKey) int) (PartView, bool) {
+	if !t.partsChanged {
+		return nil, false
+	}
+	t.partsChanged = false
+	return t.parts.view(rank), true
+}
+
+// HandleParts handles another router's update on parts. It returns a reply when the two routers do
+// not hold the same parts.
+func (t *Tracker) HandleParts(from wire.NodeID, c *wire.PartUpdate, now time.Time) *wire.PartUpdate {
+	for _, w := range c.Records {
+		changed, ahead := t.parts.merge(w, now)
+		t.partsChanged = t.partsChanged || changed
+		if k := (PartKey{w.Service, w.Part}); !ahead {
+			delete(t.pendingParts, k) // everybody has been told what this router knows
+		} else if _, known := t.pendingParts[k]; !known {
+			t.announcePart(k, now)
+		}
+	}
+	if !c.HasChecksum || c.Checksum == t.parts.checksum() {
+		return nil
+	}
+	if at, known := t.exchangedPart[from]; known && now.Sub(at) < exchangeInterval {
+		return nil
+	}
+	t.exchangedPart[from] = now
+	return t.HeldParts(now)
+}
+
+// HeldParts returns all records of held parts, for a router that has just started or holds
+// different parts.
+func (t *Tracker) HeldParts(now time.Time) *wire.PartUpdate {
+	held := t.parts.heldRecords(now)
+	return &wire.PartUpdate{Records: held[:min(len(held), maxHeldParts)], HasChecksum: true, Checksum: t.parts.checksum()}
+}
+
+// PartsChecksum returns a value that is the same at routers that hold the same parts.
+func (t *Tracker) PartsChecksum() uint64 { return t.parts.checksum() }
+
 // changed records a change for the log and, when this router observed it, for all other
 // routers. A single crash and its clearing are not logged, since tens of sound requests are
 // suspected with each crash.
@@ -257,6 +492,19 @@
 
 func (t *Tracker) removeExpired(now time.Time) {
 	t.list.Expire(now)
+	t.partsChanged = t.parts.expire(now) || t.partsChanged
+	for up, list := range t.unframed {
+		t.unframed[up] = slices.DeleteFunc(list, func(d suspectAttempt) bool {
+			if now.Sub(d.at) < suspectAttemptTTL {
+				return false
+			}
+			t.clearUnframed(d, now)
+			return true
+		})
+		if len(t.unframed[up]) == 0 {
+			delete(t.unframed, up)
+		}
+	}
 	for up, list := range t.suspects {
 		list = slices.DeleteFunc(list, func(d suspectAttempt) bool { return now.Sub(d.at) >= suspectAttemptTTL })
 		t.suspects[up] = list
@@ -268,6 +516,7 @@
 	maps.DeleteFunc(t.ended, old)
 	maps.DeleteFunc(t.left, old)
 	maps.DeleteFunc(t.probed, old)
+	maps.DeleteFunc(t.exchangedPart, func(_ wire.NodeID, at time.Time) bool { return now.Sub(at) >= exchangeInterval })
 	maps.DeleteFunc(t.exchanged, func(_ wire.NodeID, at time.Time) bool { return now.Sub(at) >= exchangeInterval })
 }
 
--- a/internal/core/wire/wire.go
+++ b/internal/core/wire/wire.go
@@ -87,6 +87,7 @@
 	Dispatch          *Dispatch       `cbor:"17,keyasint,omitempty"`
 	Join              *JoinRequest    `cbor:"18,keyasint,omitempty"` // the sender has just started and requests the members it does not know yet
 	Crashes           *CrashUpdate    `cbor:"20,keyasint,omitempty"`
+	Parts             *PartUpdate     `cbor:"21,keyasint,omitempty"`
 	JoinClock         uint32          `cbor:"19,keyasint,omitempty"` // reply to Join: Updates hold every change up to this clock
 }
 
--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/silverswitch/silverswitch/internal/core/quarantine"
 	"github.com/silverswitch/silverswitch/internal/core/wire"
 	"github.com/silverswitch/silverswitch/internal/routing"
 )
@@ -20,15 +21,17 @@
 
 // fleet is a set of nodes with a network between them, which can cut nodes off.
 type fleet struct {
-	t      *testing.T
-	now    time.Time
-	nodes  map[wire.NodeID]*Node
-	order  []wire.NodeID
-	cut    map[wire.NodeID]bool
-	got    map[wire.NodeID]map[uint64]Output // Placement or Refuse
-	events []Event
-	sends  map[wire.NodeID]int // datagrams sent by each node, if they are counted
-	lose   func() bool         // whether a datagram is lost; if nil, none are
+	t     *testing.T
+	now   time.Time
+	nodes map[wire.NodeID]*Node
+	order []wire.NodeID
+	cut   map[wire.NodeID]bool
+	// partViews has the latest copies of the held parts of prompts.
+	partViews map[wire.NodeID]quarantine.PartView
+	got       map[wire.NodeID]map[uint64]Output // Placement or Refuse
+	events    []Event
+	sends     map[wire.NodeID]int // datagrams sent by each node, if they are counted
+	lose      func() bool         // whether a datagram is lost; if nil, none are
 
 	partitioned func(a, b wire.NodeID) bool // whether two routers cannot reach each other; may be nil
 
@@ -69,7 +72,7 @@
 }
 
 func newFleet(t *testing.T, nodes, ups int) *fleet {
-	f := &fleet{t: t, now: start, nodes: map[wire.NodeID]*Node{}, cut: map[wire.NodeID]bool{}, got: map[wire.NodeID]map[uint64]Output{}}
+	f := &fleet{t: t, now: start, nodes: map[wire.NodeID]*Node{}, cut: map[wire.NodeID]bool{}, partViews: map[wire.NodeID]quarantine.PartView{}, got: map[wire.NodeID]map[uint64]Output{}}
 	for i := range nodes {
 		id := wire.NodeID(fmt.Sprintf("10.1.0.%d:1", i))
 		n := New(Settings{ID: id, Inc: 1, Place: "p", Seeds: []wire.NodeID{"10.1.0.0:1"}, Retry: DefaultRetryRules, Seed: uint64(i)}, start)
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -119,6 +119,7 @@
 	timedOutRequests map[uint64]timedOutRequest // by request number
 	reports          reports
 	crashes          *quarantine.Tracker
+	partViewAt       time.Time // of the last copy of the held parts
 	quorum           quorum
 	leavingUpstreams leavingUpstreams
 
@@ -246,6 +247,8 @@
 		n.upstreamEnded(in.Instance, "connection refused", now)
 	case Answered:
 		n.crashes.Answered(in.Content, now)
+	case PromptAnswered:
+		n.promptAnswered(in, now)
 	case HealthCheckFailed:
 		n.healthCheckFailed(in, now)
 	case RetryAfter:
@@ -280,6 +283,7 @@
 	n.tickReports(now)
 	n.reportColdChanges(now)
 	n.outbox.SendCrashes(n.members.Live(true), n.settings.ID, n.crashes.Tick(now))
+	n.outbox.SendParts(n.members.Live(true), n.settings.ID, n.crashes.TickParts(now))
 	n.tickHeartbeat(now)
 }
 
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -32,6 +32,7 @@
 	}
 	if d.Join != nil {
 		n.outbox.ReplyCrashes(d.From, n.crashes.HeldUpdate(now))
+		n.outbox.ReplyParts(d.From, n.crashes.HeldParts(now))
 		n.attachStoreState(d.From, now) // it needs a table, and knows no other router yet
 	}
 	if d.Dispatch != nil {
@@ -40,6 +41,9 @@
 	if d.Crashes != nil {
 		n.outbox.ReplyCrashes(d.From, n.crashes.HandleUpdate(d.From, d.Crashes, now))
 	}
+	if d.Parts != nil {
+		n.outbox.ReplyParts(d.From, n.crashes.HandleParts(d.From, d.Parts, now))
+	}
 }
 
 func (n *Node) handleDispatch(from wire.NodeID, w *wire.Dispatch, now time.Time) {
--- a/internal/lab/tokens/overlap.go
+++ b/internal/lab/tokens/overlap.go
@@ -21,7 +21,7 @@
 type Overlap struct {
 	LostRouters    int     // routers that lose power, the scheduler first
 	CrashedEngines float64 // fraction of the engines that crash
-	PerSecond      int     // requests that the small router processes in a second
+	PerSecond      int     // requests that the small router processes in a second; 0: the second flood too comes through all routers
 }
 
 const (
@@ -165,7 +165,7 @@
 // shedBySmallRouter reports whether the small router sheds a call. Its work is reported as load
 // shedding reports it.
 func (w *world) shedBySmallRouter(c *call) bool {
-	if w.Overlap == nil || c.router != w.overloadedRouter() || !w.isOverlapping(overloadedOrg) {
+	if w.Overlap == nil || w.Overlap.PerSecond == 0 || c.router != w.overloadedRouter() || !w.isOverlapping(overloadedOrg) {
 		return false
 	}
 	o := &w.overlap
--- a/internal/lab/tokens/overload.go
+++ b/internal/lab/tokens/overload.go
@@ -60,7 +60,7 @@
 // fixedRouter returns the router that receives a call, if it is not drawn at random.
 func (w *world) fixedRouter(c *call) (wire.NodeID, bool) {
 	if w.Overlap != nil {
-		return w.overloadedRouter(), c.org == overloadedOrg
+		return w.overloadedRouter(), c.org == overloadedOrg && w.Overlap.PerSecond > 0
 	}
 	switch {
 	case !w.hasTwoFloods() || w.Starved && c.tries > 0:
--- a/internal/process/quarantine.go
+++ b/internal/process/quarantine.go
@@ -16,7 +16,15 @@
 // quarantineSnapshot is the published copy of the control state's list of requests that
 // crash upstreams. Any goroutine may read it.
 type quarantineSnapshot struct {
-	view atomic.Pointer[quarantine.View]
+	view  atomic.Pointer[quarantine.View]
+	parts atomic.Pointer[quarantine.PartView]
+}
+
+// publishParts stores a copy of the held parts of prompts if they have changed.
+func (q *quarantineSnapshot) publishParts(view quarantine.PartView, changed bool) {
+	if changed {
+		q.parts.Store(&view)
+	}
 }
 
 // publish stores a copy of the list if it has changed.
@@ -40,6 +48,19 @@
 	return rc.quarantined.forOrg(version.IDOf(org))
 }
 
+// HeldParts implements forward.Control.
+func (rc *RoutedController) HeldParts(service string) (map[uint64]quarantine.PartState, bool) {
+	view := rc.quarantined.parts.Load()
+	if view == nil {
+		return nil, false
+	}
+	held, suspected := (*view)[version.IDOf(service)]
+	return held, suspected
+}
+
+// PromptAnswered implements forward.Control.
+func (rc *RoutedController) PromptAnswered(a dispatch.PromptAnswered) { rc.Step(a) }
+
 // AttemptIncomplete implements forward.Control.
 func (rc *RoutedController) AttemptIncomplete(b dispatch.AttemptIncomplete) { rc.Step(b) }
 
--- a/internal/process/reportlog.go
+++ b/internal/process/reportlog.go
@@ -1,6 +1,8 @@
 package process
 
 import (
+	"fmt"
+
 	"github.com/rs/zerolog"
 
 	"github.com/silverswitch/silverswitch/internal/dispatch"
@@ -28,6 +30,8 @@
 			Uint64("refused", o.Since.Refused).Uint64("displaced", o.Since.Displaced).Uint64("expired", o.Since.Expired).Uint64("rejected", o.Since.Rejected).Msg("plain-slots")
 	case dispatch.UpstreamEnded:
 		log.Info().Str("upstream", o.Instance.ID).Str("address", o.Instance.Address).Str("by", o.By).Int("running", o.Running).Msg("upstream-ended")
+	case dispatch.PartReport:
+		log.Info().Str("service", o.Service).Str("part", fmt.Sprintf("%016x", o.Part)).Int("crashes", o.Crashes).Bool("held", o.Service != "").Msg("prompt-part-held")
 	case dispatch.QuarantineReport:
 		log.Info().Stringer("fingerprint", o.Content).Str("organisation", o.Org).Int("crashes", o.Crashes).Int64("held_ms", o.Held.Milliseconds()).
 			Str("seen_by", string(o.From)).Msg("request-suspected")
--- a/internal/process/requestcost_bench_test.go
+++ b/internal/process/requestcost_bench_test.go
@@ -115,13 +115,15 @@
 func (c *costControl) Unservable(string, routing.Regions) (dispatch.Refuse, bool) {
 	return dispatch.Refuse{}, false
 }
-func (c *costControl) RequestShed(dispatch.ShedWork)         {}
-func (c *costControl) PlaceAgain(*forward.Ticket, uint8)     {}
-func (c *costControl) End(*forward.Ticket, uint8)            {}
-func (c *costControl) ConnRefused(routing.Instance)          {}
-func (c *costControl) AnsweredWhole(fingerprint.Fingerprint) {}
-func (c *costControl) UpstreamLeaving(string)                {}
-func (c *costControl) Leaving() bool                         { return false }
+func (c *costControl) RequestShed(dispatch.ShedWork)                            {}
+func (c *costControl) PlaceAgain(*forward.Ticket, uint8)                        {}
+func (c *costControl) End(*forward.Ticket, uint8)                               {}
+func (c *costControl) ConnRefused(routing.Instance)                             {}
+func (c *costControl) PromptAnswered(dispatch.PromptAnswered)                   {}
+func (c *costControl) HeldParts(string) (map[uint64]quarantine.PartState, bool) { return nil, false }
+func (c *costControl) AnsweredWhole(fingerprint.Fingerprint)                    {}
+func (c *costControl) UpstreamLeaving(string)                                   {}
+func (c *costControl) Leaving() bool                                            { return false }
 
 func (c *costControl) FirstEvent(*forward.Ticket, time.Duration)         {}
 func (c *costControl) StreamPace(*forward.Ticket, dispatch.StreamPace)   {}
--- a/internal/process/routedcontroller.go
+++ b/internal/process/routedcontroller.go
@@ -151,6 +151,7 @@
 	}
 	rc.node.Tick(now)
 	rc.quarantined.publish(rc.node.Quarantine())
+	rc.quarantined.publishParts(rc.node.HeldParts(now))
 	rc.ticks++
 	load := rc.overload.current()
 	delays, overloaded := load.delaysMessages(), load.ratio > 0
@@ -241,7 +242,7 @@
 			rc.drainUpstream(o)
 		case dispatch.Probe:
 			go rc.probe(o.Instance)
-		case dispatch.ShareReport, dispatch.FairnessReport, dispatch.EngineReport, dispatch.LocalDecisionReport, dispatch.SlotReport, dispatch.UpstreamEnded, dispatch.QuarantineReport:
+		case dispatch.ShareReport, dispatch.FairnessReport, dispatch.EngineReport, dispatch.LocalDecisionReport, dispatch.SlotReport, dispatch.UpstreamEnded, dispatch.QuarantineReport, dispatch.PartReport:
 			logReport(rc.log, o)
 		case dispatch.ColdChange:
 			logColdChange(rc.log, o)
--- a/internal/request/forward/answer.go
+++ b/internal/request/forward/answer.go
@@ -36,6 +36,7 @@
 	firstReported bool            // firstEvent was called
 	unflushed     bool            // events were written to the caller and not yet sent
 
+	survived    bool          // see reportSurvival
 	timeToFirst time.Duration // from sending to the first event
 	pace        paceMeter
 }
@@ -145,7 +146,7 @@
 		return a.passThrough(res, buffered.raw)
 	}
 	a.whole = true
-	a.answeredWhole()
+	a.answeredWhole(res)
 	note := wire.ProgressDone
 	if res.StatusCode >= 500 {
 		note = wire.ProgressFailed
@@ -186,7 +187,7 @@
 		return stepDone
 	}
 	a.whole = true
-	a.answeredWhole()
+	a.answeredWhole(res)
 	a.s.ctrl.End(a.ticket, wire.ProgressDone)
 	a.logAnswered(a.placement, res.StatusCode, a.timeToFirst)
 	return stepDone
@@ -242,7 +243,9 @@
 			_ = a.flush(rc) // before the stream is resumed, which may take long
 			return a.handleBroken(err)
 		case ok:
-			a.eventRead(time.Now())
+			now := time.Now()
+			a.eventRead(now)
+			a.reportSurvival(now)
 			if err := a.writeEvent(res, e); err != nil {
 				return a.callerUnreachable()
 			}
@@ -329,7 +332,7 @@
 		return a.handleBroken(errNoEvent)
 	}
 	a.whole = true
-	a.answeredWhole()
+	a.answeredWhole(res)
 	if !a.headersSent {
 		a.headersSent = true
 		a.firstEvent()
--- a/internal/request/forward/control.go
+++ b/internal/request/forward/control.go
@@ -49,6 +49,13 @@
 	// Quarantined returns the state of an organisation's requests during which upstreams
 	// have crashed. The map must not be modified.
 	Quarantined(org string) map[fingerprint.Fingerprint]quarantine.State
+	// HeldParts returns the parts of prompts that are held at a service because upstreams have
+	// crashed while they ran requests with them, and whether any part is suspected there. The map
+	// must not be modified.
+	HeldParts(service string) (held map[uint64]quarantine.PartState, suspected bool)
+	// PromptAnswered reports a whole answer to a request with a prompt: each one while parts are
+	// suspected, and each that was unframed.
+	PromptAnswered(dispatch.PromptAnswered)
 	// AttemptIncomplete reports an attempt that may have run and ended without a whole answer.
 	AttemptIncomplete(dispatch.AttemptIncomplete)
 	// ConnRefused reports that an instance's address refuses connections.
--- a/internal/request/forward/harness_test.go
+++ b/internal/request/forward/harness_test.go
@@ -56,6 +56,8 @@
 	leftInstances map[string]bool // instances that have left
 
 	quarantinedRequests map[fingerprint.Fingerprint]quarantine.State
+	heldParts           map[uint64]quarantine.PartState // nil while none is suspected
+	promptsAnswered     []dispatch.PromptAnswered
 	incompleteAttempts  []dispatch.AttemptIncomplete
 	refusedConnections  []string // instances that refused connections
 	answeredWhole       []fingerprint.Fingerprint
@@ -121,6 +123,18 @@
 	c.incompleteAttempts = append(c.incompleteAttempts, b)
 }
 
+func (c *fakeControl) HeldParts(string) (map[uint64]quarantine.PartState, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.heldParts, c.heldParts != nil
+}
+
+func (c *fakeControl) PromptAnswered(a dispatch.PromptAnswered) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.promptsAnswered = append(c.promptsAnswered, a)
+}
+
 func (c *fakeControl) ConnRefused(i routing.Instance) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
