--- a/internal/dispatch/lead.go
+++ b/internal/dispatch/lead.go
@@ -28,7 +28,7 @@
 	// yieldFloorRatio is the ratio of its share of the stated capacity, or of an even part of what
 	// is granted where none is stated, below which an organisation is never held back. It bounds
 	// what others lose by an organisation that starts nothing whatever they leave to it.
-	yieldFloorRatio = 0.5
+	yieldFloorRatio = 0.4
 	// stepsPerSecond is the number of steps in a second. Within it an organisation that goes short
 	// is refused something.
 	stepsPerSecond = int64(time.Second / shareStep)
