Without a stated capacity a restarted scheduler grants what engines take

Read in the code: while it waited for the window, a scheduler of a service without a stated capacity would have refused every request, as an even part of nothing is nothing. TestSchedulerWithoutTheWindowGrantsEvenParts has the case.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -148,7 +148,7 @@
 	switch {
 	case p.disabled.Shares || a.Resumed && a.Version != 0:
 		return false
-	case p.awaitsSnapshot():
+	case p.awaitsSnapshot() && p.meter.capacity > 0:
 		return windowTotal(&p.meter.at(a.Org, now).got) >= p.evenPart()
 	}
 	return p.meter.mustYield(a.Org, now)
--- a/internal/dispatch/takeover_test.go
+++ b/internal/dispatch/takeover_test.go
@@ -159,6 +159,8 @@
 		}
 	}
 	assert.InDelta(t, statedWindowTokens/10, placed, Cost(9900, 50))
+	p.meter.setCapacity(0)
+	assert.False(t, p.mustYield(&wire.PlacementRequest{Org: version.IDOf("flood")}, f.now), "no capacity is stated")
 	p.takeover.attempts = maxSnapshotFetches
 	assert.False(t, p.awaitsSnapshot(), "nobody has it")
 	p.takeover = takeoverState{inGroup: true, attempts: 1, done: true}
