--- a/internal/request/forward/heldpart_test.go
+++ b/internal/request/forward/heldpart_test.go
@@ -1,7 +1,10 @@
 package forward
 
 import (
+	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -73,3 +76,25 @@
 		}
 	}
 }
+
+// Guards against a sound part that is held while its streams run on: a stream may last longer than
+// it takes to hold a part, and shows that the part is sound long before it is whole.
+func TestStreamThatRunsOnShowsThatItsPromptIsSound(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		w.Header().Set("X-Proof", "p")
+		w.Header().Set("Content-Type", "text/event-stream")
+		for i := 1; i <= 8; i++ {
+			fmt.Fprintf(w, "id: %d\ndata: e%d\n\n", i, i)
+			w.(http.Flusher).Flush()
+			time.Sleep(survivalTime / 6)
+		}
+	}))
+	t.Cleanup(s.Close)
+	r := newHarness(t, strings.TrimPrefix(s.URL, "http://"))
+	r.control.heldUntil("other", time.Now().Add(time.Hour))
+	_, _, err := r.do(t, "POST", "/stream/x", "b", "X-Parts", "f1:40,last:9")
+	require.NoError(t, err)
+	require.Len(t, r.control.promptsAnswered, 2, "once while it runs, and once as it ends")
+	assert.Equal(t, []uint64{PartID("f1")}, r.control.promptsAnswered[0].Parts)
+}
