What most requests share is not held for a part that crashes upstreams

Records say how many attempts one router saw at each crash (largest of all). Of equals the one that was never answered goes first; parts that always came together are no longer held together, as holding one stops both.

--- a/internal/core/quarantine/parts.go
+++ b/internal/core/quarantine/parts.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -32,6 +34,13 @@
 	// looks the same, but what ran there is answered elsewhere in that time.
 	holdPartAfterAnyCrashes = 5
 	partLongSettleTime      = 1500 * time.Millisecond
+	// widePartSettleTime takes the place of both for a part that was in several attempts at each
+	// crash: it is widely shared, so that holding it in error would refuse most requests, and
+	// something with it is answered by then.
+	widePartSettleTime = 2500 * time.Millisecond
+	// wideAttempts is the mean number of attempts at a crash, at the router that saw most of them,
+	// from which a part counts as widely shared.
+	wideAttempts = 1.5
 	// holdPartDuration is how long a part is held after its last crash. It doubles with each crash
 	// after a hold.
 	holdPartDuration    = 10 * time.Minute
@@ -62,8 +71,10 @@
 	org      version.ID
 	answered time.Time // start of the latest attempt that was answered whole
 	crashes  []Crash   // after answered, by time
-	settled  time.Time // when the crashes hold the part, zero if they are too few
-	told     bool      // other routers have been told of a crash, or have told of one
+	// attempts has how many attempts with the part one router saw at a crash, at most; own is what
+	// this router saw.
+	attempts, own map[version.ID]int
+	told          bool // other routers have been told of a crash, or have told of one
 }
 
 // partList holds the parts with crashes. One goroutine owns it.
@@ -84,22 +95,38 @@
 	p := l.parts[k]
 	if p == nil {
 		l.evictIfFull()
-		p = &part{org: org}
+		p = newPart(org)
 		l.parts[k] = p
 	}
+	if !p.clears(c) {
+		p.own[c.Upstream]++
+		p.attempts[c.Upstream] = max(p.attempts[c.Upstream], p.own[c.Upstream])
+	}
 	return p.addCrash(c)
 }
 
+func newPart(org version.ID) *part {
+	return &part{org: org, attempts: map[version.ID]int{}, own: map[version.ID]int{}}
+}
+
 func (p *part) addCrash(c Crash) bool {
 	if p.clears(c) || len(p.crashes) >= maxCrashesPerPart {
 		return false
 	}
 	var changed bool
 	p.crashes, changed = mergeCrash(p.crashes, c, maxCrashesPerPart)
-	p.settled = settledAt(p.crashes)
 	return changed
 }
 
+// isWide reports whether the part was in several attempts at each of some crashes.
+func (p *part) isWide(crashes []Crash) bool {
+	attempts := 0
+	for _, c := range crashes {
+		attempts += max(1, p.attempts[c.Upstream])
+	}
+	return float64(attempts) >= wideAttempts*float64(len(crashes))
+}
+
 // clears reports whether an attempt that was answered whole began after a crash.
 func (p *part) clears(c Crash) bool {
 	return !p.answered.IsZero() && p.answered.After(c.At.Add(-crashTolerance))
@@ -119,20 +146,31 @@
 	p.answered = began
 	before := len(p.crashes)
 	p.crashes = slices.DeleteFunc(p.crashes, p.clears)
-	p.settled = settledAt(p.crashes)
+	if len(p.crashes) == 0 {
+		clear(p.attempts)
+		clear(p.own)
+	}
 	return len(p.crashes) < before
 }
 
-// settledAt returns when crashes, sorted by time, hold a part, or zero if they do not.
-func settledAt(crashes []Crash) time.Time {
+// settledAt returns when some of the part's crashes, sorted by time, hold it, or zero if they do
+// not.
+func (p *part) settledAt(crashes []Crash) time.Time {
 	var at time.Time
+	wide := p.isWide(crashes)
+	earliest := func(last Crash, settle time.Duration) {
+		if wide {
+			settle = widePartSettleTime
+		}
+		if due := last.At.Add(settle); at.IsZero() || due.Before(at) {
+			at = due
+		}
+	}
 	if len(crashes) >= holdPartAfterAnyCrashes {
-		at = crashes[holdPartAfterAnyCrashes-1].At.Add(partLongSettleTime)
+		earliest(crashes[holdPartAfterAnyCrashes-1], partLongSettleTime)
 	}
-	if n := consecutive(crashes); len(n) >= holdPartAfterCrashes {
-		if early := n[holdPartAfterCrashes-1].At.Add(partSettleTime); at.IsZero() || early.Before(at) {
-			at = early
-		}
+	if list := consecutive(crashes); len(list) >= holdPartAfterCrashes {
+		earliest(list[holdPartAfterCrashes-1], partSettleTime)
 	}
 	return at
 }
@@ -156,62 +194,53 @@
 	return p.crashes[len(p.crashes)-1].At
 }
 
-// update finds the parts that are held now, and reports whether they have changed. Of parts that
-// the crashes of another one explain, none is held.
+// update finds the parts that are held now, and reports whether they have changed. Those that are
+// not widely shared come first, then those with the most crashes, then those that were never
+// answered. A part is held only for crashes that no part before it explains: once the guilty one is
+// held, the others are answered again.
 func (l *partList) update(now time.Time) bool {
-	var due []PartKey
+	type candidate struct {
+		key  PartKey
+		wide bool
+		part *part
+	}
+	var due []candidate
 	for k, p := range l.parts {
-		if !p.settled.IsZero() && !now.Before(p.settled) {
-			due = append(due, k)
+		if at := p.settledAt(p.crashes); !at.IsZero() && !now.Before(at) {
+			due = append(due, candidate{k, p.isWide(p.crashes), p})
 		}
 	}
 	if len(due) == 0 && len(l.held) == 0 {
 		return false
 	}
-	slices.SortFunc(due, func(a, b PartKey) int {
-		p, q := l.parts[a], l.parts[b]
-		return cmp.Or(cmp.Compare(len(q.crashes), len(p.crashes)), p.settled.Compare(q.settled), a.compare(b))
+	slices.SortFunc(due, func(a, b candidate) int {
+		return cmp.Or(compareBool(a.wide, b.wide), cmp.Compare(len(b.part.crashes), len(a.part.crashes)),
+			compareBool(!a.part.answered.IsZero(), !b.part.answered.IsZero()), a.key.compare(b.key))
 	})
 	held, explained := map[PartKey]bool{}, map[version.ID]bool{}
-	for _, k := range due {
-		p := l.parts[k]
-		at := settledAt(unexplained(p.crashes, explained))
-		if suspect := !at.IsZero() && !now.Before(at); !suspect && !l.cameWith(held, p.crashes) {
+	for _, c := range due {
+		if at := c.part.settledAt(unexplained(c.part.crashes, explained)); at.IsZero() || now.Before(at) {
 			continue
 		}
-		held[k] = true
-		for _, c := range p.crashes {
-			explained[c.Upstream] = true
+		held[c.key] = true
+		for _, crash := range c.part.crashes {
+			explained[crash.Upstream] = true
 		}
 	}
-	changed := len(held) != len(l.held) || len(explained) != len(l.explained)
-	for k := range held {
-		changed = changed || !l.held[k]
-	}
-	for up := range explained {
-		changed = changed || !l.explained[up]
-	}
+	changed := !maps.Equal(held, l.held) || !maps.Equal(explained, l.explained)
 	l.held, l.explained = held, explained
 	return changed
 }
 
-// cameWith reports whether a held part has exactly these crashes: nothing tells the two parts
-// apart, as they came together each time.
-func (l *partList) cameWith(held map[PartKey]bool, crashes []Crash) bool {
-	for k := range held {
-		if other := l.parts[k].crashes; len(other) == len(crashes) && len(unexplained(crashes, upstreamsOf(other))) == 0 {
-			return true
-		}
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
 	}
-	return false
-}
-
-func upstreamsOf(crashes []Crash) map[version.ID]bool {
-	out := map[version.ID]bool{}
-	for _, c := range crashes {
-		out[c.Upstream] = true
-	}
-	return out
+	return 1
 }
 
 // unexplained returns the crashes that are not explained.
@@ -238,7 +267,7 @@
 			return false, false
 		}
 		l.evictIfFull()
-		p = &part{org: w.Org}
+		p = newPart(w.Org)
 		l.parts[k] = p
 		changed = true
 	}
@@ -247,7 +276,10 @@
 		changed = p.answer(ago(now, w.AnsweredAge)) || changed
 	}
 	theirs := map[version.ID]bool{}
-	for _, c := range w.Crashes {
+	for i, c := range w.Crashes {
+		if i < len(w.Attempts) && int(w.Attempts[i]) > p.attempts[c.Upstream] {
+			p.attempts[c.Upstream] = int(w.Attempts[i])
+		}
 		crash := Crash{Upstream: c.Upstream, Early: c.Early, Began: ago(now, c.AttemptAgeMS), At: ago(now, c.AgeMS)}
 		theirs[c.Upstream] = true
 		ahead = ahead || p.clears(crash)
@@ -268,6 +300,7 @@
 	}
 	for _, c := range p.crashes {
 		w.Crashes = append(w.Crashes, wire.Crash{Upstream: c.Upstream, Early: c.Early, AttemptAgeMS: ageMS(now, c.Began), AgeMS: ageMS(now, c.At)})
+		w.Attempts = append(w.Attempts, uint8(min(max(1, p.attempts[c.Upstream]), math.MaxUint8)))
 	}
 	return w, true
 }
@@ -334,7 +367,7 @@
 func (l *partList) expire(now time.Time) (removed bool) {
 	for k, p := range l.parts {
 		ttl := partSuspicionTTL
-		if !p.settled.IsZero() {
+		if !p.settledAt(p.crashes).IsZero() {
 			ttl = 2 * p.holdOf()
 		}
 		if now.Sub(p.lastCrash()) >= ttl && now.Sub(p.answered) >= partSuspicionTTL {
--- a/internal/core/wire/parts.go
+++ b/internal/core/wire/parts.go
@@ -21,4 +21,5 @@
 	Answered    bool       // some request with the part was answered whole
 	AnsweredAge uint32     // milliseconds since the start of the latest attempt that was
 	Crashes     []Crash    // after that
+	Attempts    []uint8    // with the part that one router saw at each crash, at most
 }
