--- a/internal/dispatch/catalogue.go
+++ b/internal/dispatch/catalogue.go
@@ -64,7 +64,7 @@
 	}
 	for _, e := range c.Ended {
 		if p, u := n.upstreamOf(e.Instance); u != nil {
-			p.drop(u, now)
+			p.drop(u)
 			n.upstreamDelisted(p, u, born[u.inst.ID], now)
 		}
 	}
@@ -87,7 +87,7 @@
 	}
 	for _, s := range c.Table.Services {
 		p := n.poolOf(s, c.Table)
-		for _, u := range p.setInstances(by[s.Name], now) {
+		for _, u := range p.setInstances(by[s.Name]) {
 			n.upstreamDelisted(p, u, born[u.inst.ID], now)
 		}
 	}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -84,7 +84,7 @@
 
 // setInstances applies the full list of the service's instances. It returns the upstreams
 // that are no longer listed.
-func (p *pool) setInstances(list []routing.Instance, now time.Time) (gone []*upstream) {
+func (p *pool) setInstances(list []routing.Instance) (gone []*upstream) {
 	listed := make(map[version.ID]routing.Instance, len(list))
 	for _, inst := range list {
 		listed[version.IDOf(inst.StartID())] = inst
@@ -99,7 +99,7 @@
 		}
 	}
 	for _, u := range gone {
-		p.drop(u, now)
+		p.drop(u)
 	}
 	return gone
 }
@@ -130,9 +130,8 @@
 }
 
 // drop removes an upstream and the runs at it.
-func (p *pool) drop(u *upstream, now time.Time) {
+func (p *pool) drop(u *upstream) {
 	for _, r := range u.runs {
-		p.refundLost(r, now)
 		delete(p.runs, r.key)
 	}
 	if u.cache != nil {
@@ -186,18 +185,6 @@
 	}
 }
 
-// refundLost takes back the cost of a run whose upstream or router is gone before it started.
-//
-// Load pattern: routers lose power while an organisation floods through one of them. What it had
-// been granted there and never started counted as had for four seconds, and its requests at other
-// routers were refused.
-func (p *pool) refundLost(r *run, now time.Time) {
-	if p.engine != nil && !r.firstEvent && !r.overtaken {
-		r.overtaken = true
-		p.meter.refund(r.org, r.cost, r.placedAt, now)
-	}
-}
-
 // maxStartDelay is how much later than a run its upstream may have been given one that has
 // started. Upstreams start requests in the order of arrival, so a run that is overtaken by more
 // was not sent.
@@ -273,11 +260,6 @@
 
 // dropRouters drops all placements and stated loads of routers that are gone.
 func (p *pool) dropRouters(gone map[wire.NodeID]bool, now time.Time) {
-	for _, r := range p.runs {
-		if gone[r.key.node] {
-			p.refundLost(r, now)
-		}
-	}
 	p.forgetWhere(func(r *run) bool { return gone[r.key.node] }, now)
 	for id := range gone {
 		p.applyLoads(id, nil, now)
