Routers alone and load shedders go by the stated share again

With share updates that carry what the lead allows, an organisation that goes short is under its allowance, so a router starved of processor by its flood let all of it in.

--- a/internal/dispatch/lead.go
+++ b/internal/dispatch/lead.go
@@ -96,37 +96,6 @@
 	return used
 }
 
-// windowLimit returns what an organisation may have been granted in the window of shares, by the
-// strictest of the limits, or infinity if nobody else goes short.
-func (l *ledger) windowLimit(org version.ID) float64 {
-	lowest := math.Inf(1)
-	for age, limit := range l.limits {
-		lowest = min(lowest, limit.of(org)*shareSteps/float64(age+1))
-	}
-	return lowest
-}
-
-// allowance returns how many tokens of the window of shares an organisation may have by the
-// decisions of routers that do not know the engines' backlogs: what its lead over others allows
-// while somebody goes short, else its share.
-func (m *meter) allowance(org version.ID) float64 {
-	share := m.shares[org]
-	if limit := m.ledger.windowLimit(org); !math.IsInf(limit, 1) {
-		return max(limit, m.yieldFloor(org))
-	}
-	return share
-}
-
-// usedAllowance returns how much of its allowance an organisation has used, as a ratio: 1 or more
-// if others go first.
-func (m *meter) usedAllowance(org version.ID, now time.Time) float64 {
-	used := m.usedShare(org, now)
-	if lead := m.ledger.usedLead(org); lead > 0 && windowTotal(&m.usageOf(org).got) >= m.yieldFloor(org) {
-		return lead
-	}
-	return used
-}
-
 // yieldFloor returns the tokens of the window of shares below which an organisation is never held
 // back.
 func (m *meter) yieldFloor(org version.ID) float64 {
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -124,9 +124,9 @@
 		return decision{reason: reason, retryAfter: maxRetryAfter}, false
 	}
 	standIn := p.engine != nil && n.schedulerOf(p.id, now) != n.settings.ID
-	if used := p.meter.usedAllowance(a.Org, now); standIn && used >= 1 && p.mayRefuse(a) {
+	if usedShare := p.meter.usedShare(a.Org, now); standIn && usedShare >= 1 && p.mayRefuse(a) {
 		n.countLocalDecision(p, a, false, now)
-		return decision{reason: ReasonShare, retryAfter: minRetryAfter, usedShare: usedSharePercent(used)}, true
+		return decision{reason: ReasonShare, retryAfter: minRetryAfter, usedShare: usedSharePercent(usedShare)}, true
 	}
 	n.prepareColdDecision(p, now)
 	n.prepareSlots(p, now)
--- a/internal/dispatch/sharecoverage.go
+++ b/internal/dispatch/sharecoverage.go
@@ -65,9 +65,9 @@
 // coverageByShare is the ratio that the share covers, by the scheduler's own meter.
 func (m *meter) coverageByShare(org version.ID, now time.Time) float64 {
 	m.updateShares(now)
-	allowance := m.allowance(org)
-	if allowance <= 0 || m.usedAllowance(org, now) < 1 {
+	u, share := m.usageOf(org), m.shares[org]
+	if share <= 0 || windowTotal(&u.got) < share {
 		return 1
 	}
-	return coverageFactor * allowance / max(1, windowTotal(&m.usageOf(org).requested))
+	return coverageFactor * share / max(1, windowTotal(&u.requested))
 }
--- a/internal/dispatch/shareupdate.go
+++ b/internal/dispatch/shareupdate.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"math"
 	"time"
 
 	"github.com/silverswitch/silverswitch/internal/core/wire"
@@ -72,13 +71,13 @@
 		return
 	}
 	n.shareUpdates.sent[k] = now
-	used := p.meter.usedAllowance(org, now)
+	usedShare := p.meter.usedShare(org, now)
 	w := n.work(to)
 	w.ShareUpdates = append(w.ShareUpdates, wire.ShareUpdate{
 		Service:      p.id,
 		Org:          org,
-		SharePercent: usedSharePercent(used),
-		Share:        uint32(min(p.meter.allowance(org), math.MaxUint32)),
+		SharePercent: usedSharePercent(usedShare),
+		Share:        uint32(p.meter.shares[org]),
 		Requested:    uint32(windowTotal(&p.meter.usageOf(org).requested)),
 	})
 }
