--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -26,16 +26,15 @@
 	store                   *store
 	ln                      net.Listener
 
-	mu       sync.Mutex
-	cond     *sync.Cond
-	running  int
-	waiting  int
-	conns    map[net.Conn]bool
-	seq      int
-	draining bool
-	listed   bool
-	shed     atomic.Int64
-	stopped  chan struct{}
+	mu      sync.Mutex
+	cond    *sync.Cond
+	running int
+	waiting int
+	conns   map[net.Conn]bool
+	seq     int
+	listed  bool
+	shed    atomic.Int64
+	stopped chan struct{}
 }
 
 const (
