--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -114,11 +114,14 @@
 	return nil
 }
 
+// endClosed is how an attempt ends whose connection was closed by the other side.
+const endClosed = "closed"
+
 func shortError(err error) string {
 	if ne, ok := err.(net.Error); ok && ne.Timeout() {
 		return "time-out"
 	}
-	return "closed"
+	return endClosed
 }
 
 func (q *requester) close() {
--- a/review/harness/routers.go
+++ b/review/harness/routers.go
@@ -193,12 +193,15 @@
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "GOMAXPROCS=1"}
 	cmd.Stdout, cmd.Stderr = out, out
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stopping {
+		return nil // the run is over
+	}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	r.mu.Lock()
 	r.cmd = cmd
-	r.mu.Unlock()
 	r.rec.add("process %s starts", r.name)
 	return nil
 }
@@ -227,6 +230,12 @@
 			f.rec.say("process %s doesn't start: %v", r.name, err)
 			return
 		}
+		r.mu.Lock()
+		over := r.stopping
+		r.mu.Unlock()
+		if over {
+			return
+		}
 	}
 }
 
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -91,6 +91,16 @@
 	return v.store.put("servers/"+v.id, nil)
 }
 
+// drain reports "draining", and returns when the store has acknowledged it.
+func (v *server) drain() time.Time {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.listed = false // no further check-ins
+	v.seq++
+	return v.store.put("servers/"+v.id, map[string]any{"service": v.service, "address": v.addr, "zone": v.zone, "version": "v1",
+		"slots": v.slots, "state": "draining", "cold_remaining_ms": 0, "seq": v.seq})
+}
+
 // stop ends the server: its port is closed, and so are its connections.
 func (v *server) stop() {
 	close(v.stopped)
