--- a/internal/conn/exchange.go
+++ b/internal/conn/exchange.go
@@ -48,10 +48,14 @@
 	Target string // path and query, unchanged
 	Host   string
 	Header http.Header
-	Body   []byte
+	Body   [][]byte // in pieces
 	// StillWanted is called once the connection is open, before the first byte is
 	// written; the message is sent only if it returns true or StillWanted is nil.
 	StillWanted func() bool
+	// OnWritten is called once the message has been written, or writing it has failed: Body is
+	// not used any more. Another goroutine may call it. It is not called if Send returns
+	// ErrNotSent or ErrWithdrawn; may be nil.
+	OnWritten func()
 	// OnStart is called with the exchange before the first byte is written; may be nil.
 	OnStart func(*Exchange)
 	// UpstreamStart identifies the start of the upstream that the message is for, so that
@@ -66,6 +70,7 @@
 	c             *upstreamConn
 	upstreamStart string
 	written       chan error
+	sentWhole     bool // cached result of SentWhole
 	stopOnCancel  func() bool
 	closed        bool
 }
@@ -101,38 +106,47 @@
 }
 
 func (x *Exchange) write(m *Message) {
-	head := encodeHeader(m)
-	if len(m.Body) <= maxInlineBodyBytes {
-		_, err := x.c.Write(append(head, m.Body...))
-		x.written <- err
+	size := 0
+	for _, p := range m.Body {
+		size += len(p)
+	}
+	if size <= maxInlineBodyBytes {
+		raw := encodeHeader(m, size, size)
+		for _, p := range m.Body {
+			raw = append(raw, p...)
+		}
+		_, err := x.c.Write(raw)
+		x.handleWritten(m, err)
 		return
 	}
+	bufs := append(net.Buffers{encodeHeader(m, size, 0)}, m.Body...)
 	go func() {
-		bufs := net.Buffers{head, m.Body}
 		_, err := bufs.WriteTo(x.c.Conn)
-		x.written <- err
+		x.handleWritten(m, err)
 	}()
 }
 
-func encodeHeader(m *Message) []byte {
+func (x *Exchange) handleWritten(m *Message, err error) {
+	if m.OnWritten != nil {
+		m.OnWritten()
+	}
+	x.written <- err
+}
+
+// encodeHeader encodes the header of a message whose body has size bytes, and leaves room for
+// more bytes.
+func encodeHeader(m *Message, size, room int) []byte {
 	var b bytes.Buffer
-	b.Grow(1024 + len(m.Body)*boolInt(len(m.Body) <= maxInlineBodyBytes))
+	b.Grow(1024 + room)
 	b.WriteString(m.Method + " " + m.Target + " HTTP/1.1\r\nHost: " + m.Host + "\r\n")
 	_ = m.Header.Write(&b) // writing to a bytes.Buffer never fails
-	if len(m.Body) > 0 || m.Method == http.MethodPost || m.Method == http.MethodPut || m.Method == http.MethodPatch {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(m.Body)) + "\r\n")
+	if size > 0 || m.Method == http.MethodPost || m.Method == http.MethodPut || m.Method == http.MethodPatch {
+		b.WriteString("Content-Length: " + strconv.Itoa(size) + "\r\n")
 	}
 	b.WriteString("\r\n")
 	return b.Bytes()
 }
 
-func boolInt(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // readHeader reads response headers until the one of this exchange. Interim responses and
 // late answers to earlier requests are skipped.
 func (x *Exchange) readHeader(method string, own func(*http.Response) bool) error {
@@ -177,7 +191,7 @@
 	x.closed = true
 	x.pool.inFlight.remove(x)
 	alive := x.stopOnCancel()
-	if !whole || !alive || x.Response == nil || x.Response.Close || !x.sentWhole() || x.c.br.Buffered() > 0 || x.Response.ContentLength < 0 && len(x.Response.TransferEncoding) == 0 {
+	if !whole || !alive || x.Response == nil || x.Response.Close || !x.SentWhole() || x.c.br.Buffered() > 0 || x.Response.ContentLength < 0 && len(x.Response.TransferEncoding) == 0 {
 		x.c.Close()
 		return
 	}
@@ -195,14 +209,14 @@
 	return known && n > 0
 }
 
-// sentWhole reports whether the request was written completely.
-func (x *Exchange) sentWhole() bool {
+// SentWhole reports whether the request has been written completely.
+func (x *Exchange) SentWhole() bool {
 	select {
 	case err := <-x.written:
-		return err == nil
+		x.sentWhole = err == nil
 	default:
-		return false
 	}
+	return x.sentWhole
 }
 
 // IsNotSent reports whether an error of Send proves that no byte was sent.
--- a/internal/conn/exchange_test.go
+++ b/internal/conn/exchange_test.go
@@ -108,7 +108,7 @@
 		_, _ = c.Write([]byte(okAnswer))
 		_, _ = io.Copy(io.Discard, c)
 	})
-	x, err := NewExchanges().Send(context.Background(), addr, &Message{Method: "POST", Target: "/", Host: "h", Header: http.Header{}, Body: []byte(strings.Repeat("x", 8<<20))}, anyAnswer)
+	x, err := NewExchanges().Send(context.Background(), addr, &Message{Method: "POST", Target: "/", Host: "h", Header: http.Header{}, Body: [][]byte{[]byte(strings.Repeat("x", 8<<20))}}, anyAnswer)
 	require.NoError(t, err)
 	raw, err := io.ReadAll(x.Response.Body)
 	require.NoError(t, err)
--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -37,6 +37,7 @@
 	ReasonKeyExpired   Reason = "key-outside-window"
 	ReasonKeyForgotten Reason = "key-may-be-forgotten"
 	ReasonCrashes      Reason = "crashes-upstreams"
+	ReasonMemory       Reason = "memory-full"
 )
 
 // Start permits a request to run at an upstream.
--- a/internal/fingerprint/fingerprint.go
+++ b/internal/fingerprint/fingerprint.go
@@ -42,8 +42,8 @@
 	Organisation string
 	Method       string
 	Host         string
-	Target       string // path and query
-	Body         []byte
+	Target       string   // path and query
+	Body         [][]byte // in pieces
 }
 
 // Of returns the fingerprint of a request's content.
@@ -55,6 +55,8 @@
 		h.Write(size[:])
 		h.Write([]byte(field))
 	}
-	h.Write(c.Body)
+	for _, p := range c.Body {
+		h.Write(p)
+	}
 	return Fingerprint(binary.BigEndian.Uint64(h.Sum(nil)))
 }
--- a/internal/fingerprint/fingerprint_test.go
+++ b/internal/fingerprint/fingerprint_test.go
@@ -17,17 +17,17 @@
 
 func TestFingerprintDependsOnlyOnContent(t *testing.T) {
 	k := key(t, "a secret of the fleet")
-	c := Content{Organisation: "alpha", Method: "POST", Host: "h.example", Target: "/a/b", Body: []byte("body")}
+	c := Content{Organisation: "alpha", Method: "POST", Host: "h.example", Target: "/a/b", Body: [][]byte{[]byte("body")}}
 	same := k.Of(c)
 	assert.Equal(t, same, key(t, "a secret of the fleet").Of(c), "every router of the fleet computes the same")
 	assert.NotEqual(t, same, key(t, "another secret").Of(c), "the content cannot be guessed without the secret")
 	for name, other := range map[string]Content{
-		"organisation": {Organisation: "beta", Method: "POST", Host: "h.example", Target: "/a/b", Body: []byte("body")},
-		"method":       {Organisation: "alpha", Method: "PUT", Host: "h.example", Target: "/a/b", Body: []byte("body")},
-		"host":         {Organisation: "alpha", Method: "POST", Host: "i.example", Target: "/a/b", Body: []byte("body")},
-		"path":         {Organisation: "alpha", Method: "POST", Host: "h.example", Target: "/a/c", Body: []byte("body")},
-		"body":         {Organisation: "alpha", Method: "POST", Host: "h.example", Target: "/a/b", Body: []byte("bodz")},
-		"bounds":       {Organisation: "alpha", Method: "POST", Host: "h.example/", Target: "a/b", Body: []byte("body")},
+		"organisation": {Organisation: "beta", Method: "POST", Host: "h.example", Target: "/a/b", Body: [][]byte{[]byte("body")}},
+		"method":       {Organisation: "alpha", Method: "PUT", Host: "h.example", Target: "/a/b", Body: [][]byte{[]byte("body")}},
+		"host":         {Organisation: "alpha", Method: "POST", Host: "i.example", Target: "/a/b", Body: [][]byte{[]byte("body")}},
+		"path":         {Organisation: "alpha", Method: "POST", Host: "h.example", Target: "/a/c", Body: [][]byte{[]byte("body")}},
+		"body":         {Organisation: "alpha", Method: "POST", Host: "h.example", Target: "/a/b", Body: [][]byte{[]byte("bodz")}},
+		"bounds":       {Organisation: "alpha", Method: "POST", Host: "h.example/", Target: "a/b", Body: [][]byte{[]byte("body")}},
 	} {
 		assert.NotEqual(t, same, k.Of(other), name)
 	}
@@ -37,7 +37,7 @@
 // compute none while no request of the organisation is suspected.
 func BenchmarkFingerprint(b *testing.B) {
 	k := key(b, "a secret of the fleet")
-	c := Content{Organisation: "alpha", Method: "POST", Host: "h.example", Target: "/a/b", Body: bytes.Repeat([]byte("x"), 40<<10)}
+	c := Content{Organisation: "alpha", Method: "POST", Host: "h.example", Target: "/a/b", Body: [][]byte{bytes.Repeat([]byte("x"), 40<<10)}}
 	for b.Loop() {
 		k.Of(c)
 	}
--- /dev/null
+++ b/internal/memory/account.go
@@ -0,0 +1,199 @@
+// Package memory keeps the account of the memory that requests hold, by organisation.
+package memory
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// freeMultiple bounds what one organisation may hold, as a multiple of what is still free
+	// (dynamic thresholds, Choudhury and Hahn, 1998): one alone gets four fifths of the limit, and a
+	// fifth is free when another comes.
+	freeMultiple = 4
+	// minRetryDelay and maxRetryDelay bound the estimate of RetryDelay.
+	minRetryDelay = 100 * time.Millisecond
+	maxRetryDelay = 2 * time.Second
+	// initialHoldTime is the mean time for which memory is held, before any is released.
+	initialHoldTime = time.Second
+	// holdTimeWeight is the weight of the latest release in the mean hold time.
+	holdTimeWeight = 0.1
+	// backlogPeriod is the period after which refused bytes are no longer expected back.
+	backlogPeriod = time.Second
+	// shortRatio is the fraction of the limit from which memory is short.
+	shortRatio = 0.25
+)
+
+// Account bounds the sum of the memory that requests hold. An organisation is refused once it
+// holds freeMultiple times what is free, so the one that fills the memory is the one that is
+// refused. It is safe for concurrent use.
+type Account struct {
+	now func() time.Time
+
+	mu       sync.Mutex
+	limit    int64
+	used     int64
+	base     int64
+	refused  int64
+	orgs     map[string]*holder // that hold memory
+	holdTime time.Duration      // mean time from reserving to releasing
+	idle     [][]byte           // chunks that were released and are not used again yet
+}
+
+// holder is what an organisation holds.
+type holder struct {
+	used         int64
+	backlog      int64 // bytes refused since backlogSince
+	backlogSince time.Time
+}
+
+// NewAccount returns an account with a limit in bytes.
+func NewAccount(limit int64) *Account {
+	return &Account{now: time.Now, limit: limit, orgs: map[string]*holder{}, holdTime: initialHoldTime}
+}
+
+// Usage is the state of an account. All sizes are in bytes.
+type Usage struct {
+	Limit         int64            `json:"limit"`
+	Used          int64            `json:"used"`
+	Idle          int64            `json:"idle"`          // kept to be used again
+	Base          int64            `json:"base"`          // held by the process for anything but requests
+	Refused       int64            `json:"refused"`       // reservations refused so far
+	Organisations map[string]int64 `json:"organisations"` // that hold memory
+}
+
+// Usage returns the present state.
+func (a *Account) Usage() Usage {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	u := Usage{Limit: a.limit, Used: a.used, Idle: a.idleBytes(), Base: a.base, Refused: a.refused, Organisations: make(map[string]int64, len(a.orgs))}
+	for name, h := range a.orgs {
+		u.Organisations[name] = h.used
+	}
+	return u
+}
+
+func (a *Account) idleBytes() int64 { return int64(len(a.idle)) * chunkBytes }
+
+// Used returns the bytes held.
+func (a *Account) Used() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.used
+}
+
+// Short reports whether memory is short, so that it is worth CPU time to release some sooner.
+func (a *Account) Short() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return float64(a.used) >= shortRatio*float64(a.limit)
+}
+
+// collected updates the account after a collection that left live bytes in the process: the
+// limit follows what is held for anything but requests, and half of the idle chunks are left to
+// the next collection.
+func (a *Account) collected(live int64, limitFor func(base int64) int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.base = max(0, live-a.used-a.idleBytes())
+	a.limit = limitFor(a.base)
+	a.keepIdle(len(a.idle) / 2)
+}
+
+// keepIdle keeps the first n idle chunks.
+func (a *Account) keepIdle(n int) {
+	clear(a.idle[n:])
+	a.idle = a.idle[:n]
+}
+
+// Hold is memory that a request holds. Its methods are safe for concurrent use.
+type Hold struct {
+	account *Account
+	org     string
+	bytes   int64
+	since   time.Time
+}
+
+// Hold returns an empty hold of an organisation.
+func (a *Account) Hold(org string) Hold { return Hold{account: a, org: org, since: a.now()} }
+
+// Reserve adds n bytes to the hold. It returns false, and adds nothing, if the organisation has
+// used up what it may hold.
+func (h *Hold) Reserve(n int64) bool {
+	a := h.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	o := a.orgs[h.org]
+	held := int64(0)
+	if o != nil {
+		held = o.used
+	}
+	free := a.limit - a.used - n
+	if free < 0 || held+n > freeMultiple*free {
+		a.refused++
+		return false
+	}
+	if n == 0 {
+		return true
+	}
+	if o == nil {
+		o = &holder{}
+		a.orgs[h.org] = o
+	}
+	o.used += n
+	a.used += n
+	h.bytes += n
+	a.keepIdle(min(len(a.idle), int(free/chunkBytes)))
+	return true
+}
+
+// Split moves n bytes of the hold to a new one.
+func (h *Hold) Split(n int64) Hold {
+	a := h.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n = min(n, h.bytes)
+	h.bytes -= n
+	return Hold{account: a, org: h.org, bytes: n, since: h.since}
+}
+
+// Release releases the whole hold.
+func (h *Hold) Release() {
+	a := h.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if h.bytes == 0 {
+		return
+	}
+	a.holdTime += time.Duration(holdTimeWeight * float64(a.now().Sub(h.since)-a.holdTime))
+	a.used -= h.bytes
+	o := a.orgs[h.org]
+	if o.used -= h.bytes; o.used == 0 {
+		delete(a.orgs, h.org)
+	}
+	h.bytes = 0
+}
+
+// RetryDelay estimates when an organisation whose reservation of n bytes was refused may reserve
+// them: the time in which what it was refused lately is released, at the rate of Little's law.
+// Where it holds little itself, the memory is filled by others, and what they release counts.
+func (a *Account) RetryDelay(org string, n int64) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	held, backlog := a.used, n
+	if o := a.orgs[org]; o != nil {
+		if now := a.now(); now.Sub(o.backlogSince) >= backlogPeriod {
+			o.backlog, o.backlogSince = 0, now
+		}
+		o.backlog += n
+		backlog = o.backlog
+		if 2*o.used >= a.used {
+			held = o.used
+		}
+	}
+	if held == 0 {
+		return minRetryDelay
+	}
+	d := time.Duration(float64(a.holdTime) * float64(backlog) / float64(held))
+	return min(max(d, minRetryDelay), maxRetryDelay)
+}
--- a/internal/process/appdaemon.go
+++ b/internal/process/appdaemon.go
@@ -15,6 +15,7 @@
 	"github.com/silverswitch/silverswitch/internal/core"
 	"github.com/silverswitch/silverswitch/internal/core/wire"
 	"github.com/silverswitch/silverswitch/internal/fingerprint"
+	"github.com/silverswitch/silverswitch/internal/memory"
 	"github.com/silverswitch/silverswitch/internal/request"
 )
 
@@ -32,6 +33,7 @@
 	upstreams       *conn.Upstreams
 	callers         *http.Server
 	operator        *http.Server
+	memory          *memory.Account
 	shutdownTracing func(context.Context) error
 	leaving         atomic.Bool
 	stop            context.CancelFunc
@@ -46,7 +48,7 @@
 		return nil, err
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	d := &AppDaemon{set: set, log: log, stop: stop, upstreams: conn.NewUpstreams(conn.DefaultLimits)}
+	d := &AppDaemon{set: set, log: log, stop: stop, upstreams: conn.NewUpstreams(conn.DefaultLimits), memory: memory.ForVM(ctx, set.MemoryMB)}
 	if d.shutdownTracing, err = startTracing(ctx, set); err != nil {
 		stop()
 		return nil, err
@@ -103,7 +105,7 @@
 		callers.Close()
 		return ErrSettings.Wrap(err, "[router] operator_address = %q", d.set.Operator)
 	}
-	server := request.NewServer(d.ctrl, d.upstreams, fingerprintKey, d.set.Limits, reg)
+	server := request.NewServer(d.ctrl, d.upstreams, fingerprintKey, d.set.Limits, d.memory, reg)
 	d.callers = &http.Server{
 		Handler:           d.withCloseHint(server.Handler()),
 		ReadHeaderTimeout: d.set.HeadTime,
--- a/internal/process/requestcost_bench_test.go
+++ b/internal/process/requestcost_bench_test.go
@@ -24,6 +24,7 @@
 	"github.com/silverswitch/silverswitch/internal/core/quarantine"
 	"github.com/silverswitch/silverswitch/internal/dispatch"
 	"github.com/silverswitch/silverswitch/internal/fingerprint"
+	"github.com/silverswitch/silverswitch/internal/memory"
 	"github.com/silverswitch/silverswitch/internal/request/forward"
 	"github.com/silverswitch/silverswitch/internal/routing"
 )
@@ -66,7 +67,7 @@
 	exchanges := conn.NewExchanges()
 	defer exchanges.Close()
 	log := zerolog.New(io.Discard)
-	handler := forward.NewServer(ctrl, exchanges, costDialect, key, forward.Limits{MaxRequests: 1000, MaxAnswerBytes: 1 << 20}, metrics.NewRegistry(), log)
+	handler := forward.NewServer(ctrl, exchanges, costDialect, key, forward.Limits{MaxRequests: 1000, Memory: memory.NewAccount(64 << 20)}, metrics.NewRegistry(), log)
 	cs, err := newCallerServer("127.0.0.1:0", handler, 4096, func() bool { return false }, log)
 	require.NoError(b, err)
 	defer cs.close()
--- a/internal/process/routedcontroller.go
+++ b/internal/process/routedcontroller.go
@@ -14,6 +14,7 @@
 	"github.com/silverswitch/silverswitch/internal/core/quarantine"
 	"github.com/silverswitch/silverswitch/internal/core/wire"
 	"github.com/silverswitch/silverswitch/internal/dispatch"
+	"github.com/silverswitch/silverswitch/internal/memory"
 	"github.com/silverswitch/silverswitch/internal/request/forward"
 	"github.com/silverswitch/silverswitch/internal/routing"
 )
@@ -83,6 +84,7 @@
 	Slots       dispatch.SlotStatus `json:"slots"`
 	Capacity    []dispatch.Capacity `json:"capacity"` // of the services that this router schedules
 	Role        dispatch.Role       `json:"role"`
+	Memory      memory.Usage        `json:"memory"` // of requests; set by the daemon
 }
 
 // NewRoutedController returns a controller that is not running yet.
--- a/internal/process/routeddaemon.go
+++ b/internal/process/routeddaemon.go
@@ -7,9 +7,9 @@
 	"fmt"
 	"io"
 	stdlog "log"
+	"maps"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"sync"
 	"time"
 
@@ -21,6 +21,7 @@
 	"github.com/silverswitch/silverswitch/internal/core/wire"
 	"github.com/silverswitch/silverswitch/internal/dispatch"
 	"github.com/silverswitch/silverswitch/internal/fingerprint"
+	"github.com/silverswitch/silverswitch/internal/memory"
 	"github.com/silverswitch/silverswitch/internal/request/forward"
 )
 
@@ -38,17 +39,12 @@
 	operatorServer  *http.Server
 	readyServer     *http.Server
 	metricsServer   *http.Server
+	memory          *memory.Account
 	shutdownTracing func(context.Context) error
 	stop            context.CancelFunc
 }
 
 const (
-	// memoryLimitRatio is the fraction of the VM's memory that is set as the garbage
-	// collector's limit; the rest is for C library stacks and socket buffers.
-	memoryLimitRatio = 0.7
-	// gcPercent is the heap growth in percent that starts a collection. It is higher than
-	// Go's default: below memoryLimitRatio memory is cheaper than CPU time.
-	gcPercent = 200
 	// shutdownMargin is the part of a planned stop's bound that is reserved for closing.
 	shutdownMargin = 600 * time.Millisecond
 )
@@ -66,7 +62,6 @@
 // opened.
 func StartRouted(set Settings, dep Deployment, log zerolog.Logger) (*RoutedDaemon, error) {
 	source, dialect := dep.Source, dep.HeaderNames
-	setMemoryLimit(set.MemoryMB)
 	reg := metrics.NewRegistry()
 	sealer, err := conn.NewSealer(set.Secret, "route")
 	if err != nil {
@@ -77,7 +72,7 @@
 		return nil, err
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	d := &RoutedDaemon{set: set, log: log, stop: stop, exchanges: conn.NewExchanges()}
+	d := &RoutedDaemon{set: set, log: log, stop: stop, exchanges: conn.NewExchanges(), memory: memory.ForVM(ctx, set.MemoryMB)}
 	if d.shutdownTracing, err = startTracing(ctx, set); err != nil {
 		stop()
 		return nil, err
@@ -92,7 +87,7 @@
 		d.close()
 		return nil, err
 	}
-	if d.callerServer, err = newCallerServer(set.Callers, forward.NewServer(d.ctrl, d.exchanges, dialect, key, limitsFor(set.MemoryMB), reg, log), set.Files, d.controlBehind, log); err != nil {
+	if d.callerServer, err = newCallerServer(set.Callers, forward.NewServer(d.ctrl, d.exchanges, dialect, key, forward.Limits{MaxRequests: maxRequestsFor(set.MemoryMB), Memory: d.memory}, reg, log), set.Files, d.controlBehind, log); err != nil {
 		d.close()
 		return nil, err
 	}
@@ -132,24 +127,20 @@
 }
 
 const (
-	// maxRequestsPerMB is the number of concurrent requests per megabyte of the VM's
-	// memory: 60 KB each for bodies, buffers and stacks, in half of the memory.
+	// maxRequestsPerMB is the number of concurrent requests per megabyte of the VM's memory:
+	// 60 KB each, in half of the memory. What they hold is bounded by the memory account.
 	maxRequestsPerMB = 8
-	// answerMemoryDivisor divides the VM's memory to give the bytes of buffered answers,
-	// which are held until they are complete: half of what maxRequestsPerMB leaves.
-	answerMemoryDivisor = 4
-	// defaultMaxRequests and defaultMaxAnswerBytes apply where the VM's memory is unknown.
-	defaultMaxRequests    = 20_000
-	defaultMaxAnswerBytes = 64 << 20
+	// defaultMaxRequests applies where the VM's memory is unknown.
+	defaultMaxRequests = 20_000
 )
 
-// limitsFor returns the limits on concurrent requests and buffered answers for a VM with mb
-// megabytes of memory, 0 for unknown.
-func limitsFor(mb int) forward.Limits {
+// maxRequestsFor returns the limit on concurrent requests for a VM with mb megabytes of memory,
+// 0 for unknown.
+func maxRequestsFor(mb int) int {
 	if mb == 0 {
-		return forward.Limits{MaxRequests: defaultMaxRequests, MaxAnswerBytes: defaultMaxAnswerBytes}
+		return defaultMaxRequests
 	}
-	return forward.Limits{MaxRequests: maxRequestsPerMB * mb, MaxAnswerBytes: int64(mb) << 20 / answerMemoryDivisor}
+	return maxRequestsPerMB * mb
 }
 
 // controlBehind reports whether this router is overloaded while datagrams from its peers
@@ -158,13 +149,6 @@
 	return d.ctrl.ShedRatio() > 0 && d.callerServer.unread.count(time.Now()) >= minUnreadConns && d.peerSocket.HasUnread()
 }
 
-func setMemoryLimit(mb int) {
-	if mb > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(mb) * (1 << 20)))
-		debug.SetGCPercent(gcPercent)
-	}
-}
-
 func (d *RoutedDaemon) dispatchSettings() dispatch.Settings {
 	inc := wire.IncarnationAt(time.Now())
 	return dispatch.Settings{
@@ -232,7 +216,7 @@
 	r.HandleFunc("/readyz", d.serveReadiness)
 	r.HandleFunc("/status", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(d.ctrl.Status()) // a write fails only when the operator has disconnected
+		_ = json.NewEncoder(w).Encode(d.status()) // a write fails only when the operator has disconnected
 	})
 	r.HandleFunc("/metrics", d.metrics(reg))
 	return r
@@ -241,10 +225,34 @@
 func (d *RoutedDaemon) metrics(reg metrics.Registry) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-		writeRegistry(w, reg, statusMetrics(d.ctrl.Status()))
+		lines := memoryMetrics(d.memory.Usage())
+		maps.Copy(lines, statusMetrics(d.ctrl.Status()))
+		writeRegistry(w, reg, lines)
 	}
 }
 
+// status returns the control state and the memory of requests, or nil when the control goroutine
+// does not answer in time.
+func (d *RoutedDaemon) status() *Status {
+	s := d.ctrl.Status()
+	if s != nil {
+		s.Memory = d.memory.Usage()
+	}
+	return s
+}
+
+// memoryMetrics returns the memory of requests as lines of the metrics page.
+func memoryMetrics(u memory.Usage) map[string]string {
+	lines := map[string]string{}
+	for name, n := range map[string]int64{"limit": u.Limit, "used": u.Used, "idle": u.Idle, "base": u.Base, "refused": u.Refused} {
+		lines[promName("memory.requests."+name)] = fmt.Sprint(n)
+	}
+	for org, n := range u.Organisations {
+		lines[fmt.Sprintf("%s{organisation=%q}", promName("memory.requests.held"), org)] = fmt.Sprint(n)
+	}
+	return lines
+}
+
 // statusMetrics returns the control state's counts as lines of the metrics page.
 func statusMetrics(s *Status) map[string]string {
 	if s == nil {
--- a/internal/request/answer.go
+++ b/internal/request/answer.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -12,6 +14,7 @@
 	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/silverswitch/silverswitch/internal/core/wire"
+	"github.com/silverswitch/silverswitch/internal/memory"
 	"github.com/silverswitch/silverswitch/internal/request/outcome"
 	"github.com/silverswitch/silverswitch/internal/request/relay"
 	"github.com/silverswitch/silverswitch/internal/request/stream"
@@ -47,20 +50,68 @@
 	if a.streams && strings.HasPrefix(a.res.Response.Header.Get("Content-Type"), eventStream) {
 		return a.deliverStream()
 	}
-	raw, err := readWhole(a.res.Response, a.s.limits.Answer)
+	buffered := a.v.hold.Buffer(0)
+	defer buffered.Release()
+	err := readWhole(a.res.Response, a.s.limits.Answer, buffered)
+	if errors.Is(err, memory.ErrFull) {
+		return a.passThrough(buffered)
+	}
 	if err != nil {
 		return a.failed(a.upstream, a.attempt, relay.Result{State: relay.InDoubt, Err: err})
 	}
-	a.tokens = usage(raw)
+	a.tokens = usage(buffered.Pieces())
 	a.answeredWhole()
 	a.finishWithUsage(true)
-	a.writeHeader(a.res.Response, outcome.Answered, len(raw))
+	a.writeHeader(a.res.Response, outcome.Answered, buffered.Len())
+	a.recordAnswered()
+	_ = a.writeBuffered(buffered) // the caller may be gone; the answer was whole
+	return true
+}
+
+func (a *answer) recordAnswered() {
 	a.s.count.outcome(outcome.Answered, "")
 	a.v.span.SetAttributes(attribute.String("outcome", string(outcome.Answered)))
-	_, _ = a.v.w.Write(raw) // the caller may be gone; the answer was whole
+}
+
+// passThrough forwards an answer as it arrives, after its beginning has been read: there is no
+// memory to buffer it. If it breaks or exceeds the limit, the caller's connection is aborted.
+func (a *answer) passThrough(beginning *memory.Buffer) bool {
+	length := int(a.res.Response.ContentLength)
+	a.headerSent = true
+	a.writeHeader(a.res.Response, outcome.Answered, length)
+	left := a.s.limits.Answer - int64(beginning.Len())
+	err := a.writeBuffered(beginning)
+	if err == nil {
+		err = copyWhole(a.v.w, a.res.Response.Body, left)
+	}
+	if err != nil {
+		return a.failStream()
+	}
+	a.answeredWhole()
+	a.finishWithUsage(true)
+	a.recordAnswered()
 	return true
 }
 
+// copyWhole copies an answer of at most limit bytes.
+func copyWhole(w io.Writer, r io.Reader, limit int64) error {
+	n, err := io.Copy(w, io.LimitReader(r, limit+1))
+	if err == nil && n > limit {
+		return io.ErrShortBuffer
+	}
+	return err
+}
+
+// writeBuffered writes what was buffered of an answer to the caller.
+func (a *answer) writeBuffered(b *memory.Buffer) error {
+	for _, p := range b.Pieces() {
+		if _, err := a.v.w.Write(p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // finishWithUsage releases the slot and records the service received, in the application's
 // unit: tokens, or the application's worth per answered request (an unanswered one counts
 // nothing).
@@ -84,8 +135,10 @@
 	return s
 }
 
-// usage returns the completion tokens that an answer states, or 0.
-func usage(raw []byte) int64 {
+// usage returns the completion tokens that an answer in pieces states, or 0.
+func usage(pieces [][]byte) int64 {
+	raw := bytes.Join(pieces, nil)
+
 	var u struct {
 		Usage struct {
 			Tokens int64 `json:"completion_tokens"`
@@ -196,7 +249,7 @@
 // while it is still running.
 func (a *answer) countTokens(data []byte) {
 	if strings.Contains(string(data), `"usage"`) {
-		if n := usage(data); n > 0 {
+		if n := usage([][]byte{data}); n > 0 {
 			a.tokens = n
 			return
 		}
--- a/internal/request/forward/answer.go
+++ b/internal/request/forward/answer.go
@@ -16,6 +16,7 @@
 	"github.com/silverswitch/silverswitch/internal/conn"
 	"github.com/silverswitch/silverswitch/internal/core/wire"
 	"github.com/silverswitch/silverswitch/internal/dispatch"
+	"github.com/silverswitch/silverswitch/internal/memory"
 	"github.com/silverswitch/silverswitch/internal/request/stream"
 	"github.com/silverswitch/silverswitch/internal/routing"
 )
@@ -53,8 +54,11 @@
 func (a *answer) deliver() step {
 	defer func() { a.exchange.Close(a.whole) }()
 	res := a.exchange.Response
+	if !a.mayRepeat() && !statesNotExecuted(&a.s.dialect, res) && a.exchange.SentWhole() {
+		a.releaseBodyEarly()
+	}
 	switch {
-	case res.Header.Get(a.s.dialect.NotExecuted) != "" || res.StatusCode == http.StatusMisdirectedRequest:
+	case statesNotExecuted(&a.s.dialect, res):
 		return a.notExecuted(res)
 	case res.Header.Get(a.s.dialect.Proof) == "" || res.Header.Get("Content-Encoding") != "":
 		return a.handleBroken(errUnproven)
@@ -68,6 +72,11 @@
 	return a.plain(res)
 }
 
+// statesNotExecuted reports whether an upstream states that it did not run the request.
+func statesNotExecuted(d *Dialect, res *http.Response) bool {
+	return res.Header.Get(d.NotExecuted) != "" || res.StatusCode == http.StatusMisdirectedRequest
+}
+
 // meansNotRun reports whether callers take a status to mean that the request has not run
 // and never will. An upstream that did not run a request also sets the NotExecuted header;
 // without that header the request may have run, whatever the status.
@@ -137,14 +146,15 @@
 // is no room in the buffers is forwarded as it arrives.
 func (a *answer) plain(res *http.Response) step {
 	a.firstEvent()
-	buffered, err := a.s.buffers.read(res.Body)
-	defer a.s.buffers.release(buffered.reserved)
+	buffered := a.hold.Buffer(0)
+	defer buffered.Release()
+	err := buffered.ReadAll(res.Body)
+	if errors.Is(err, memory.ErrFull) {
+		return a.passThrough(res, buffered)
+	}
 	if err != nil {
 		return a.handleBroken(err)
 	}
-	if !buffered.whole {
-		return a.passThrough(res, buffered.raw)
-	}
 	a.whole = true
 	a.answeredWhole(res)
 	note := wire.ProgressDone
@@ -158,9 +168,9 @@
 		}
 	}
 	a.copyHeaders(res)
-	a.w.Header().Set("Content-Length", strconv.Itoa(len(buffered.raw)))
+	a.w.Header().Set("Content-Length", strconv.Itoa(buffered.Len()))
 	a.w.WriteHeader(res.StatusCode)
-	_, _ = a.w.Write(buffered.raw) // the caller may be gone
+	_ = a.writeBuffered(buffered) // the caller may be gone
 	a.s.ctrl.End(a.ticket, note)
 	a.logAnswered(a.placement, res.StatusCode, a.timeToFirst)
 	return stepDone
@@ -168,7 +178,7 @@
 
 // passThrough forwards an answer as it arrives, after its beginning has been read. If the
 // answer breaks, the caller's connection is cut so that the answer does not look whole.
-func (a *answer) passThrough(res *http.Response, beginning []byte) step {
+func (a *answer) passThrough(res *http.Response, beginning *memory.Buffer) step {
 	a.silence.stop() // the request can no longer be sent to another upstream
 	a.headersSent = true
 	a.copyHeaders(res)
@@ -176,7 +186,7 @@
 		a.w.Header().Set("Content-Length", strconv.FormatInt(res.ContentLength, 10))
 	}
 	a.w.WriteHeader(res.StatusCode)
-	_, err := a.w.Write(beginning)
+	err := a.writeBuffered(beginning)
 	if err == nil {
 		_, err = io.Copy(a.w, res.Body)
 	}
@@ -193,6 +203,16 @@
 	return stepDone
 }
 
+// writeBuffered writes what was buffered of an answer to the caller.
+func (a *answer) writeBuffered(b *memory.Buffer) error {
+	for _, p := range b.Pieces() {
+		if _, err := a.w.Write(p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // copyHeaders copies the answer's end-to-end headers to the caller's response.
 func (a *answer) copyHeaders(res *http.Response) {
 	h := a.w.Header()
--- a/internal/request/forward/answerbuffer_test.go
+++ b/internal/request/forward/answerbuffer_test.go
@@ -21,7 +21,7 @@
 	return okHeader + "Content-Length: " + strconv.Itoa(n) + "\r\n\r\n" + body
 }
 
-// Several large answers arrive at once at a router that may buffer 1 MB in total. It must
+// Several large answers arrive at once at a router whose requests may hold 4 MB in total. It must
 // forward them as they arrive. Buffering each whole up to 16 MB exceeds that limit, and
 // answers above 16 MB could not be forwarded at all.
 func TestLargeAnswersAreStreamedNotBuffered(t *testing.T) {
@@ -43,11 +43,11 @@
 				assert.Equal(t, int64(large), res.ContentLength)
 				assert.Len(t, body, large)
 			}
-			assert.LessOrEqual(t, r.server.buffers.used.Load(), r.server.buffers.limit)
+			assert.LessOrEqual(t, r.server.memory.Used(), int64(testMemory))
 		})
 	}
 	wg.Wait()
-	assert.Eventually(t, func() bool { return r.server.buffers.used.Load() == 0 }, 10*time.Second, time.Millisecond, "all buffers are released")
+	assert.Eventually(t, func() bool { return r.server.memory.Used() == 0 }, 10*time.Second, time.Millisecond, "all buffers are released")
 }
 
 // An answer that is forwarded as it arrives and breaks is cut; the request is not sent to
@@ -72,5 +72,5 @@
 	require.NoError(t, err)
 	assert.Equal(t, http.StatusOK, res.StatusCode)
 	assert.Equal(t, "hello", body)
-	assert.Eventually(t, func() bool { return r.server.buffers.used.Load() == 0 }, 10*time.Second, time.Millisecond)
+	assert.Eventually(t, func() bool { return r.server.memory.Used() == 0 }, 10*time.Second, time.Millisecond)
 }
--- a/internal/request/forward/counters.go
+++ b/internal/request/forward/counters.go
@@ -12,12 +12,12 @@
 
 // counters are the metrics of the routed interface.
 type counters struct {
-	reg                                                                                                          metrics.Registry
-	arrived, answered, opened, resumed, repeated, broken, shed, unservable, quarantined, withdrawn, healthChecks metrics.Counter
-	leavingNotices, backoffNotices                                                                               metrics.Counter
-	streamEvents, streamsLate, gapWarnings                                                                       metrics.Counter
-	firstEvent, decision, longestGap                                                                             metrics.Timer
-	byStatus                                                                                                     *sync.Map // metrics.Counter by status
+	reg                                                                                                                      metrics.Registry
+	arrived, answered, opened, resumed, repeated, broken, shed, unservable, memoryFull, quarantined, withdrawn, healthChecks metrics.Counter
+	leavingNotices, backoffNotices                                                                                           metrics.Counter
+	streamEvents, streamsLate, gapWarnings                                                                                   metrics.Counter
+	firstEvent, decision, longestGap                                                                                         metrics.Timer
+	byStatus                                                                                                                 *sync.Map // metrics.Counter by status
 }
 
 func newCounters(reg metrics.Registry) counters {
@@ -25,7 +25,7 @@
 	return counters{
 		byStatus: &sync.Map{},
 		reg:      reg, arrived: c("arrived"), answered: c("answered"), opened: c("connections"), resumed: c("resumed"),
-		repeated: c("repeated"), broken: c("broken"), shed: c("shed"), unservable: c("unservable"), quarantined: c("held"), withdrawn: c("withdrawn"), healthChecks: c("looked"),
+		repeated: c("repeated"), broken: c("broken"), shed: c("shed"), unservable: c("unservable"), memoryFull: c("memory.full"), quarantined: c("held"), withdrawn: c("withdrawn"), healthChecks: c("looked"),
 		leavingNotices: c("notices.leaving"), backoffNotices: c("notices.backoff"),
 		streamEvents: c("stream.events"), streamsLate: c("stream.late"), gapWarnings: c("stream.gap.warnings"),
 		longestGap: metrics.GetOrRegisterTimer("forward.stream.gap", reg),
--- a/internal/request/forward/harness_test.go
+++ b/internal/request/forward/harness_test.go
@@ -22,6 +22,7 @@
 	"github.com/silverswitch/silverswitch/internal/core/quarantine"
 	"github.com/silverswitch/silverswitch/internal/dispatch"
 	"github.com/silverswitch/silverswitch/internal/fingerprint"
+	"github.com/silverswitch/silverswitch/internal/memory"
 	"github.com/silverswitch/silverswitch/internal/routing"
 )
 
@@ -233,6 +234,7 @@
 	route("/single/", routing.Stream, false, 1)
 	route("/patient/", routing.AtMostOnce, false, 2).Timeout = time.Minute
 	b.AddOrganisation(&routing.Organisation{Name: "alpha"}, []string{"key-a"})
+	b.AddOrganisation(&routing.Organisation{Name: "beta"}, []string{"key-b"})
 	table, err := b.Build()
 	require.NoError(t, err)
 	return table
@@ -321,6 +323,9 @@
 	maxRequests int
 }
 
+// testMemory is the limit of the memory account in tests, in bytes.
+const testMemory = 4 << 20
+
 func newHarness(t *testing.T, upstreams ...string) *harness {
 	t.Helper()
 	return newHarnessWithLimit(t, 100, upstreams...)
@@ -329,7 +334,7 @@
 func newHarnessWithLimit(t *testing.T, maxRequests int, upstreams ...string) *harness {
 	t.Helper()
 	h := &harness{control: &fakeControl{table: testTable(t), upstreams: upstreams}, exchanges: conn.NewExchanges(), maxRequests: maxRequests}
-	h.server = NewServer(h.control, h.exchanges, testDialect, testKey(t), Limits{MaxRequests: h.maxRequests, MaxAnswerBytes: 1 << 20}, metrics.NewRegistry(), zerolog.Nop())
+	h.server = NewServer(h.control, h.exchanges, testDialect, testKey(t), Limits{MaxRequests: h.maxRequests, Memory: memory.NewAccount(testMemory)}, metrics.NewRegistry(), zerolog.Nop())
 	s := httptest.NewServer(h.server)
 	t.Cleanup(func() { s.Close(); h.exchanges.Close() })
 	h.url = s.URL
--- a/internal/request/forward/quarantine_test.go
+++ b/internal/request/forward/quarantine_test.go
@@ -17,7 +17,7 @@
 // fingerprintOf returns the fingerprint of a request as harness.do sends it.
 func fingerprintOf(t *testing.T, method, path, body string) fingerprint.Fingerprint {
 	t.Helper()
-	return testKey(t).Of(fingerprint.Content{Organisation: "alpha", Method: method, Host: "h.example", Target: path, Body: []byte(body)})
+	return testKey(t).Of(fingerprint.Content{Organisation: "alpha", Method: method, Host: "h.example", Target: path, Body: [][]byte{[]byte(body)}})
 }
 
 func (c *fakeControl) setQuarantined(f fingerprint.Fingerprint, crashes int, until time.Time) {
--- a/internal/request/forward/run.go
+++ b/internal/request/forward/run.go
@@ -126,7 +126,7 @@
 	r.sentAt = r.s.clock.Now()
 	m := r.message(p)
 	m.OnStart = silence.watch
-	exchange, err := r.s.exchanges.Send(ctx, p.Instance.Address, m, r.isOwnAnswer)
+	exchange, err := r.send(ctx, p.Instance.Address, m)
 	if err != nil {
 		return r.sendFailed(p, err)
 	}
@@ -181,7 +181,7 @@
 	if r.headersSent && r.lastPosition > 0 {
 		h.Set(headerLastEventID, strconv.FormatInt(r.lastPosition, 10))
 	}
-	return &conn.Message{Method: r.r.Method, Target: r.r.RequestURI, Host: r.r.Host, Header: h, Body: r.body,
+	return &conn.Message{Method: r.r.Method, Target: r.r.RequestURI, Host: r.r.Host, Header: h,
 		StillWanted: func() bool { return r.s.ctrl.Unusable(p) == MaySend }, UpstreamStart: p.Instance.StartID()}
 }
 
--- a/internal/request/forward/server.go
+++ b/internal/request/forward/server.go
@@ -1,9 +1,6 @@
 package forward
 
 import (
-	"context"
-	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -17,6 +14,7 @@
 	"github.com/silverswitch/silverswitch/internal/conn"
 	"github.com/silverswitch/silverswitch/internal/dispatch"
 	"github.com/silverswitch/silverswitch/internal/fingerprint"
+	"github.com/silverswitch/silverswitch/internal/memory"
 	"github.com/silverswitch/silverswitch/internal/routing"
 )
 
@@ -26,7 +24,7 @@
 	exchanges     *conn.Exchanges
 	dialect       Dialect
 	limit         int // concurrent requests
-	buffers       answerBuffers
+	memory        *memory.Account
 	open          atomic.Int64
 	loadShedder   *loadShedder
 	healthChecker *healthChecker
@@ -40,7 +38,7 @@
 // NewServer returns a Server. It identifies repeated requests by fingerprints made with
 // the key.
 func NewServer(ctrl Control, exchanges *conn.Exchanges, dialect Dialect, key *fingerprint.Key, limit Limits, reg metrics.Registry, log zerolog.Logger) *Server {
-	s := &Server{ctrl: ctrl, exchanges: exchanges, dialect: dialect, key: key, clock: clock.System, limit: limit.MaxRequests, buffers: answerBuffers{limit: limit.MaxAnswerBytes}, loadShedder: newLoadShedder(), count: newCounters(reg), reqLog: newRequestLog(log), tracing: newTracing()}
+	s := &Server{ctrl: ctrl, exchanges: exchanges, dialect: dialect, key: key, clock: clock.System, limit: limit.MaxRequests, memory: limit.Memory, loadShedder: newLoadShedder(), count: newCounters(reg), reqLog: newRequestLog(log), tracing: newTracing()}
 	s.healthChecker = newHealthChecker(exchanges, dialect, s.clock)
 	exchanges.OnResponse = s.handleNotice
 	exchanges.OnOpen = func() { s.count.opened.Inc(1) }
@@ -65,7 +63,8 @@
 	stream   uint64 // see dispatch.Request
 	resumed  bool
 	regions  routing.Regions
-	body     []byte
+	body     *memory.Buffer // nil if there is none or it was released early
+	hold     memory.Hold
 	deadline time.Time
 	prompt   prompt
 	print    *fingerprint.Fingerprint // computed on first use
@@ -80,7 +79,7 @@
 			Method:       req.r.Method,
 			Host:         req.r.Host,
 			Target:       req.r.RequestURI,
-			Body:         req.body,
+			Body:         req.body.Pieces(),
 		})
 		req.print = &f
 	}
@@ -90,8 +89,8 @@
 // startingRetryDelay is the Retry-After of a router that has no routing table yet.
 const startingRetryDelay = 500 * time.Millisecond
 
-// ServeHTTP decides from the headers whether to accept the request, reads its body within
-// the limits of size and time, and runs it.
+// ServeHTTP decides from the headers whether to accept the request, reserves its memory, reads
+// its body within the limits of size and time, and runs it.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.count.arrived.Inc(1)
 	r, endSpan := s.tracing.entry(r)
@@ -112,6 +111,15 @@
 		return
 	}
 	req.prompt = s.dialect.readPrompt(r.Header)
+	if f := req.refuseTooLarge(); f != nil {
+		req.refuse(*f)
+		return
+	}
+	if f := req.reserveMemory(); f != nil {
+		req.refuse(*f)
+		return
+	}
+	defer req.releaseMemory()
 	req.setWriteDeadline(req.deadline.Add(answerWriteGrace))
 	if f := req.readBody(); f != nil {
 		req.refuse(*f)
@@ -203,44 +211,6 @@
 	return nil
 }
 
-// readBody reads the whole body, as it may have to be sent to a second upstream.
-func (req *callerRequest) readBody() *failure {
-	if req.r.Body == nil || req.r.Body == http.NoBody {
-		return nil
-	}
-	limit := req.table.Limits.BodyBytes
-	if req.r.ContentLength > limit {
-		req.w.Header().Set("Connection", "close")
-		return &failure{status: http.StatusRequestEntityTooLarge, reason: "body-too-large"}
-	}
-	rc := http.NewResponseController(req.w)
-	_ = rc.SetReadDeadline(req.s.clock.Monotonic(req.deadline)) // not supported by test recorders
-	raw, err := readSized(http.MaxBytesReader(req.w, req.r.Body, limit), req.r.ContentLength)
-	if err == nil {
-		_ = rc.SetReadDeadline(time.Time{})
-		req.body = raw
-		return nil
-	}
-	req.w.Header().Set("Connection", "close")
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return &failure{status: http.StatusRequestEntityTooLarge, reason: "body-too-large"}
-	}
-	if errors.Is(err, context.DeadlineExceeded) || strings.Contains(err.Error(), "timeout") {
-		return &failure{status: http.StatusRequestTimeout, reason: "body-too-slow"}
-	}
-	return &failure{status: http.StatusBadRequest, reason: "body-broken", err: err}
-}
-
-func readSized(r io.Reader, size int64) ([]byte, error) {
-	if size <= 0 {
-		return io.ReadAll(r)
-	}
-	raw := make([]byte, size)
-	_, err := io.ReadFull(r, raw)
-	return raw, err
-}
-
 const (
 	// refusalWriteTimeout bounds the time from a request's arrival until the refusal is
 	// written, for requests refused without being run.
--- a/internal/request/forward/streamflush_test.go
+++ b/internal/request/forward/streamflush_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/silverswitch/silverswitch/internal/conn"
+	"github.com/silverswitch/silverswitch/internal/memory"
 )
 
 // flushRecorder records what was written before each flush.
@@ -31,7 +32,7 @@
 	ctrl := &fakeControl{table: testTable(t), upstreams: upstreams}
 	exchanges := conn.NewExchanges()
 	t.Cleanup(exchanges.Close)
-	s := NewServer(ctrl, exchanges, testDialect, testKey(t), Limits{MaxRequests: 10, MaxAnswerBytes: 1 << 20}, metrics.NewRegistry(), zerolog.Nop())
+	s := NewServer(ctrl, exchanges, testDialect, testKey(t), Limits{MaxRequests: 10, Memory: memory.NewAccount(1 << 20)}, metrics.NewRegistry(), zerolog.Nop())
 	req := httptest.NewRequest(http.MethodPost, "/stream/x", nil)
 	req.Host = "h.example"
 	req.Header = header
--- a/internal/request/forward/unservable_test.go
+++ b/internal/request/forward/unservable_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/silverswitch/silverswitch/internal/conn"
 	"github.com/silverswitch/silverswitch/internal/dispatch"
+	"github.com/silverswitch/silverswitch/internal/memory"
 )
 
 // unreadBody is a body that must not be read.
@@ -32,7 +33,7 @@
 	t.Helper()
 	ctrl.table = testTable(t)
 	reg := metrics.NewRegistry()
-	s := NewServer(ctrl, conn.NewExchanges(), testDialect, testKey(t), Limits{MaxRequests: 10}, reg, zerolog.New(log))
+	s := NewServer(ctrl, conn.NewExchanges(), testDialect, testKey(t), Limits{MaxRequests: 10, Memory: memory.NewAccount(1 << 20)}, reg, zerolog.New(log))
 	req := httptest.NewRequest(http.MethodPost, "/stream/x", unreadBody{t})
 	req.ContentLength = length
 	req.Host = "h.example"
--- a/internal/request/outcome/outcome.go
+++ b/internal/request/outcome/outcome.go
@@ -95,6 +95,7 @@
 	entry.ReasonKeyTaken:     "another attempt with this idempotency key runs, has run, or may have run",
 	entry.ReasonKeyExpired:   "the idempotency key was minted too long ago or in the future",
 	entry.ReasonKeyForgotten: "routers that remember keys of that time are gone",
+	entry.ReasonMemory:       "the organisation's requests hold their share of this router's memory",
 	entry.ReasonCrashes:      "upstreams crashed each time that they ran this request; the same may be tried again later",
 }
 
--- a/internal/request/quarantine.go
+++ b/internal/request/quarantine.go
@@ -21,7 +21,7 @@
 			Method:       r.call.Method,
 			Host:         r.app.Service,
 			Target:       r.call.Path,
-			Body:         r.call.Body,
+			Body:         [][]byte{r.call.Body},
 		})
 		r.print = &f
 	}
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -14,6 +14,7 @@
 	"github.com/silverswitch/silverswitch/internal/core/entry"
 	"github.com/silverswitch/silverswitch/internal/core/wire"
 	"github.com/silverswitch/silverswitch/internal/fingerprint"
+	"github.com/silverswitch/silverswitch/internal/memory"
 	"github.com/silverswitch/silverswitch/internal/request/outcome"
 	"github.com/silverswitch/silverswitch/internal/request/relay"
 	"github.com/silverswitch/silverswitch/internal/version"
@@ -191,15 +192,14 @@
 	r.v.w.WriteHeader(res.StatusCode)
 }
 
-// readWhole reads an answer that is not a stream. An answer that is cut short or exceeds
-// the limit is an error; it never returns a part of one.
-func readWhole(res *http.Response, limit int64) ([]byte, error) {
-	raw, err := io.ReadAll(io.LimitReader(res.Body, limit+1))
-	if err != nil {
-		return nil, err
+// readWhole reads an answer that is not a stream into b. An answer that is cut short or exceeds
+// the limit is an error. After memory.ErrFull, b has its beginning.
+func readWhole(res *http.Response, limit int64, b *memory.Buffer) error {
+	if err := b.ReadAll(io.LimitReader(res.Body, limit+1)); err != nil {
+		return err
 	}
-	if int64(len(raw)) > limit {
-		return nil, io.ErrShortBuffer
+	if int64(b.Len()) > limit {
+		return io.ErrShortBuffer
 	}
-	return raw, nil
+	return nil
 }
--- a/internal/request/server.go
+++ b/internal/request/server.go
@@ -1,9 +1,9 @@
 package request
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"net/url"
 	"sort"
@@ -22,6 +22,7 @@
 	"github.com/silverswitch/silverswitch/internal/core/claim"
 	"github.com/silverswitch/silverswitch/internal/core/entry"
 	"github.com/silverswitch/silverswitch/internal/fingerprint"
+	"github.com/silverswitch/silverswitch/internal/memory"
 	"github.com/silverswitch/silverswitch/internal/request/caller"
 	"github.com/silverswitch/silverswitch/internal/request/outcome"
 	"github.com/silverswitch/silverswitch/internal/request/relay"
@@ -49,6 +50,7 @@
 	ctrl           Control
 	upstreams      *conn.Upstreams
 	limits         Limits
+	memory         *memory.Account
 	budget         *retryBudget
 	count          counters
 	clock          *clock.Clock
@@ -57,12 +59,13 @@
 }
 
 // NewServer returns a Server. It identifies repeated requests by fingerprints made with the
-// key.
-func NewServer(ctrl Control, upstreams *conn.Upstreams, fingerprints *fingerprint.Key, limits Limits, reg metrics.Registry) *Server {
+// key, and keeps what they hold within the memory account.
+func NewServer(ctrl Control, upstreams *conn.Upstreams, fingerprints *fingerprint.Key, limits Limits, account *memory.Account, reg metrics.Registry) *Server {
 	return &Server{
 		ctrl:           ctrl,
 		upstreams:      upstreams,
 		limits:         limits,
+		memory:         account,
 		budget:         newRetryBudget(),
 		count:          newCounters(reg),
 		clock:          clock.System,
@@ -94,6 +97,7 @@
 	ver          *version.Version
 	org          *version.Organisation
 	terms        caller.Terms
+	hold         memory.Hold
 	span         trace.Span
 	keyUndecided bool // an idempotency key was given and the witnesses have not decided on it
 }
@@ -113,6 +117,8 @@
 			return
 		}
 		span.SetAttributes(attribute.String("organisation", v.org.Name), attribute.String("request_id", v.terms.ID))
+		v.hold = s.memory.Hold(v.org.Name)
+		defer v.hold.Release()
 		next(v)
 	}
 }
@@ -173,7 +179,7 @@
 
 // completion serves the OpenAI-compatible route. The model field names the application.
 func (s *Server) completion(v *callerRequest) {
-	raw, err := s.readBody(v)
+	raw, err := s.readBody(v, completionCopies)
 	if err != nil {
 		s.failRequest(v, err)
 		return
@@ -234,7 +240,7 @@
 		s.failRequest(v, err)
 		return
 	}
-	raw, err := s.readBody(v)
+	raw, err := s.readBody(v, plainCopies)
 	if err != nil {
 		s.failRequest(v, err)
 		return
@@ -256,18 +262,48 @@
 	return app, nil
 }
 
-// readBody reads the body within the limits of size and time.
-func (s *Server) readBody(v *callerRequest) ([]byte, error) {
+const (
+	// plainCopies is how often a body is held: in the pieces that were read, and in one.
+	plainCopies = 2
+	// completionCopies adds the parsed fields and the body that is sent on.
+	completionCopies = 4
+	// requestOverhead is what a request holds beside its body and its answer: the stacks of its
+	// goroutines, the buffers of its connections, and the control state's entry.
+	requestOverhead = 24 << 10
+)
+
+// readBody reads the body within the limits of size, time and memory. Its memory, of which a
+// request holds several copies, is reserved before it is read; a body of unstated size is reserved
+// as it comes.
+func (s *Server) readBody(v *callerRequest, copies int64) ([]byte, error) {
+	size := v.r.ContentLength
+	if size > s.limits.Body {
+		v.w.Header().Set("Connection", "close")
+		return nil, outcome.BadRequest(http.StatusRequestEntityTooLarge, outcome.ReasonTooLarge, "the body is larger than this router takes")
+	}
+	if n := requestOverhead + copies*memory.ReservedFor(size); !v.hold.Reserve(n) {
+		return nil, s.memoryFull(v, n)
+	}
 	rc := http.NewResponseController(v.w)
 	_ = rc.SetReadDeadline(time.Now().Add(s.limits.BodyTimeout)) // not supported by test recorders
-	raw, err := io.ReadAll(http.MaxBytesReader(v.w, v.r.Body, s.limits.Body))
+	body := v.hold.Buffer(size)
+	defer body.Release()
+	err := body.ReadAll(http.MaxBytesReader(v.w, v.r.Body, s.limits.Body))
 	if err == nil {
 		_ = rc.SetReadDeadline(time.Time{})
-		return raw, nil
+	}
+	if n := (copies - 1) * int64(body.Len()); err == nil && size <= 0 && !v.hold.Reserve(n) {
+		return nil, s.memoryFull(v, n)
+	}
+	if err == nil {
+		return bytes.Join(body.Pieces(), nil), nil
 	}
 	// The read deadline is kept: otherwise net/http would wait for the rest of the body
 	// before it sends the answer.
 	v.w.Header().Set("Connection", "close")
+	if errors.Is(err, memory.ErrFull) {
+		return nil, s.memoryFull(v, copies*int64(body.Len()))
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, outcome.BadRequest(http.StatusRequestEntityTooLarge, outcome.ReasonTooLarge, "the body is larger than this router takes")
@@ -275,6 +311,11 @@
 	return nil, outcome.BadRequest(http.StatusRequestTimeout, outcome.ReasonSlow, "the body did not arrive whole in time")
 }
 
+// memoryFull returns the refusal of a request for which n bytes could not be reserved.
+func (s *Server) memoryFull(v *callerRequest, n int64) error {
+	return outcome.Refused(entry.ReasonMemory, s.memory.RetryDelay(v.org.Name, n), false)
+}
+
 // serve waits for a slot, runs the request at an upstream and sends the outcome.
 func (s *Server) serve(v *callerRequest, app *version.Application, call relay.Call, streams bool) {
 	idempotencyKey, err := s.idempotencyKey(v, app)
--- a/internal/request/suspend_test.go
+++ b/internal/request/suspend_test.go
@@ -18,6 +18,7 @@
 	"github.com/silverswitch/silverswitch/internal/core/entry"
 	"github.com/silverswitch/silverswitch/internal/core/quarantine"
 	"github.com/silverswitch/silverswitch/internal/fingerprint"
+	"github.com/silverswitch/silverswitch/internal/memory"
 	"github.com/silverswitch/silverswitch/internal/request/caller"
 	"github.com/silverswitch/silverswitch/internal/version"
 )
@@ -47,7 +48,7 @@
 	ctrl := &slotControl{at: stepped.Now()}
 	fingerprintKey, err := fingerprint.NewKey("a secret of the fleet")
 	require.NoError(t, err)
-	s := NewServer(ctrl, conn.NewUpstreams(conn.DefaultLimits), fingerprintKey, DefaultLimits, metrics.NewRegistry())
+	s := NewServer(ctrl, conn.NewUpstreams(conn.DefaultLimits), fingerprintKey, DefaultLimits, memory.NewAccount(1<<20), metrics.NewRegistry())
 	s.clock = stepped
 	ticket := NewTicket(1)
 	ticket.Decide(Decision{Upstream: &version.Upstream{Name: "u", Address: "127.0.0.1:1"}, At: stepped.Now()})
