A refusal after a long wait is written

Callers saw: a request whose body comes so slowly that it is refused more than 5 s after its arrival gets no answer. The router logs 408 body-too-slow, and the connection ends without a byte.

Cause: the write deadline of a refusal, and the time in which the rest of its body is read, count from the arrival of the request. After a wait for the body both have passed.

Change: both count from when the request is refused.

--- a/internal/request/forward/server.go
+++ b/internal/request/forward/server.go
@@ -168,11 +168,13 @@
 	})
 }
 
-// refuse sends a failure to a request that is not run.
+// refuse sends a failure to a request that is not run. Its bounds count from now, since the
+// request may have waited for its body.
 func (req *callerRequest) refuse(f failure) {
-	req.setWriteDeadline(req.arrived.Add(refusalWriteTimeout))
+	now := req.s.clock.Now()
+	req.setWriteDeadline(now.Add(refusalWriteTimeout))
 	if req.r.ContentLength != 0 {
-		_ = http.NewResponseController(req.w).SetReadDeadline(req.s.clock.Monotonic(req.arrived.Add(refusalReadTimeout))) // not supported by test recorders
+		_ = http.NewResponseController(req.w).SetReadDeadline(req.s.clock.Monotonic(now.Add(refusalReadTimeout))) // not supported by test recorders
 	}
 	req.fail(f)
 }
@@ -212,11 +214,11 @@
 }
 
 const (
-	// refusalWriteTimeout bounds the time from a request's arrival until the refusal is
-	// written, for requests refused without being run.
+	// refusalWriteTimeout bounds the time in which a refusal is written, for requests refused
+	// without being run.
 	refusalWriteTimeout = 5 * time.Second
-	// refusalReadTimeout bounds the time from a refused request's arrival within which its
-	// body must arrive. net/http reads bodies of up to 256 KB before it sends the answer;
+	// refusalReadTimeout bounds the time in which the rest of a refused request's body must
+	// arrive. net/http reads bodies of up to 256 KB before it sends the answer;
 	// a caller that did not finish its body kept the connection for ever.
 	refusalReadTimeout = 3 * time.Second
 	// answerWriteGrace is the time after a request's deadline within which the rest of its
