An outage counts as one of the store unless some router read it meanwhile

Cause: a router that reaches the store again after 0.6 s takes its own outage for one of the store and tells all others, and each keeps missing entries for 2.3 s, as after a true outage.

Evidence: the routers log source-back-at-peer, know the removal within 0.2 s and list the server until the grace period ends.

Each reading states for how long its reader had read without a gap; an outage that lies within such a span is disproved, at those that were told and for entries that a peer has found missing. Readers that hear of an outage and have read on read once more and say so at once. A router that begins to read because nobody could presumes an outage: before, if it was the first to read after a true one, it dropped live servers (found by the emulated fleet).

--- a/internal/core/wire/dispatch.go
+++ b/internal/core/wire/dispatch.go
@@ -33,6 +33,7 @@
 	StreamRequests    []StreamRequest    `cbor:"27,keyasint,omitempty"` // streams of PlacementRequests
 	StreamReplies     []StreamReply      `cbor:"28,keyasint,omitempty"` // versions that placement requests of the receiver are bound to
 	StreamRecords     []StreamRecord     `cbor:"29,keyasint,omitempty"` // sent to scheduler groups
+	ReadingSpan       *ReadingSpan       `cbor:"30,keyasint,omitempty"` // what Reading says of the time before it
 }
 
 // PrefillModel is what the sender has learned, or inherited, of the time to the first event at
@@ -68,6 +69,13 @@
 	RecoveredMS uint32 // time since the store recovered from an outage, as seen by the reader, plus one; 0 when there was no recent outage
 }
 
+// ReadingSpan is what a reading says of the time before it.
+type ReadingSpan struct {
+	_        struct{} `cbor:",toarray"`
+	SteadyMS uint32   // until then the reader had read the store without a gap for this long
+	AwayMS   uint32   // how long the outage had lasted of which RecoveredMS states the end
+}
+
 // LocalUsage is usage of one organisation that is known to the sender alone. As a local
 // decision it is work that the sender shed because it was overloaded, or decided on because the
 // scheduler did not reply in time; as recorded usage it is what the sender decided as scheduler. Both numbers
--- a/internal/dispatch/heartbeat.go
+++ b/internal/dispatch/heartbeat.go
@@ -162,7 +162,8 @@
 	n.attachQuarantineChecksum(to)
 	n.attachLeaving(to, now)
 	w.Revision, w.Table = n.completeUpTo(), n.tableNumber()
-	w.Reading, w.StoreUnreachable = n.store.current(now), n.store.isUnreachable(now)
+	w.Reading, w.ReadingSpan = n.store.current(now), n.store.readingSpan()
+	w.StoreUnreachable = n.store.isUnreachable(now)
 }
 
 // completeUpTo returns the revision up to which this router knows all changes of the store's
--- a/internal/dispatch/io.go
+++ b/internal/dispatch/io.go
@@ -97,11 +97,10 @@
 
 // StoreRead reports that this router has just read the store itself. Delta has the changes
 // it found, nil for none. FullListing means that it listed the whole store, so that the
-// changes are not known. Recovered means that the store was unreachable before.
+// changes are not known. It follows a call of Node.ReadStore.
 type StoreRead struct {
 	Delta       *wire.StoreDelta
 	FullListing bool
-	Recovered   bool
 }
 
 // StoreUnreachable reports that the store did not answer this router.
@@ -255,16 +254,13 @@
 	Delta *wire.StoreDelta
 }
 
+// CheckStore asks for a reading of the store at once: whether its readings go on decides whether
+// the store was away.
+type CheckStore struct{}
+
 // FetchContentEnded reports that a fetch has ended, with or without content.
 type FetchContentEnded struct{}
 
-// StoreRecovered reports that a peer reached the store again at a time, after an outage.
-// Entries that are missing there may have expired during the outage.
-type StoreRecovered struct {
-	From wire.NodeID
-	At   time.Time
-}
-
 // UpstreamGone reports that an instance is gone, so that idle connections to it can be
 // closed. If it was restarted under its ID, the former process has certainly ended, with all
 // its requests.
@@ -282,13 +278,12 @@
 }
 
 func (Send) output()         {}
+func (CheckStore) output()   {}
 func (Placement) output()    {}
 func (Refuse) output()       {}
 func (FetchContent) output() {}
 func (ApplyDelta) output()   {}
 
-func (StoreRecovered) output() {}
-
 func (UpstreamGone) output() {}
 func (Event) output()        {}
 
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -72,7 +72,7 @@
 		n.handleReply(from, a, now)
 	}
 	if w.Reading != nil {
-		n.handleReading(from, w.Reading, now)
+		n.handleReading(from, w.Reading, readingSpanOf(w), now)
 	}
 	if w.Delta != nil {
 		wire.SetVersions(w.Delta.Put, w.DeltaVersions)
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -98,7 +98,7 @@
 	for _, id := range to {
 		if id != n.settings.ID {
 			w := n.work(id)
-			w.Delta, w.Reading = d, n.store.current(now)
+			w.Delta, w.Reading, w.ReadingSpan = d, n.store.current(now), n.store.readingSpan()
 			w.DeltaVersions = wire.VersionsOf(d.Put)
 		}
 	}
--- a/internal/dispatch/store.go
+++ b/internal/dispatch/store.go
@@ -49,16 +49,19 @@
 
 // storeReadings is what this router knows of the readings of the store in the fleet.
 type storeReadings struct {
-	latest        wire.StoreReading
-	at            time.Time // of latest
-	byReader      map[wire.NodeID]readingID
-	ownSeq        uint32 // of this router's last reading
-	failedAt      time.Time
-	recoveredAt   time.Time                 // when some router last reached the store after an outage
-	relayedUpTo   uint64                    // revision up to which this relay has passed changes on
-	fetchPending  bool                      // content was requested from a peer and has not arrived
-	fetchAttempts int                       // fetches of a router that has no table yet
-	unreachable   map[wire.NodeID]time.Time // when routers last reported the store unreachable
+	latest         wire.StoreReading
+	latestSteadyMS uint32    // see wire.ReadingSpan
+	at             time.Time // of latest
+	byReader       map[wire.NodeID]readingID
+	ownSeq         uint32 // of this router's last reading
+	failedAt       time.Time
+	outages        outages
+	noticeDue      bool                      // others must hear at once of the latest reading, which ended or disproved an outage
+	noticedAt      time.Time                 // when a reading was last announced for that
+	relayedUpTo    uint64                    // revision up to which this relay has passed changes on
+	fetchPending   bool                      // content was requested from a peer and has not arrived
+	fetchAttempts  int                       // fetches of a router that has no table yet
+	unreachable    map[wire.NodeID]time.Time // when routers last reported the store unreachable
 }
 
 // readingID identifies a router's latest known reading.
@@ -68,7 +71,7 @@
 }
 
 func newStoreReadings() storeReadings {
-	return storeReadings{byReader: map[wire.NodeID]readingID{}, unreachable: map[wire.NodeID]time.Time{}}
+	return storeReadings{outages: newOutages(), byReader: map[wire.NodeID]readingID{}, unreachable: map[wire.NodeID]time.Time{}}
 }
 
 // current returns the latest reading as it is announced, or nil before any.
@@ -79,8 +82,8 @@
 	out := s.latest
 	out.AgeMS = uint32(now.Sub(s.at).Milliseconds())
 	out.RecoveredMS = 0
-	if !s.recoveredAt.IsZero() && now.Sub(s.recoveredAt) < recoveryNoticeDuration {
-		out.RecoveredMS = uint32(now.Sub(s.recoveredAt).Milliseconds()) + 1
+	if b, known := s.outages.latest(); known && now.Sub(b.to) < recoveryNoticeDuration {
+		out.RecoveredMS = uint32(now.Sub(b.to).Milliseconds()) + 1
 	}
 	return &out
 }
@@ -207,14 +210,16 @@
 	}
 }
 
-// storeRead records a reading of the store by this router, and announces what changed.
+// storeRead announces a reading of the store by this router, and what it changed. ReadStore must
+// have been called.
 func (n *Node) storeRead(in StoreRead, now time.Time) {
 	s := &n.store
 	s.ownSeq++
 	s.latest = wire.StoreReading{Reader: n.settings.ID, Inc: n.settings.Inc, No: s.ownSeq}
+	s.latestSteadyMS = uint32(min(now.Sub(s.outages.spans[n.settings.ID].from).Milliseconds(), maxSteadyMS))
 	s.at, s.failedAt = now, time.Time{}
-	if in.Recovered {
-		s.recoveredAt = now
+	if s.noticeDue {
+		n.noticeReading(now)
 	}
 	if in.Delta != nil {
 		n.sendDelta(n.changeRecipients(now), in.Delta, now)
@@ -225,22 +230,16 @@
 }
 
 // handleReading records a reading that a peer announces, if it is newer than the known one.
-func (n *Node) handleReading(from wire.NodeID, t *wire.StoreReading, now time.Time) {
+func (n *Node) handleReading(from wire.NodeID, t *wire.StoreReading, span wire.ReadingSpan, now time.Time) {
 	s := &n.store
 	if old, known := s.byReader[t.Reader]; t.Reader == n.settings.ID || known && (t.Inc < old.inc || t.Inc == old.inc && t.No <= old.seq) {
 		return
 	}
 	s.byReader[t.Reader] = readingID{t.Inc, t.No}
 	if at := now.Add(-time.Duration(t.AgeMS) * time.Millisecond); at.After(s.at) {
-		s.latest, s.at = *t, at
-	}
-	if t.RecoveredMS == 0 {
-		return
-	}
-	if recoveredAt := now.Add(-time.Duration(t.RecoveredMS-1) * time.Millisecond); recoveredAt.Sub(s.recoveredAt) > recoveryNoticeDuration {
-		s.recoveredAt = recoveredAt
-		n.out = append(n.out, StoreRecovered{From: from, At: recoveredAt})
+		s.latest, s.latestSteadyMS, s.at = *t, span.SteadyMS, at
 	}
+	n.handleOutage(from, t, span, now)
 }
 
 // handleDelta handles a peer's changes of the store's content. They are applied if they
--- a/internal/process/peercontent.go
+++ b/internal/process/peercontent.go
@@ -172,6 +172,7 @@
 // applyPeerContent applies a peer's content where it is ahead of this router's.
 func (rc *RoutedController) applyPeerContent(from wire.NodeID, c content, t *routing.Table, bytes int, now time.Time) {
 	before := rc.tableVersion()
+	rc.updateLapseGrace()
 	if t != nil {
 		rc.view.SetTable(t, c.TableRaw, c.TableRev)
 	}
@@ -181,7 +182,9 @@
 		list = append(list, instanceOf(e, now))
 	}
 	if c.Base <= rc.view.AsOf {
-		rc.enterEra(c.AsOf, list, now)
+		if rc.enterEra(c.AsOf, list, now) {
+			rc.steadySince = now
+		}
 		rc.view.ReplaceEvacuations(evacuationsOf(c.Places), c.AsOf, now)
 		rc.applyPeerEntries(c, list, now)
 		rc.view.Revision = max(rc.view.Revision, c.Revision)
@@ -203,8 +206,18 @@
 		rc.applyPeerChanges(list, c.Removed, c.AsOf, now)
 	}
 	for _, l := range c.Lapsing {
-		rc.view.Lapse(routing.Lapse{ID: l.ID, Remaining: time.Duration(l.ForMS) * time.Millisecond}, c.AsOf, now)
+		rc.applyPeerLapse(routing.Lapse{ID: l.ID, Remaining: time.Duration(l.ForMS) * time.Millisecond}, c.AsOf, now)
+	}
+}
+
+// applyPeerLapse keeps an entry that a peer has found missing after an outage of the store, unless
+// this router knows that the store was not away.
+func (rc *RoutedController) applyPeerLapse(l routing.Lapse, asOf uint64, now time.Time) {
+	if rc.node.StoreWasRead(now.Add(l.Remaining - routing.LapseGrace)) {
+		rc.view.Remove(l.ID, asOf, now)
+		return
 	}
+	rc.view.Lapse(l, asOf, now)
 }
 
 // applyPeerChanges applies a peer's changes up to the revision asOf.
--- a/internal/process/routedcontroller.go
+++ b/internal/process/routedcontroller.go
@@ -58,6 +58,8 @@
 	availability         availability
 	loggedUnknownService map[string]bool // control goroutine only: by instance start, where a missing service was logged
 	publishedTable       *routing.Table  // control goroutine only: table of the last publication
+	steadySince          time.Time       // control goroutine only: since when the source has been read without a gap
+	sourceChecks         chan struct{}   // asks the source watcher to read the source at once
 	contentCache         contentCache
 
 	publications     atomic.Uint64 // number of times the view was published
@@ -102,6 +104,7 @@
 		tickets:              map[uint64]*forward.Ticket{},
 		overload:             overloadDetector{cores: float64(set.Power) / 1000},
 		loggedUnknownService: map[string]bool{},
+		sourceChecks:         make(chan struct{}, 1),
 		sent:                 newSentMetrics(metrics.NewRegistry()),
 
 		controlLoop: newControlLoop(now),
@@ -148,6 +151,7 @@
 const watchCheckTicks = 10
 
 func (rc *RoutedController) tick(now time.Time) {
+	rc.updateLapseGrace()
 	if rc.view.Tick(now) {
 		rc.publish(now)
 	}
@@ -227,11 +231,13 @@
 			go rc.fetchContent(o.From, rc.knownRevision())
 		case dispatch.FetchSnapshot:
 			go rc.fetchSnapshot(o)
+		case dispatch.CheckStore:
+			select {
+			case rc.sourceChecks <- struct{}{}:
+			default: // one is due already
+			}
 		case dispatch.ApplyDelta:
-			rc.applyPeerDelta(o)
-		case dispatch.StoreRecovered:
-			rc.view.StartLapseGrace(o.At)
-			rc.log.Info().Str("peer", string(o.From)).Int64("age_ms", rc.now().Sub(o.At).Milliseconds()).Msg("source-back-at-peer")
+			rc.applyPeerDelta(o, rc.now())
 		case dispatch.UpstreamGone:
 			rc.exchanges.CloseIdle(o.Instance.Address)
 			cut := 0
--- a/internal/process/sourcewatcher.go
+++ b/internal/process/sourcewatcher.go
@@ -17,6 +17,9 @@
 	// silently broken watch goes unnoticed and how old the fleet's store reading becomes;
 	// a longer timeout would save calls. storeReadInterval of internal/dispatch depends on it.
 	sourceWatchTimeout = time.Second
+	// sourceCheckWait is how long a reading waits for changes that only checks whether the source
+	// answers.
+	sourceCheckWait = time.Millisecond
 	// sourceBatchDelay is the pause after each answer, so that changes in quick succession
 	// cost one call. It is small compared with the 2 s within which routers must apply a
 	// change.
@@ -35,17 +38,68 @@
 	// minSourceOutage is how long the source must have failed for entries to have lapsed
 	// meanwhile.
 	minSourceOutage = 600 * time.Millisecond
+	// maxReadingGap is the longest time between two answers for which the source is known to
+	// have answered all the while: a watch without changes, the pause after it, and some time for
+	// the answer. An entry lapses only in a longer outage: its upstream must miss two of its writes,
+	// which are more than a second apart.
+	maxReadingGap = sourceWatchTimeout + sourceBatchDelay + 200*time.Millisecond
+	// minSilentOutage is the time between two answers from which the source was away although no
+	// reading failed: its connections were silent.
+	minSilentOutage = maxReadingGap + 500*time.Millisecond
 )
 
+// reading says what an answer of the source tells of the time before it.
+type reading struct {
+	away   time.Duration // how long the source had failed before, 0 if it had not or not for long
+	steady bool          // the source has answered without a gap since the reading before
+}
+
 // sourceWatcher keeps the controller's view up to date with a source. It is used by one
 // goroutine only.
 type sourceWatcher struct {
-	source       Source
-	ctrl         *RoutedController
-	log          zerolog.Logger
-	calls        metrics.Counter
-	failures     metrics.Counter
+	source   Source
+	ctrl     *RoutedController
+	log      zerolog.Logger
+	calls    metrics.Counter
+	failures metrics.Counter
+	history  sourceHistory
+}
+
+// sourceHistory is what a router remembers of the source's answers.
+type sourceHistory struct {
 	failingSince time.Time // zero while the source answers
+	answeredAt   time.Time // when it last answered
+}
+
+// failed records a failure. It reports whether it is the first of a series.
+func (h *sourceHistory) failed(now time.Time) (first bool) {
+	if h.failingSince.IsZero() {
+		h.failingSince = now
+		return true
+	}
+	return false
+}
+
+// answered records an answer, and returns what it tells of the time before it.
+func (h *sourceHistory) answered(now time.Time) reading {
+	failing, gap := since(h.failingSince, now), since(h.answeredAt, now)
+	first := h.answeredAt.IsZero()
+	h.failingSince, h.answeredAt = time.Time{}, now
+	switch {
+	case failing >= minSourceOutage:
+		return reading{away: failing}
+	case gap >= minSilentOutage:
+		return reading{away: gap}
+	}
+	return reading{steady: !first && gap <= maxReadingGap}
+}
+
+// since returns the time from t until now, 0 for a zero t.
+func since(t, now time.Time) time.Duration {
+	if t.IsZero() {
+		return 0
+	}
+	return now.Sub(t)
 }
 
 func newSourceWatcher(source Source, ctrl *RoutedController, log zerolog.Logger, reg metrics.Registry) *sourceWatcher {
@@ -62,7 +116,7 @@
 	pause := minSourceRetryPause
 	for ctx.Err() == nil {
 		if !w.ctrl.Watches() {
-			w.failingSince = time.Time{}
+			w.history = sourceHistory{}
 			sleep(ctx, watchRoleCheckInterval)
 			continue
 		}
@@ -99,10 +153,24 @@
 }
 
 // watch returns the revision to continue from, 0 when the source no longer has the history
-// after it.
+// after it. While it waits, it reads the source at once when the controller asks for that.
 func (w *sourceWatcher) watch(ctx context.Context, after uint64) (uint64, error) {
 	w.calls.Inc(1)
-	l, err := w.source.Watch(ctx, after, sourceWatchTimeout)
+	var l Listing
+	var err error
+	done := make(chan struct{})
+	go func() {
+		l, err = w.source.Watch(ctx, after, sourceWatchTimeout)
+		close(done)
+	}()
+	for waiting := true; waiting; {
+		select {
+		case <-done:
+			waiting = false
+		case <-w.ctrl.sourceChecks:
+			w.check(ctx, after)
+		}
+	}
 	if errorx.IsOfType(err, ErrHistoryGone) {
 		w.log.Info().Uint64("revision", after).Msg("source-history-gone")
 		return 0, nil
@@ -114,6 +182,18 @@
 	return max(after, l.AsOf), nil
 }
 
+// check reads the source at once, beside a watch that may still wait.
+func (w *sourceWatcher) check(ctx context.Context, after uint64) {
+	w.calls.Inc(1)
+	l, err := w.source.Watch(ctx, after, sourceCheckWait)
+	switch {
+	case err == nil:
+		w.ctrl.ApplyListing(l, false, w.sourceAnswered(l.AsOf))
+	case !errorx.IsOfType(err, ErrHistoryGone): // the watch meets that too
+		w.sourceFailed(ctx, err)
+	}
+}
+
 // sourceFailed counts a failure, and logs the first of a series.
 func (w *sourceWatcher) sourceFailed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
@@ -121,20 +201,17 @@
 	}
 	w.failures.Inc(1)
 	w.ctrl.SourceFailed()
-	if w.failingSince.IsZero() {
-		w.failingSince = clock.System.Now()
+	if w.history.failed(clock.System.Now()) {
 		w.log.Warn().Err(err).Msg("source-lost")
 	}
 }
 
-// sourceAnswered ends an outage, if there was one, and reports whether it was long enough
-// for entries to have lapsed meanwhile.
-func (w *sourceWatcher) sourceAnswered(asOf uint64) (returned bool) {
-	if w.failingSince.IsZero() {
-		return false
+// sourceAnswered ends an outage, if there was one, and returns what the answer tells of the time
+// before it.
+func (w *sourceWatcher) sourceAnswered(asOf uint64) reading {
+	now := clock.System.Now()
+	if since := w.history.failingSince; !since.IsZero() {
+		w.log.Info().Int64("away_ms", now.Sub(since).Milliseconds()).Uint64("revision", asOf).Msg("source-regained")
 	}
-	away := clock.System.Since(w.failingSince)
-	w.failingSince = time.Time{}
-	w.log.Info().Int64("away_ms", away.Milliseconds()).Uint64("revision", asOf).Msg("source-regained")
-	return away >= minSourceOutage
+	return w.history.answered(now)
 }
--- /dev/null
+++ b/internal/process/sourcewatcher_test.go
@@ -0,0 +1,73 @@
+package process
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/silverswitch/silverswitch/internal/routing"
+)
+
+// Taking any gap between two readings for an outage keeps servers that have left; taking none for
+// one drops live servers after an outage in which connections were silent.
+func TestWhatAnAnswerTellsOfTheTimeBefore(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for name, c := range map[string]struct {
+		failedAfter, answeredAfter time.Duration
+		want                       reading
+	}{
+		"a watch without changes":      {0, sourceWatchTimeout + sourceBatchDelay + 20*time.Millisecond, reading{steady: true}},
+		"a short failure":              {100 * time.Millisecond, 600 * time.Millisecond, reading{steady: true}},
+		"an outage":                    {100 * time.Millisecond, 700 * time.Millisecond, reading{away: 600 * time.Millisecond}},
+		"a slow answer":                {0, 1500 * time.Millisecond, reading{}},
+		"a silent outage":              {0, 2 * time.Second, reading{away: 2 * time.Second}},
+		"a failure late in an outage":  {1700 * time.Millisecond, 2 * time.Second, reading{away: 2 * time.Second}},
+		"a long outage, noticed early": {10 * time.Millisecond, 9 * time.Second, reading{away: 8990 * time.Millisecond}},
+	} {
+		var h sourceHistory
+		assert.Equal(t, reading{}, h.answered(start), "the first answer tells nothing")
+		if c.failedAfter > 0 {
+			assert.True(t, h.failed(start.Add(c.failedAfter)))
+			assert.False(t, h.failed(start.Add(c.failedAfter+time.Millisecond)), "only the first of a series is new")
+		}
+		assert.Equal(t, c.want, h.answered(start.Add(c.answeredAfter)), name)
+	}
+}
+
+// slowSource answers watches of a millisecond at once, and others after their wait.
+type slowSource struct{ checks atomic.Int64 }
+
+func (s *slowSource) List(context.Context) (Listing, error) { return Listing{AsOf: 1}, nil }
+
+func (s *slowSource) Watch(ctx context.Context, after uint64, wait time.Duration) (Listing, error) {
+	if wait == sourceCheckWait {
+		s.checks.Add(1)
+		return Listing{AsOf: after}, nil
+	}
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+	}
+	return Listing{AsOf: after}, ctx.Err()
+}
+
+func (s *slowSource) Table([]byte) (*routing.Table, error) { return nil, nil }
+
+// Whether the store was away is not known until the next reading, for which a watch without changes
+// waits for a second: servers that leave meanwhile would be kept.
+func TestSourceIsReadAtOnceWhenAsked(t *testing.T) {
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	rc, source := newTestController(t), &slowSource{}
+	go rc.Run(ctx)
+	go newSourceWatcher(source, rc, zerolog.Nop(), metrics.NewRegistry()).run(ctx)
+	require.Eventually(t, func() bool { return rc.AsOf() == 1 }, 5*time.Second, time.Millisecond)
+	rc.sourceChecks <- struct{}{}
+	assert.Eventually(t, func() bool { return source.checks.Load() == 1 }, 500*time.Millisecond, time.Millisecond)
+}
--- a/internal/process/storecontent.go
+++ b/internal/process/storecontent.go
@@ -49,26 +49,28 @@
 }
 
 // ApplyListing applies content or changes read from the source. whole means that the
-// listing is complete, so that instances missing from it are gone. returned means that the
-// source had been unavailable, so that entries may have lapsed meanwhile.
-func (rc *RoutedController) ApplyListing(l Listing, whole, returned bool) {
+// listing is complete, so that instances missing from it are gone.
+func (rc *RoutedController) ApplyListing(l Listing, whole bool, r reading) {
 	rc.enqueue(func(now time.Time) {
-		rc.applyListing(l, whole, returned, now)
+		rc.applyListing(l, whole, r, now)
 	})
 }
 
-func (rc *RoutedController) applyListing(l Listing, whole, returned bool, now time.Time) {
+func (rc *RoutedController) applyListing(l Listing, whole bool, r reading, now time.Time) {
 	before, revision, asOf := rc.tableVersion(), rc.view.Revision, rc.view.AsOf
+	restored := false
 	rc.logOlderListing(l, whole)
 	var list []routing.Instance
 	var evacuated []routing.Evacuation
 	if whole {
 		list, evacuated = splitListing(l, now)
-		returned = rc.enterEra(l.AsOf, list, now) || returned
+		restored = rc.enterEra(l.AsOf, list, now)
 	}
-	if returned {
-		rc.view.StartLapseGrace(now)
+	if restored || !r.steady {
+		rc.steadySince = now
 	}
+	rc.node.ReadStore(now.Sub(rc.steadySince), r.away, restored, now)
+	rc.updateLapseGrace()
 	for _, c := range l.Changes {
 		rc.applyChange(c, now)
 	}
@@ -83,12 +85,16 @@
 	} else {
 		rc.node.Step(dispatch.CaughtUp{AsOf: rc.view.AsOf}, now)
 	}
-	rc.node.Step(dispatch.StoreRead{Delta: announcedDelta(deltaOf(l, whole, asOf)), FullListing: whole, Recovered: returned}, now)
+	rc.node.Step(dispatch.StoreRead{Delta: announcedDelta(deltaOf(l, whole, asOf)), FullListing: whole}, now)
 	if after := rc.tableVersion(); after != before {
 		rc.log.Info().Uint64("version", after).Uint64("before", before).Uint64("revision", rc.view.TableRev).Msg("table-accepted")
 	}
 }
 
+// updateLapseGrace makes the view keep missing entries for as long as the node takes the store to
+// have been away. It must be called before changes are applied, whoever read them.
+func (rc *RoutedController) updateLapseGrace() { rc.view.SetLapseGrace(rc.node.LapseGraceUntil()) }
+
 // logOlderListing logs a listing whose revision is lower than the revision already known.
 func (rc *RoutedController) logOlderListing(l Listing, whole bool) {
 	if l.AsOf < rc.view.AsOf {
@@ -171,11 +177,11 @@
 }
 
 // applyPeerDelta applies changes that a peer has read from the store and announced.
-func (rc *RoutedController) applyPeerDelta(o dispatch.ApplyDelta) {
+func (rc *RoutedController) applyPeerDelta(o dispatch.ApplyDelta, now time.Time) {
 	if o.Delta.From > rc.view.AsOf || o.Delta.To <= rc.view.AsOf {
 		return // earlier changes are missing, or these are already known
 	}
-	now := rc.now()
+	rc.updateLapseGrace()
 	for _, e := range o.Delta.Places {
 		rc.view.SetEvacuated(e.Place, e.Evacuated, e.Revision, now)
 	}
--- a/internal/routing/changes.go
+++ b/internal/routing/changes.go
@@ -153,7 +153,7 @@
 func (v *View) Sum() uint64 {
 	var sum uint64
 	for _, e := range v.instances {
-		if !e.lapsing.IsZero() {
+		if e.missing {
 			continue
 		}
 		sum += xxhash.Sum64String(e.inst.StartID() + " " + e.inst.Service + " " + e.inst.Address)
--- a/internal/routing/storerestore.go
+++ b/internal/routing/storerestore.go
@@ -12,7 +12,7 @@
 //     written again;
 //   - an evacuation that is missing from the copy, for a while;
 //   - an upstream that is missing from the copy, for a grace period as after any outage
-//     (StartLapseGrace).
+//     (SetLapseGrace).
 
 // restoreGrace is how long known data takes precedence over the copy. The entry of an
 // upstream that has ended is removed within three of its heartbeat intervals, and the
--- a/internal/routing/view.go
+++ b/internal/routing/view.go
@@ -65,7 +65,8 @@
 	inst       Instance
 	rev        uint64    // revision as of which it is listed
 	changedRev uint64    // revision of its last change
-	lapsing    time.Time // when a missing entry is dropped; zero when it is not missing
+	lapsing    time.Time // when a missing entry is dropped
+	missing    bool
 }
 
 // NewView returns an empty view.
@@ -73,8 +74,23 @@
 	return &View{instances: map[string]*entry{}, places: map[string]*placeState{}, journal: newJournal(), stale: map[string]Instance{}}
 }
 
-// StartLapseGrace starts the grace period for missing entries, after an outage of the store.
-func (v *View) StartLapseGrace(now time.Time) { v.lapseGraceUntil = now.Add(LapseGrace) }
+// SetLapseGrace sets the end of the grace period for missing entries, after an outage of the
+// store; it has none if the end has passed. Entries that are missing already are dropped by the
+// next Tick after an earlier end.
+func (v *View) SetLapseGrace(until time.Time) {
+	if until.Equal(v.lapseGraceUntil) {
+		return
+	}
+	v.lapseGraceUntil = until
+	if v.lapsing == 0 {
+		return
+	}
+	for _, e := range v.instances {
+		if e.lapsing.After(until) {
+			e.lapsing = until
+		}
+	}
+}
 
 // SetTable replaces the table by one published at a revision. It returns false when a
 // newer table is known.
@@ -115,7 +131,7 @@
 	if e != nil && i.Revision != 0 && CountOf(i.Revision) == CountOf(e.inst.Revision) && e.inst.StartID() == i.StartID() {
 		i.ColdUntil = e.inst.ColdUntil
 	}
-	if e != nil && !e.lapsing.IsZero() {
+	if e != nil && e.missing {
 		v.lapsing--
 	}
 	v.journal.recordPut(i, e)
@@ -142,7 +158,7 @@
 
 // drop removes an entry that was found missing at a revision.
 func (v *View) drop(id string, e *entry, rev uint64) {
-	if !e.lapsing.IsZero() {
+	if e.missing {
 		v.lapsing--
 	}
 	delete(v.instances, id)
@@ -183,8 +199,8 @@
 
 // lapse keeps a missing entry until a time.
 func (v *View) lapse(e *entry, until time.Time) {
-	if e.lapsing.IsZero() {
-		e.lapsing = until
+	if !e.missing {
+		e.missing, e.lapsing = true, until
 		v.lapsing++
 	}
 }
@@ -201,7 +217,7 @@
 		return nil
 	}
 	for id, e := range v.instances {
-		if !e.lapsing.IsZero() {
+		if e.missing {
 			out = append(out, Lapse{id, max(0, e.lapsing.Sub(now))})
 		}
 	}
@@ -257,7 +273,7 @@
 	}
 	dropped := false
 	for id, e := range v.instances {
-		if !e.lapsing.IsZero() && !now.Before(e.lapsing) {
+		if e.missing && !now.Before(e.lapsing) {
 			v.drop(id, e, max(v.Revision, v.AsOf))
 			dropped = true
 		}
