Limits on callers are read when they are applied

Callers saw: after a table raises max_header_bytes, the first long request on each connection that was open before is refused with 431, however long ago the change was.

Cause: the limits belonged to the http.Server that accepted a connection. They cannot change while it serves, so other limits got another server, and open connections stayed with theirs. So did the time-outs for headers and idle connections, connections accepted before the first table, and relayed ones.

Evidence: the same request is served on a new connection, and other parts of the table are in force.

Change: limitsInForce is the one place where limits are read, at each use, the limit on bodies included. A lowered limit takes effect a second later, since callers may not know it yet. limitedConn applies them to open connections: the server has marks in place of its time-outs, by which the connection knows what it waits for.

--- a/internal/process/callerserver.go
+++ b/internal/process/callerserver.go
@@ -27,14 +27,11 @@
 	handler             http.Handler
 	relayedMu           sync.Mutex
 	relayed             map[*limitedServer]struct{} // connections relayed to this router, by session
-	relayedLimits       routing.Limits
+	limits              *limitsInForce
 	relayedLimiter      *connLimiter // of connections relayed to this router; set before the first session
 	acceptErrorLoggedAt time.Time    // accept goroutine only
 }
 
-// initialLimits apply until the first table is known.
-var initialLimits = routing.Limits{HeaderBytes: 16 << 10, HeaderTimeout: 3 * time.Second, IdleConnTimeout: 15 * time.Second}
-
 // newCallerServer listens for callers and starts serving them. While controlBehind returns
 // true, connections are accepted more slowly.
 func newCallerServer(addr string, handler http.Handler, descriptors int, controlBehind func() bool, log zerolog.Logger) (*callerServer, error) {
@@ -45,9 +42,9 @@
 	if err != nil {
 		return nil, ErrSettings.Wrap(err, "[router] caller_address = %q", addr)
 	}
-	cs := &callerServer{listener: l, connLimiter: newConnLimiter(descriptors), controlBehind: controlBehind, log: log, handler: handler, relayed: map[*limitedServer]struct{}{}, relayedLimits: initialLimits}
-	cs.own = newLimitedServer(withCloseHint(cs.connLimiter.closeHint, handler), l.Addr(), cs.connState, log)
-	cs.own.setLimits(initialLimits)
+	cs := &callerServer{listener: l, connLimiter: newConnLimiter(descriptors), controlBehind: controlBehind, log: log, handler: handler, relayed: map[*limitedServer]struct{}{}, limits: newLimitsInForce()}
+	cs.own = newLimitedServer(withCloseHint(cs.connLimiter.closeHint, handler), l.Addr(), cs.connState, cs.limits, log)
+	cs.limits.onChange(cs.limitsChanged)
 	go cs.accept()
 	return cs, nil
 }
@@ -62,14 +59,16 @@
 	})
 }
 
-// setLimits applies limits to new connections.
-func (cs *callerServer) setLimits(l routing.Limits) {
-	cs.own.setLimits(l)
+// setLimits sets the limits of the table in force, for open connections too.
+func (cs *callerServer) setLimits(l routing.Limits) { cs.limits.set(l, time.Now()) }
+
+// limitsChanged applies the limits to connections that wait.
+func (cs *callerServer) limitsChanged() {
+	cs.own.limitsChanged()
 	cs.relayedMu.Lock()
 	defer cs.relayedMu.Unlock()
-	cs.relayedLimits = l
 	for s := range cs.relayed {
-		s.setLimits(l)
+		s.limitsChanged()
 	}
 }
 
--- a/internal/process/forwardcontrol.go
+++ b/internal/process/forwardcontrol.go
@@ -11,6 +11,9 @@
 // The methods by which request handlers use the control state. Each may be called by any
 // goroutine.
 
+// MaxBodyBytes implements forward.Control.
+func (rc *RoutedController) MaxBodyBytes() int64 { return rc.limits.get().BodyBytes }
+
 // ShedRatio implements forward.Control.
 func (rc *RoutedController) ShedRatio() float64 { return rc.overload.shedRatio() }
 
--- a/internal/process/limitedserver.go
+++ b/internal/process/limitedserver.go
@@ -8,86 +8,65 @@
 	"sync"
 
 	"github.com/rs/zerolog"
-
-	"github.com/silverswitch/silverswitch/internal/routing"
 )
 
-// limitedServer serves connections that others have accepted, under limits that can change.
-// The limits of an http.Server cannot change, so other limits get a new http.Server for new
-// connections; open connections keep their limits.
+// limitedServer serves connections that others have accepted, under the limits in force.
 type limitedServer struct {
-	handler      http.Handler
-	addr         net.Addr
-	connState    func(net.Conn, http.ConnState) // may be nil
-	log          zerolog.Logger
-	mu           sync.Mutex
-	limits       routing.Limits
-	current      *http.Server
+	server       *http.Server
+	limits       *limitsInForce
 	chanListener *chanListener
-	servers      []*http.Server
-	closed       bool
-}
-
-// newLimitedServer returns a server that serves connections once its limits are set.
-func newLimitedServer(handler http.Handler, addr net.Addr, connState func(net.Conn, http.ConnState), log zerolog.Logger) *limitedServer {
-	return &limitedServer{handler: handler, addr: addr, connState: connState, log: log}
+	mu           sync.Mutex
+	conns        map[*limitedConn]struct{}
 }
 
-// setLimits applies limits to new connections.
-func (s *limitedServer) setLimits(l routing.Limits) {
-	l.TokensPerSecond, l.BodyBytes = 0, 0
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.closed || s.current != nil && s.limits == l {
-		return
+// newLimitedServer returns a server. connState may be nil.
+func newLimitedServer(handler http.Handler, addr net.Addr, connState func(net.Conn, http.ConnState), limits *limitsInForce, log zerolog.Logger) *limitedServer {
+	s := &limitedServer{
+		server: &http.Server{
+			Handler:           handler,
+			ReadHeaderTimeout: headerTimeoutMark,
+			IdleTimeout:       idleTimeoutMark,
+			MaxHeaderBytes:    maxLibraryHeader,
+			ConnState:         connState,
+			ErrorLog:          discardLog(),
+		},
+		limits: limits, chanListener: newChanListener(addr), conns: map[*limitedConn]struct{}{},
 	}
-	s.limits = l
-	s.current = &http.Server{
-		Handler:           s.handler,
-		ReadHeaderTimeout: l.HeaderTimeout,
-		IdleTimeout:       l.IdleConnTimeout,
-		MaxHeaderBytes:    l.HeaderBytes,
-		ConnState:         s.connState,
-		ErrorLog:          discardLog(),
-	}
-	s.chanListener = newChanListener(s.addr)
-	s.servers = append(s.servers, s.current)
-	go func(current *http.Server, ln *chanListener) {
-		if err := current.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			s.log.Error().Err(err).Msg("callers-listener-ended")
+	go func() {
+		if err := s.server.Serve(s.chanListener); !errors.Is(err, http.ErrServerClosed) {
+			log.Error().Err(err).Msg("callers-listener-ended")
 		}
-	}(s.current, s.chanListener)
+	}()
+	return s
 }
 
-// Serve serves one connection under the present limits. It returns before the connection ends.
+// Serve serves one connection. It returns before the connection ends.
 func (s *limitedServer) Serve(c net.Conn) {
+	limited := &limitedConn{Conn: c, limits: s.limits, closed: s.forget}
 	s.mu.Lock()
-	ln := s.chanListener
+	s.conns[limited] = struct{}{}
 	s.mu.Unlock()
-	ln.deliver(c)
+	s.chanListener.deliver(limited)
 }
 
-// Shutdown closes idle connections at once and others after their current request.
-func (s *limitedServer) Shutdown(ctx context.Context) error {
+func (s *limitedServer) forget(c *limitedConn) {
 	s.mu.Lock()
-	s.closed = true
-	servers := s.servers
-	s.mu.Unlock()
-	var wg sync.WaitGroup
-	errs := make([]error, len(servers))
-	for i, server := range servers {
-		wg.Go(func() { errs[i] = server.Shutdown(ctx) })
-	}
-	wg.Wait()
-	return errors.Join(errs...)
+	defer s.mu.Unlock()
+	delete(s.conns, c)
 }
 
-// Close closes all connections.
-func (s *limitedServer) Close() {
+// limitsChanged applies the limits to connections that wait.
+func (s *limitedServer) limitsChanged() {
+	l := s.limits.get()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.closed = true
-	for _, server := range s.servers {
-		server.Close()
+	for c := range s.conns {
+		c.limitsChanged(l)
 	}
 }
+
+// Shutdown closes idle connections at once and others after their current request.
+func (s *limitedServer) Shutdown(ctx context.Context) error { return s.server.Shutdown(ctx) }
+
+// Close closes all connections.
+func (s *limitedServer) Close() { s.server.Close() }
--- a/internal/process/relaying.go
+++ b/internal/process/relaying.go
@@ -157,10 +157,9 @@
 // counts their descriptors, and states its close hint.
 func (cs *callerServer) newRelayedServer(closeHint func() bool) relay.Server {
 	hint := func() bool { return closeHint() || cs.relayedLimiter.closeHint() }
-	s := newLimitedServer(withCloseHint(hint, cs.handler), cs.listener.Addr(), cs.relayedLimiter.connState, cs.log)
+	s := newLimitedServer(withCloseHint(hint, cs.handler), cs.listener.Addr(), cs.relayedLimiter.connState, cs.limits, cs.log)
 	cs.relayedMu.Lock()
 	defer cs.relayedMu.Unlock()
-	s.setLimits(cs.relayedLimits)
 	cs.relayed[s] = struct{}{}
 	return &relayedServer{limitedServer: s, callers: cs}
 }
--- a/internal/process/requestcost_bench_test.go
+++ b/internal/process/requestcost_bench_test.go
@@ -124,6 +124,7 @@
 func (c *costControl) HeldParts(string) (map[uint64]quarantine.PartState, bool) { return nil, false }
 func (c *costControl) AnsweredWhole(fingerprint.Fingerprint)                    {}
 func (c *costControl) UpstreamLeaving(string)                                   {}
+func (c *costControl) MaxBodyBytes() int64                                      { return c.table.Limits.BodyBytes }
 func (c *costControl) Leaving() bool                                            { return false }
 
 func (c *costControl) FirstEvent(*forward.Ticket, time.Duration)         {}
--- a/internal/process/routedcontroller.go
+++ b/internal/process/routedcontroller.go
@@ -43,6 +43,7 @@
 	neighbours       atomic.Pointer[[]relay.Peer]       // other live routers of the own place
 	leaving          atomic.Bool
 	OnTable          func(routing.Limits) // called with the limits of each accepted table; set before Run
+	limits           *limitsInForce       // what OnTable sets; set before Run
 
 	tickets  map[uint64]*forward.Ticket // control goroutine only
 	ticks    int                        // control goroutine only
--- a/internal/process/routeddaemon.go
+++ b/internal/process/routeddaemon.go
@@ -95,7 +95,7 @@
 		d.close()
 		return nil, err
 	}
-	d.ctrl.OnTable = d.callerServer.setLimits
+	d.ctrl.OnTable, d.ctrl.limits = d.callerServer.setLimits, d.callerServer.limits
 	d.ctrl.overload.observeCallers(d.callerServer.connLimiter, reg)
 	d.ctrl.overload.backlogAge = d.callerServer.backlog.age
 	d.startRelaying(ctx, reg)
--- a/internal/request/forward/body.go
+++ b/internal/request/forward/body.go
@@ -51,7 +51,7 @@
 
 // refuseTooLarge returns the failure of a request whose stated length is above the limit.
 func (req *callerRequest) refuseTooLarge() *failure {
-	if req.r.ContentLength <= req.table.Limits.BodyBytes {
+	if req.r.ContentLength <= req.s.ctrl.MaxBodyBytes() {
 		return nil
 	}
 	req.w.Header().Set("Connection", "close")
@@ -66,7 +66,7 @@
 	rc := http.NewResponseController(req.w)
 	_ = rc.SetReadDeadline(req.s.clock.Monotonic(req.deadline)) // not supported by test recorders
 	req.body = req.hold.Buffer(req.r.ContentLength)
-	err := req.body.ReadAll(http.MaxBytesReader(req.w, req.r.Body, req.table.Limits.BodyBytes))
+	err := req.body.ReadAll(http.MaxBytesReader(req.w, req.r.Body, req.s.ctrl.MaxBodyBytes()))
 	if err == nil {
 		_ = rc.SetReadDeadline(time.Time{})
 		return nil
--- a/internal/request/forward/control.go
+++ b/internal/request/forward/control.go
@@ -15,6 +15,9 @@
 type Control interface {
 	// Table returns the routing table in force, or nil.
 	Table() *routing.Table
+	// MaxBodyBytes returns the limit on a request's body. It is that of the table in force, or for
+	// a while that of the table before if it was higher.
+	MaxBodyBytes() int64
 	// Submit requests a placement. The decision is delivered on the ticket.
 	Submit(r dispatch.Request) *Ticket
 	// PlaceAgain requests another placement. note says how the last one ended (wire.ProgressFailed
--- a/internal/request/forward/harness_test.go
+++ b/internal/request/forward/harness_test.go
@@ -76,6 +76,7 @@
 }
 
 func (c *fakeControl) Table() *routing.Table { return c.table }
+func (c *fakeControl) MaxBodyBytes() int64   { return c.table.Limits.BodyBytes }
 func (c *fakeControl) Leaving() bool         { return c.stopping.Load() }
 
 func (c *fakeControl) ShedRatio() float64 {
--- a/internal/request/forward/server.go
+++ b/internal/request/forward/server.go
@@ -141,7 +141,7 @@
 // refused. It reports whether it did so. Only the body's stated length goes before, since a
 // body that is too large is refused for good.
 func (req *callerRequest) refuseUnservable() bool {
-	if req.r.ContentLength > req.table.Limits.BodyBytes {
+	if req.r.ContentLength > req.s.ctrl.MaxBodyBytes() {
 		return false
 	}
 	refusal, unservable := req.s.ctrl.Unservable(req.service, req.regions)
