--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -143,7 +143,7 @@
 	o.used += n
 	a.used += n
 	h.bytes += n
-	a.keepIdle(min(len(a.idle), int(free/chunkBytes)))
+	a.keepIdle(min(len(a.idle), int(max(0, free)/chunkBytes)))
 	return true
 }
 
