Readings that disprove an outage are told whole, for sure and at once

Three weaknesses of the rule for outages, found by reading it again and by the emulated fleet with checks that take their time:

- The announced span of a reader was cut at a minute, so one link that was cut for longer was believed to be the store's outage by all.
TestServersThatLeaveAfterALongCutAreDropped (two minutes) guards it.
- A peer's reading that was delayed on its way could seem to be after the end of an outage that it preceded.
It counts as 50 ms older.
- A reader that itself knew better told nobody before its next heartbeat: a router that had just begun to read and presumed an outage was believed for over 2 s by five of nine routers.

--- a/internal/dispatch/outage.go
+++ b/internal/dispatch/outage.go
@@ -28,16 +28,16 @@
 	// maxUncheckedReading is the age up to which a reader's own readings make it worth to check at
 	// once whether they go on: one watch without changes.
 	maxUncheckedReading = storeReadInterval + 200*time.Millisecond
-	// readingNoticePause is the least time between two readings announced because of outages that
-	// they disprove.
-	readingNoticePause = 300 * time.Millisecond
+	// storeCheckPause is the least time between two such checks.
+	storeCheckPause = 300 * time.Millisecond
+	// maxReadingSkew is how much later a peer's reading may seem than it was: the time that its
+	// datagram took.
+	maxReadingSkew = 50 * time.Millisecond
 	// outageMemory is how long readings and outages are remembered: longer than an outage is
 	// announced.
 	outageMemory = 10 * time.Second
 	// maxPastSpans bounds the remembered spans of readings that have ended.
 	maxPastSpans = 64
-	// maxSteadyMS bounds the announced length of a span.
-	maxSteadyMS = 60_000
 )
 
 // span is a period in which a router read the store without a gap.
@@ -74,15 +74,13 @@
 	return slices.ContainsFunc(o.past, func(s span) bool { return s.disproves(out) })
 }
 
-// read records a reading that ended at a time, after a period without a gap. It returns the
-// outages that it disproves.
-func (o *outages) read(reader wire.NodeID, at time.Time, steady time.Duration) (disproved []outage) {
-	s := span{at.Add(-steady), at}
+// read records the span of a reader's latest reading. It returns the outages that it disproves.
+func (o *outages) read(reader wire.NodeID, s span) (disproved []outage) {
 	if last, known := o.spans[reader]; known && s.from.After(last.to) {
 		o.past = append(o.past, last)
 	}
 	o.spans[reader] = s
-	o.forget(at)
+	o.forget(s.to)
 	o.believed = slices.DeleteFunc(o.believed, func(b outage) bool {
 		if s.disproves(b) {
 			disproved = append(disproved, b)
@@ -160,11 +158,11 @@
 	if steady == 0 && n.presumesOutage(now) {
 		away = max(away, now.Sub(n.store.at))
 	}
-	disproved := o.read(n.settings.ID, now, steady)
+	disproved := o.read(n.settings.ID, span{now.Add(-steady), now})
 	n.reportDisproved(n.settings.ID, disproved, now)
-	n.store.noticeDue = len(disproved) > 0
-	if away > 0 || restored {
-		n.store.noticeDue = o.experienced(outage{now.Add(-away), now})
+	n.store.noticeDue = n.store.noticeDue || len(disproved) > 0
+	if (away > 0 || restored) && o.experienced(outage{now.Add(-away), now}) {
+		n.store.noticeDue = true
 	}
 }
 
@@ -187,9 +185,9 @@
 }
 
 // handleOutage handles an outage of the store that a peer announces together with a reading.
-func (n *Node) handleOutage(from wire.NodeID, t *wire.StoreReading, span wire.ReadingSpan, now time.Time) {
+func (n *Node) handleOutage(from wire.NodeID, t *wire.StoreReading, said wire.ReadingSpan, now time.Time) {
 	at := now.Add(-time.Duration(t.AgeMS) * time.Millisecond)
-	disproved := n.store.outages.read(t.Reader, at, time.Duration(span.SteadyMS)*time.Millisecond)
+	disproved := n.store.outages.read(t.Reader, peerSpan(at, time.Duration(said.SteadyMS)*time.Millisecond))
 	n.reportDisproved(t.Reader, disproved, now)
 	if len(disproved) > 0 && !n.InSamePlace(from) && n.isRelay(now) {
 		n.sendReading(n.neighbours(), now)
@@ -198,33 +196,28 @@
 		return
 	}
 	to := now.Add(-time.Duration(t.RecoveredMS-1) * time.Millisecond)
-	out := outage{to.Add(-time.Duration(span.AwayMS) * time.Millisecond), to}
+	out := outage{to.Add(-time.Duration(said.AwayMS) * time.Millisecond), to}
 	if n.store.outages.reported(out) {
 		n.event(Event{Name: "source-back-at-peer", Router: from, Value: uint64(now.Sub(to).Milliseconds())})
 	}
 	n.answerOutage(out, now)
 }
 
-// answerOutage makes a router that has read the store all the while say so at once, rather than
-// with its next heartbeat: it reads the store again if its last reading was before the end of the
-// outage.
+// answerOutage makes a router that has read the store up to now, from before the outage on, read
+// it once more, and tell others of that at once rather than with its next heartbeat.
 func (n *Node) answerOutage(out outage, now time.Time) {
-	own := n.store.outages.spans[n.settings.ID]
-	switch {
-	case own.disproves(out):
-		n.noticeReading(now)
-	case own.disproves(outage{out.from, own.to}) && now.Sub(own.to) <= maxUncheckedReading && !n.store.isUnreachable(now):
-		n.out = append(n.out, CheckStore{})
+	s := &n.store
+	own := s.outages.spans[n.settings.ID]
+	if now.Sub(own.to) > maxUncheckedReading || s.isUnreachable(now) || !own.disproves(outage{out.from, own.to}) || now.Sub(s.checkedAt) < storeCheckPause {
+		return
 	}
+	s.checkedAt, s.noticeDue = now, true
+	n.out = append(n.out, CheckStore{})
 }
 
-// noticeReading sends the latest reading to those that learn changes from this router.
-func (n *Node) noticeReading(now time.Time) {
-	if now.Sub(n.store.noticedAt) < readingNoticePause {
-		return
-	}
-	n.store.noticeDue, n.store.noticedAt = false, now
-	n.sendReading(n.changeRecipients(now), now)
+// peerSpan returns the span of a peer's reading that was received at a time, at the latest.
+func peerSpan(at time.Time, steady time.Duration) span {
+	return span{at.Add(-steady), at.Add(-min(steady, maxReadingSkew))}
 }
 
 func (n *Node) sendReading(to []wire.NodeID, now time.Time) {
--- a/internal/dispatch/outage_test.go
+++ b/internal/dispatch/outage_test.go
@@ -36,14 +36,14 @@
 	} {
 		before := newOutages()
 		for _, r := range c.readings {
-			before.read("reader", at(r[0]), ms(r[1]))
+			before.read("reader", span{at(r[0] - r[1]), at(r[0])})
 		}
 		assert.Equal(t, c.want, before.experienced(out), "%s, known before", name)
 
 		after := newOutages()
 		require.True(t, after.experienced(out))
 		for _, r := range c.readings {
-			after.read("reader", at(r[0]), ms(r[1]))
+			after.read("reader", span{at(r[0] - r[1]), at(r[0])})
 		}
 		_, believed := after.latest()
 		assert.Equal(t, c.want, believed, "%s, known after", name)
@@ -65,11 +65,11 @@
 func TestReadingsAreForgotten(t *testing.T) {
 	o := newOutages()
 	for i := range 1000 {
-		o.read(wire.NodeID(string(rune('a'+i%26))), at(i*20), 0)
+		o.read(wire.NodeID(string(rune('a'+i%26))), span{at(i * 20), at(i * 20)})
 		o.experienced(outage{at(i * 20), at(i*20 + 10)})
 	}
 	assert.LessOrEqual(t, len(o.past), maxPastSpans)
-	o.read("z", at(100_000), 0)
+	o.read("z", span{at(100_000), at(100_000)})
 	assert.Len(t, o.spans, 1)
 	assert.Empty(t, o.past)
 	assert.Empty(t, o.believed)
@@ -84,6 +84,7 @@
 		f.nodes[id].ReadStore(steady, away, false, f.now)
 		f.nodes[id].Step(StoreRead{}, f.now)
 	}
+	began := f.now
 	read(cut, 0, 0)
 	read(reader, 0, 0)
 	f.run(ms(800))
@@ -103,7 +104,8 @@
 				case CheckStore:
 					checks++
 					assert.Equal(t, reader, id)
-					read(reader, ms(1100)+TickInterval, 0)
+					f.now = f.now.Add(2 * maxReadingSkew)
+					read(reader, f.now.Sub(began), 0)
 				}
 			}
 		}
--- a/internal/dispatch/store.go
+++ b/internal/dispatch/store.go
@@ -57,7 +57,7 @@
 	failedAt       time.Time
 	outages        outages
 	noticeDue      bool                      // others must hear at once of the latest reading, which ended or disproved an outage
-	noticedAt      time.Time                 // when a reading was last announced for that
+	checkedAt      time.Time                 // when the store was last read to answer an outage
 	relayedUpTo    uint64                    // revision up to which this relay has passed changes on
 	fetchPending   bool                      // content was requested from a peer and has not arrived
 	fetchAttempts  int                       // fetches of a router that has no table yet
@@ -216,10 +216,11 @@
 	s := &n.store
 	s.ownSeq++
 	s.latest = wire.StoreReading{Reader: n.settings.ID, Inc: n.settings.Inc, No: s.ownSeq}
-	s.latestSteadyMS = uint32(min(now.Sub(s.outages.spans[n.settings.ID].from).Milliseconds(), maxSteadyMS))
+	s.latestSteadyMS = uint32(min(now.Sub(s.outages.spans[n.settings.ID].from).Milliseconds(), math.MaxUint32))
 	s.at, s.failedAt = now, time.Time{}
 	if s.noticeDue {
-		n.noticeReading(now)
+		s.noticeDue = false
+		n.sendReading(n.changeRecipients(now), now)
 	}
 	if in.Delta != nil {
 		n.sendDelta(n.changeRecipients(now), in.Delta, now)
--- a/internal/process/sourcewatcher.go
+++ b/internal/process/sourcewatcher.go
@@ -18,8 +18,8 @@
 	// a longer timeout would save calls. storeReadInterval of internal/dispatch depends on it.
 	sourceWatchTimeout = time.Second
 	// sourceCheckWait is how long a reading waits for changes that only checks whether the source
-	// answers.
-	sourceCheckWait = time.Millisecond
+	// answers: until its answer also counts at routers that take it for a little older.
+	sourceCheckWait = 80 * time.Millisecond
 	// sourceBatchDelay is the pause after each answer, so that changes in quick succession
 	// cost one call. It is small compared with the 2 s within which routers must apply a
 	// change.
--- a/internal/process/sourcewatcher_test.go
+++ b/internal/process/sourcewatcher_test.go
@@ -40,7 +40,7 @@
 	}
 }
 
-// slowSource answers watches of a millisecond at once, and others after their wait.
+// slowSource answers checks at once, and watches after their wait.
 type slowSource struct{ checks atomic.Int64 }
 
 func (s *slowSource) List(context.Context) (Listing, error) { return Listing{AsOf: 1}, nil }
--- a/internal/process/storeoutage_test.go
+++ b/internal/process/storeoutage_test.go
@@ -72,7 +72,8 @@
 	listed   bool
 	asked    time.Time // when the present watch began, zero for none
 	askAt    time.Time
-	after    uint64 // revision from which it watches
+	after    uint64    // revision from which it watches
+	checkAt  time.Time // when a check is answered, zero for none
 	pause    time.Duration
 	events   []dispatch.Event
 	lateness time.Duration // of its answers, by a slow CPU
@@ -139,6 +140,12 @@
 
 // read goes on with a router's reading of the store, as sourceWatcher does.
 func (f *emulatedFleet) read(r *emulatedRouter) {
+	if !r.checkAt.IsZero() && !f.now.Before(r.checkAt) && !r.asked.IsZero() { // checks run beside a watch
+		r.checkAt = time.Time{}
+		if !r.cut && !f.store.away {
+			f.answer(r)
+		}
+	}
 	reset := r.cut || f.store.away && !f.store.silent
 	hangs := f.store.away && f.store.silent
 	switch {
@@ -194,9 +201,7 @@
 			to.receive(d, f.now)
 		}
 	case dispatch.CheckStore:
-		if !r.cut && !f.store.away && !r.asked.IsZero() {
-			f.answer(r)
-		}
+		r.checkAt = f.now.Add(sourceCheckWait)
 	case dispatch.ApplyDelta:
 		r.applyPeerDelta(o, f.now)
 	case dispatch.FetchContent:
@@ -294,6 +299,18 @@
 	}
 }
 
+// A reader's span must be told whole: one link may be cut for longer than any number that bounds it.
+func TestServersThatLeaveAfterALongCutAreDropped(t *testing.T) {
+	t.Parallel()
+	f := newEmulatedFleet(t, 8, 20)
+	r := f.watchers()[0]
+	r.cut = true
+	f.run(2 * time.Minute)
+	r.cut = false
+	f.run(250 * time.Millisecond)
+	f.requireGoneSoon("i-00000000", func(other *emulatedRouter) bool { return other != r }, "two minutes")
+}
+
 // A router that was cut off keeps a server that left meanwhile only until it hears that others have
 // read the store all the while.
 func TestRouterThatWasCutOffDropsWhatLeftMeanwhile(t *testing.T) {
