Outages are answered whatever reading they come with

A router that is back may reach one other only, which tells of the outage together with readings that are known or the receiver's own. Such a message was dropped whole, so those that had read the store meanwhile did not hear of it before the next new reading. An outage is handled apart from the reading now, and who begins to believe in one asks the readers that may have read on.

TestOutageIsAnsweredWhateverReadingItComesWith fails without either.

--- a/internal/dispatch/outage.go
+++ b/internal/dispatch/outage.go
@@ -184,25 +184,34 @@
 	return false
 }
 
-// handleOutage handles an outage of the store that a peer announces together with a reading.
+// handleOutage handles an outage of the store that a peer believes in. The reading that it comes
+// with may be known, or this router's own.
 func (n *Node) handleOutage(from wire.NodeID, t *wire.StoreReading, said wire.ReadingSpan, now time.Time) {
-	at := now.Add(-time.Duration(t.AgeMS) * time.Millisecond)
-	disproved := n.store.outages.read(t.Reader, peerSpan(at, time.Duration(said.SteadyMS)*time.Millisecond))
-	n.reportDisproved(t.Reader, disproved, now)
-	if len(disproved) > 0 && !n.InSamePlace(from) && n.isRelay(now) {
-		n.sendReading(n.neighbours(), now)
-	}
-	if t.RecoveredMS == 0 {
-		return
-	}
 	to := now.Add(-time.Duration(t.RecoveredMS-1) * time.Millisecond)
 	out := outage{to.Add(-time.Duration(said.AwayMS) * time.Millisecond), to}
 	if n.store.outages.reported(out) {
 		n.event(Event{Name: "source-back-at-peer", Router: from, Value: uint64(now.Sub(to).Milliseconds())})
+		n.askReaders(out, now)
 	}
 	n.answerOutage(out, now)
 }
 
+// askReaders tells of an outage the routers that may have read the store all the while: the router
+// that reported it may not know them yet. In a large fleet the relays do so.
+func (n *Node) askReaders(out outage, now time.Time) {
+	if n.isLarge() && !n.isRelay(now) {
+		return
+	}
+	var readers []wire.NodeID
+	for id, s := range n.store.outages.spans {
+		if s.disproves(outage{out.from, s.to}) && now.Sub(s.to) <= maxReadingAge(len(n.members.Live(false))) {
+			readers = append(readers, id)
+		}
+	}
+	slices.Sort(readers)
+	n.sendReading(readers, now)
+}
+
 // answerOutage makes a router that has read the store up to now, from before the outage on, read
 // it once more, and tell others of that at once rather than with its next heartbeat.
 func (n *Node) answerOutage(out outage, now time.Time) {
--- a/internal/dispatch/outage_test.go
+++ b/internal/dispatch/outage_test.go
@@ -129,3 +129,32 @@
 		return ok && e.Name == "source-back-at-peer"
 	}))
 }
+
+// A router that is back reached one other only, which told of its outage together with readings that
+// were known or their receiver's own. Those that had read the store meanwhile did not hear of it.
+func TestOutageIsAnsweredWhateverReadingItComesWith(t *testing.T) {
+	f := newFleet(t, 8, 2)
+	reader, told := f.nodes[f.order[1]], f.nodes[f.order[2]]
+	began := f.now
+	read := func() {
+		reader.ReadStore(f.now.Sub(began), 0, false, f.now)
+		reader.Step(StoreRead{}, f.now)
+	}
+	read()
+	f.run(ms(1100))
+	read()
+	f.run(ms(200))
+	told.handleOutage("10.1.0.99:1", &wire.StoreReading{RecoveredMS: 1}, wire.ReadingSpan{AwayMS: 700}, f.now)
+	require.False(t, told.LapseGraceUntil().IsZero())
+	said := told.store.current(f.now)
+	require.Equal(t, f.order[1], said.Reader, "the reading is the receiver's own")
+	reader.Ready(f.now)
+	told.Tick(f.now.Add(TickInterval))
+	asks := func(o Output) bool {
+		s, ok := o.(Send)
+		return ok && s.To == f.order[1] && s.Datagram.Dispatch != nil && s.Datagram.Dispatch.Reading.RecoveredMS > 0
+	}
+	assert.True(t, slices.ContainsFunc(told.Ready(f.now), asks), "it is told at once")
+	reader.handleReading(f.order[2], said, *told.store.readingSpan(), f.now)
+	assert.True(t, slices.ContainsFunc(reader.Ready(f.now), func(o Output) bool { _, ok := o.(CheckStore); return ok }))
+}
--- a/internal/dispatch/store.go
+++ b/internal/dispatch/store.go
@@ -230,17 +230,35 @@
 	}
 }
 
-// handleReading records a reading that a peer announces, if it is newer than the known one.
+// handleReading records a reading that a peer announces, if it is newer than the known one, and an
+// outage that the peer announces with it.
 func (n *Node) handleReading(from wire.NodeID, t *wire.StoreReading, span wire.ReadingSpan, now time.Time) {
-	s := &n.store
-	if old, known := s.byReader[t.Reader]; t.Reader == n.settings.ID || known && (t.Inc < old.inc || t.Inc == old.inc && t.No <= old.seq) {
-		return
+	if n.isNewReading(t) {
+		n.recordReading(from, t, span, now)
+	}
+	if t.RecoveredMS > 0 {
+		n.handleOutage(from, t, span, now)
 	}
+}
+
+// isNewReading reports whether a reading is of another router and newer than the known one.
+func (n *Node) isNewReading(t *wire.StoreReading) bool {
+	old, known := n.store.byReader[t.Reader]
+	return t.Reader != n.settings.ID && (!known || t.Inc > old.inc || t.Inc == old.inc && t.No > old.seq)
+}
+
+func (n *Node) recordReading(from wire.NodeID, t *wire.StoreReading, span wire.ReadingSpan, now time.Time) {
+	s := &n.store
 	s.byReader[t.Reader] = readingID{t.Inc, t.No}
-	if at := now.Add(-time.Duration(t.AgeMS) * time.Millisecond); at.After(s.at) {
+	at := now.Add(-time.Duration(t.AgeMS) * time.Millisecond)
+	if at.After(s.at) {
 		s.latest, s.latestSteadyMS, s.at = *t, span.SteadyMS, at
 	}
-	n.handleOutage(from, t, span, now)
+	disproved := s.outages.read(t.Reader, peerSpan(at, time.Duration(span.SteadyMS)*time.Millisecond))
+	n.reportDisproved(t.Reader, disproved, now)
+	if len(disproved) > 0 && !n.InSamePlace(from) && n.isRelay(now) {
+		n.sendReading(n.neighbours(), now)
+	}
 }
 
 // handleDelta handles a peer's changes of the store's content. They are applied if they
