An entry that lapses and is back within one reading is kept by peers

Found by reading, not seen by callers: a reading that has the removal of an entry and, after it, the entry written again was told to peers as both, and they apply removals last. They dropped an upstream that lives, until a later difference made them read the list again. The later change of an entry counts now. TestEntryThatIsBackWithinOneReadingIsKeptByPeers failed before.

--- a/internal/process/peercontent_test.go
+++ b/internal/process/peercontent_test.go
@@ -227,3 +227,26 @@
 	a.applyListing(Listing{AsOf: 13, Changes: []Change{{Revision: 13, Put: &written}}}, false, reading{steady: true}, now)
 	assert.Len(t, a.view.Instances(), 3, "a later entry counts")
 }
+
+// An entry that lapsed and was written again within one reading was told as both, and peers dropped
+// an upstream that lives.
+func TestEntryThatIsBackWithinOneReadingIsKeptByPeers(t *testing.T) {
+	list := manyInstances(2)
+	removed, put := Change{Removed: list[0].ID}, Change{Put: &list[0]}
+	for name, c := range map[string]struct {
+		changes []Change
+		want    int
+	}{"back": {[]Change{removed, put}, 2}, "gone again": {[]Change{removed, put, removed}, 1}, "new and gone": {[]Change{put, removed}, 1}} {
+		a := newTestController(t)
+		now := a.now()
+		a.applyListing(listing(10, builtTable(t, 1), list), true, reading{}, now)
+		l := Listing{AsOf: 10}
+		for _, ch := range c.changes {
+			l.AsOf++
+			ch.Revision = l.AsOf
+			l.Changes = append(l.Changes, ch)
+		}
+		a.applyPeerDelta(dispatch.ApplyDelta{From: "peer", Delta: deltaOf(l, false, 10)}, now)
+		assert.Len(t, a.view.Instances(), c.want, name)
+	}
+}
--- a/internal/process/storecontent.go
+++ b/internal/process/storecontent.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"slices"
 	"time"
 
 	"github.com/silverswitch/silverswitch/internal/core/wire"
@@ -168,6 +169,7 @@
 		case c.Removed != "" || c.Rejected != "":
 			d.Removed = append(d.Removed, c.Removed+c.Rejected)
 		case c.Put != nil:
+			d.Removed = slices.DeleteFunc(d.Removed, func(id string) bool { return id == c.Put.ID }) // peers apply removals last
 			e := entryOf(*c.Put, time.Time{})
 			e.ColdMS = uint32(c.ColdFor.Milliseconds())
 			d.Put = append(d.Put, e)
