--- a/internal/process/limits_test.go
+++ b/internal/process/limits_test.go
@@ -221,5 +221,7 @@
 	assert.Equal(t, with(300), f.get())
 	f.update(now.Add(3 * limitOverlap))
 	assert.Equal(t, with(200), f.get())
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	assert.Empty(t, f.replaced)
 }
