A router without a table refuses no header as too long

Cause: until the first table is known the built-in limit of 16 KB applied, and a 431 is for good. Evidence: the process started at 52.966 s, requests numbered just before and after the refused one are logged at 52.980 and 52.983, and the first table came from a peer at 52.988.

The first table's limit applies at once. TestRouterWithoutATableRefusesNoHeader failed before with 431.

--- a/internal/process/limits.go
+++ b/internal/process/limits.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"net/http"
 	"sync"
 	"time"
 
@@ -12,8 +13,10 @@
 // well within the 2 s in which routers must apply it.
 const limitOverlap = time.Second
 
-// initialLimits apply until the first table is known.
-var initialLimits = routing.Limits{HeaderBytes: 16 << 10, HeaderTimeout: 3 * time.Second, IdleConnTimeout: 15 * time.Second}
+// initialLimits apply until the first table is known. A header within the table's limit must not
+// be refused for good by a router that does not know the table, so it may be as long as the
+// library takes by default.
+var initialLimits = routing.Limits{HeaderBytes: http.DefaultMaxHeaderBytes, HeaderTimeout: 3 * time.Second, IdleConnTimeout: 15 * time.Second}
 
 // limitsInForce are the limits on what callers may send and how long they may take: those of the
 // table in force, and for limitOverlap those of the tables that it has replaced where they are more
--- a/internal/process/limits_test.go
+++ b/internal/process/limits_test.go
@@ -71,6 +71,23 @@
 	assert.Equal(t, 200, code)
 }
 
+// A router that had just started and knew no table refused long headers with 431, by a built-in
+// limit that was lower than the table's.
+func TestRouterWithoutATableRefusesNoHeader(t *testing.T) {
+	ok := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
+	cs, err := newCallerServer("127.0.0.1:0", ok, 0, nil, zerolog.Nop())
+	require.NoError(t, err)
+	t.Cleanup(cs.close)
+	c, br := dialCallerServer(t, cs.listener.Addr().String())
+	code, err := roundTrip(t, c, br, headerOf(48<<10))
+	require.NoError(t, err)
+	assert.Equal(t, 200, code)
+	cs.setLimits(withHeaderBytes(16 << 10))
+	code, err = roundTrip(t, c, br, headerOf(48<<10))
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusRequestHeaderFieldsTooLarge, code, "the first table's limit applies at once")
+}
+
 // A lowered limit must reach open connections in time, but not before callers can know it.
 func TestLoweredHeaderLimitReachesOpenConnectionsInTime(t *testing.T) {
 	t.Parallel()
