Whole seconds of each organisation, and a margin against the best of each second

Callers compare organisations by whole seconds, and with the best served of each. The scheduler's lines told sums of four and six seconds, and the margin compared with one organisation over all six. The lines that are new, organisation-second and margin_of_seconds, tell apart an order that swings from one that holds, and name the gate in each second. No decision rests on them.

--- a/internal/dispatch/ledger.go
+++ b/internal/dispatch/ledger.go
@@ -195,6 +195,7 @@
 type FairnessReport struct {
 	Service, Least, Best          string
 	Margin                        float64 // what Least started, as a ratio of the lesser of what it requested and what Best started
+	MarginOfSeconds               float64 // the same, compared with the organisation that started most in each second
 	Requested, Granted, Started   int     // of Least
 	BestStarted                   int
 	Gate                          string // which turned most of it away
@@ -237,13 +238,7 @@
 func (l *ledger) due(r, best *ledgerRow) float64 {
 	due := 0.0
 	for second := range ledgerSteps / stepsPerSecond {
-		requested, started := 0.0, 0.0
-		for step := range stepsPerSecond {
-			i := l.ring.slot(second*stepsPerSecond + step)
-			requested += r.requested[i]
-			started += best.started[i]
-		}
-		due += min(requested, started)
+		due += min(l.secondOf(&r.requested, second), l.secondOf(&best.started, second))
 	}
 	return due
 }
@@ -266,7 +261,7 @@
 	l := &p.meter.ledger
 	r := l.rows[m.least]
 	out := FairnessReport{
-		Service: p.service, Least: n.reports.orgNames[m.least], Best: n.reports.orgNames[m.best], Margin: m.ratio,
+		Service: p.service, Least: n.reports.orgNames[m.least], Best: n.reports.orgNames[m.best], Margin: m.ratio, MarginOfSeconds: l.marginOfSeconds(m.least),
 		Requested: int(l.latest(&r.requested, ledgerSteps)), Granted: int(l.latest(&r.granted, ledgerSteps)), Started: int(l.latest(&r.started, ledgerSteps)),
 		BestStarted:     int(l.latest(&l.rows[m.best].started, ledgerSteps)),
 		TurnedByRouters: int(l.latest(&r.turned[gateRouter], ledgerSteps)),
--- a/internal/dispatch/ledger_test.go
+++ b/internal/dispatch/ledger_test.go
@@ -49,7 +49,7 @@
 	n.reports.orgNames = map[version.ID]string{1: "one", 2: "two", 3: "three"}
 	n.reportFairness(p, now)
 	assert.Equal(t, 25, n.LeastServedPercent(f.now))
-	assert.Contains(t, n.out, FairnessReport{Service: engines, Least: "one", Best: "two", Margin: 0.25, Requested: 96_000, Granted: 24_000, Started: 24_000, BestStarted: 96_000,
+	assert.Contains(t, n.out, FairnessReport{Service: engines, Least: "one", Best: "two", Margin: 0.25, MarginOfSeconds: 0.25, Requested: 96_000, Granted: 24_000, Started: 24_000, BestStarted: 96_000,
 		Gate: "router", TurnedByGate: 48_000, TurnedByRouters: 48_000, Router: "10.1.0.9:1"})
 }
 
@@ -98,3 +98,51 @@
 	l.refund(9, 500, start, start)
 	assert.Empty(t, l.rows[9])
 }
+
+// Two organisations that trade places look alike over six seconds. Callers compare them second by
+// second, with the one that started most in each.
+func TestMarginOfSecondsComparesWithTheBestOfEachSecond(t *testing.T) {
+	l := newLedger()
+	now := start
+	for second := range int64(ledgerSteps) / stepsPerSecond {
+		for step := range stepsPerSecond {
+			now = start.Add(time.Duration(second*stepsPerSecond+step) * shareStep)
+			for org := range version.ID(2) {
+				l.addRequest(1+org, 9000, now)
+				l.addStart(1+org, []float64{1000, 3000}[(int64(org)+second)%2], now)
+			}
+		}
+	}
+	m, short := l.margin(now)
+	require.True(t, short)
+	assert.InDelta(t, 1, m.ratio, 0.001)
+	assert.InDelta(t, 2.0/3, l.marginOfSeconds(m.least), 0.001, "half of the other one's starts are missed by a comparison over the whole time")
+}
+
+// The numbers of a whole second could be found only as differences of sums over four seconds.
+func TestWholeSecondsAreReportedOnce(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	n := f.nodes[f.order[0]]
+	p := n.pools[serviceID(engines)]
+	n.reports.orgNames = map[version.ID]string{1: "one"}
+	begin := f.now.Truncate(time.Second).Add(2 * time.Second)
+	at := begin.Add(600 * time.Millisecond)
+	p.meter.ledger.addRequest(1, 500, at)
+	p.meter.ledger.addGrant(1, 300, at)
+	p.meter.ledger.addStart(1, 200, at)
+	p.meter.ledger.addTurned(1, gateShare, 100, at)
+	p.meter.ledger.addTurnedAt(1, "10.1.0.9:1", 50, at)
+	n.out = nil
+	for _, after := range []time.Duration{1900, 2050, 2900, 3060, 4070} {
+		n.reportSeconds(p, begin.Add(after*time.Millisecond))
+	}
+	var got []SecondReport
+	for _, o := range n.out {
+		if s, is := o.(SecondReport); is {
+			got = append(got, s)
+		}
+	}
+	want := SecondReport{Service: engines, Org: "one", Second: begin, Requested: 500, Granted: 300, Started: 200}
+	want.Turned[gateShare], want.Turned[gateRouter] = 100, 50
+	assert.Equal(t, []SecondReport{want}, got)
+}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -35,6 +35,7 @@
 	learner          *prefill.Learner // of the engines' times to the first event
 	loggedModel      prefill.Model    // as last written to the log
 	margin           float64          // as of the last report: see LeastServedPercent
+	secondsReported  time.Time        // end of the last second in a SecondReport
 	targetMS         float64          // the strictest target latency of the routes to it, in milliseconds, 0 if unknown
 	baseline         baselineLatency  // of a plain service
 	meter            *meter           // of the whole fleet, as far as this router decides
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -116,6 +116,7 @@
 		}
 		n.reportShares(p, now)
 		n.reportFairness(p, now)
+		n.reportSeconds(p, now)
 		n.reportEngines(p, now)
 	}
 }
--- a/internal/process/reportlog.go
+++ b/internal/process/reportlog.go
@@ -15,8 +15,14 @@
 		log.Info().Str("service", o.Service).Str("organisation", o.Org).Int("asked", o.Requested).Int("got", o.Granted).Int("begun", o.Started).Int("share", o.Share).
 			Int("asking_seconds", o.UnmetSeconds).Bool("waits", o.Waits).Msg("organisation-share")
 	case dispatch.FairnessReport:
-		log.Info().Str("service", o.Service).Str("least", o.Least).Str("best", o.Best).Float64("margin", o.Margin).Int("asked", o.Requested).Int("got", o.Granted).Int("begun", o.Started).
+		log.Info().Str("service", o.Service).Str("least", o.Least).Str("best", o.Best).Float64("margin", o.Margin).Float64("margin_of_seconds", o.MarginOfSeconds).Int("asked", o.Requested).Int("got", o.Granted).Int("begun", o.Started).
 			Int("best_begun", o.BestStarted).Str("gate", o.Gate).Int("turned_by_gate", o.TurnedByGate).Int("turned_by_routers", o.TurnedByRouters).Str("turned_most_by", string(o.Router)).Msg("least-served")
+	case dispatch.SecondReport:
+		e := log.Info().Str("service", o.Service).Str("organisation", o.Org).Int64("second", o.Second.Unix()).Int("asked", o.Requested).Int("got", o.Granted).Int("begun", o.Started)
+		for i, name := range dispatch.GateNames() {
+			e.Int("turned_by_"+name, o.Turned[i])
+		}
+		e.Msg("organisation-second")
 	case dispatch.EngineReport:
 		log.Info().Str("service", o.Service).Int("engines", o.Engines).Int("busy_percent", o.BusyPercent).
 			Dict("least", waitFields(o.Least)).Dict("median", waitFields(o.Median)).Msg("engines-believed")
--- a/internal/process/routedcontroller.go
+++ b/internal/process/routedcontroller.go
@@ -251,7 +251,7 @@
 			rc.drainUpstream(o)
 		case dispatch.Probe:
 			go rc.probe(o.Instance)
-		case dispatch.ShareReport, dispatch.FairnessReport, dispatch.EngineReport, dispatch.LocalDecisionReport, dispatch.SlotReport, dispatch.UpstreamEnded, dispatch.QuarantineReport, dispatch.PartReport:
+		case dispatch.ShareReport, dispatch.FairnessReport, dispatch.SecondReport, dispatch.EngineReport, dispatch.LocalDecisionReport, dispatch.SlotReport, dispatch.UpstreamEnded, dispatch.QuarantineReport, dispatch.PartReport:
 			logReport(rc.log, o)
 		case dispatch.ColdChange:
 			logColdChange(rc.log, o)
