--- a/internal/lab/tokens/arrivals.go
+++ b/internal/lab/tokens/arrivals.go
@@ -35,6 +35,8 @@
 	for i, weight := range orgWeights {
 		out[i] = weight / total
 		switch {
+		case w.FloodDay != nil:
+			out[i] = w.floodDayLoad(i)
 		case w.Overlap != nil:
 			if w.isOverlapping(i) {
 				out[i] *= w.FloodFactor
@@ -128,7 +130,7 @@
 	w.askedFor(c)
 	w.countRequested(c)
 	w.calls[c.req.ID] = c
-	if w.shed(c) || w.shedBySmallRouter(c) {
+	if w.shed(c) || w.shedBySmallRouter(c) || w.arriveAtSmallRouter(c) {
 		return
 	}
 	w.nodes[c.router].Step(dispatch.Arrive{Request: c.req}, w.now)
--- /dev/null
+++ b/internal/lab/tokens/floodday_test.go
@@ -0,0 +1,106 @@
+package tokens
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/silverswitch/silverswitch/internal/engine"
+)
+
+// minFloodMargin is what the least served organisation has to start of what it could have, as a
+// ratio of the best served one, in any six whole seconds.
+const minFloodMargin = 0.6
+
+// floodEngines are the engines of days of floods, by what they read of what is stated.
+var floodEngines = map[string]engine.Config{"fast engines": fastEngine(), "engines as stated": engine.DefaultConfig}
+
+// Guards against an order of organisations that swings: of floods that overlap, the one that had a
+// burst while another one went short was charged for it for six seconds, was refused everything
+// until the burst was forgotten, and then went short itself. Where a flood starved its router of
+// CPU, all others were held back as well, for what that router could not bring.
+func TestOverlappingFloodsAreServedAlike(t *testing.T) {
+	for _, c := range []struct {
+		day       string
+		seeds     []uint64
+		minMargin float64
+	}{
+		{"all routers", []uint64{1, 2, 3}, minFloodMargin},
+		{"small routers", []uint64{1, 2, 3}, minFloodMargin},
+		{"starved routers", []uint64{2, 5, 8}, 0},
+		{"lost", []uint64{1, 2, 3}, minFairRatio},
+	} {
+		t.Run(c.day, func(t *testing.T) {
+			t.Parallel()
+			for _, seed := range c.seeds {
+				checkFloodDay(t, c.day, seed, c.minMargin)
+			}
+		})
+	}
+}
+
+// checkFloodDay runs a day of floods before fast engines.
+func checkFloodDay(t *testing.T, day string, seed uint64, minMargin float64) {
+	t.Helper()
+	s := FloodDays(seed)[day]
+	s.Engine = fastEngine()
+	r, err := s.Run()
+	require.NoError(t, err)
+	t.Logf("%s, seed %d: fair %.2f margin %.2f, %+v", day, seed, r.Fair, r.Margin, r)
+	assert.GreaterOrEqual(t, r.Fair, 1.0, "%s, seed %d", day, seed)
+	assert.GreaterOrEqual(t, r.Margin, minMargin, "%s, seed %d", day, seed)
+}
+
+// Compares ways to decide, by the margins of many days: FLOOD_SEEDS=24 go test -run
+// TestMarginsOfFloodDays -v.
+func TestMarginsOfFloodDays(t *testing.T) {
+	seeds, err := strconv.Atoi(os.Getenv("FLOOD_SEEDS"))
+	if err != nil {
+		t.Skip("FLOOD_SEEDS does not state a number of seeds")
+	}
+	var names []string
+	for name := range FloodDays(0) {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		for label, e := range floodEngines {
+			t.Run(name+", "+label, func(t *testing.T) {
+				t.Parallel()
+				t.Log(floodMargins(t, name, e, seeds))
+			})
+		}
+	}
+}
+
+// floodMargins runs days of one kind and returns their margins and what was served.
+func floodMargins(t *testing.T, day string, e engine.Config, seeds int) string {
+	t.Helper()
+	var margins, fair []float64
+	started, owed, least, late, answered := 0.0, 0.0, 0.0, 0, 0
+	for seed := range uint64(seeds) {
+		s := FloodDays(1 + seed)[day]
+		s.Engine = e
+		w, err := s.simulate()
+		require.NoError(t, err)
+		r := w.result()
+		margins, fair = append(margins, r.Margin), append(fair, r.Fair)
+		owed, least = owed+r.Owed, least+r.Least
+		late, answered = late+r.Late, answered+r.Late+r.InTarget
+		for org := range w.fair.orgs {
+			for _, x := range w.fair.orgs[org] {
+				started += x.started
+			}
+		}
+	}
+	slices.Sort(margins)
+	slices.Sort(fair)
+	n := float64(seeds)
+	return fmt.Sprintf("margin least %.2f tenth %.2f median %.2f; fair least %.2f; started %.1f M; owed %.3f least %.3f; late %.3f",
+		margins[0], margins[seeds/10], margins[seeds/2], fair[0], started/n/1e6, owed/n, least/n, float64(late)/float64(max(1, answered)))
+}
--- a/internal/lab/tokens/overload.go
+++ b/internal/lab/tokens/overload.go
@@ -59,6 +59,9 @@
 
 // fixedRouter returns the router that receives a call, if it is not drawn at random.
 func (w *world) fixedRouter(c *call) (wire.NodeID, bool) {
+	if w.FloodDay != nil {
+		return w.floodRouter(c.org)
+	}
 	if w.Overlap != nil {
 		return w.overloadedRouter(), c.org == overloadedOrg && w.Overlap.PerSecond > 0
 	}
--- a/internal/lab/tokens/tokens.go
+++ b/internal/lab/tokens/tokens.go
@@ -68,6 +68,7 @@
 	Starved       bool          // two organisations flood, one of them through a starved router
 	StarvedRole   bool          // the starved router is the scheduler
 	Overlap       *Overlap      // floods that overlap while routers and engines are lost: see overlap.go; may be nil
+	FloodDay      *FloodDay     // floods that begin, end and overlap: see floodday.go; may be nil
 	Disabled      dispatch.Disabled
 	Engine        engine.Config // of all engines; the zero value stands for engine.DefaultConfig
 	Pace          *PaceLoad     // other engines and requests, and a target for the gap between events; may be nil
@@ -127,6 +128,7 @@
 	shedder            loadShedder
 	starved            starvedRouter
 	overlap            overlap
+	floodDay           floodDay
 	releases           releases
 	listAt             map[wire.NodeID]uint64 // revision of each router's list of engines
 	readingMS          int                    // summed over the engines that have an unread prompt
@@ -168,6 +170,9 @@
 	if err := w.boot(); err != nil {
 		return nil, err
 	}
+	if s.FloodDay != nil {
+		w.drawFloods()
+	}
 	for w.now.Before(startTime.Add(warmUpDuration)) {
 		w.step(false)
 	}
@@ -264,6 +269,7 @@
 	w.tickStarved()
 	w.tickReleases()
 	w.tickOverlap()
+	w.tickFloodDay()
 	w.runDelayed()
 	w.setSpeeds()
 	w.advanceEngines()
