Who goes first is decided by arrears, forgotten in seconds, not by a window of grants

Cause: an order with a memory as long as the time that the rule looks at. Who had a burst while another one went short was charged for it until the window of six seconds had forgotten it, was refused everything, and went short itself; others were then held for it. A class of fault: a controller whose memory is as long as what it controls swings.

Change: what one organisation is served is due to each other one, up to what that one asks for; arrears are what was due and was not served, and are forgotten with a time constant of three seconds. Others wait for an organisation only while they are ahead of it by more than a slack in tokens. Within the slack who is in arrears is judged as if it had used less beyond its share, so that it catches up before anybody waits. It follows from the steps of the ledger, so a new scheduler has it with the window. It replaces the lead of 1.5, the limits by the number of steps, and the second before a hold.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -63,8 +63,8 @@
 		p.meter.addRequest(a.Org, tokens, now)
 	}
 	p.meter.ledger.observeSize(tokens, now)
-	usedShare := p.meter.usedShare(a.Org, now)
-	usedPercent := usedSharePercent(usedShare)
+	usedPercent := usedSharePercent(p.meter.usedShare(a.Org, now))
+	usedShare := p.meter.countedShare(a.Org, now)
 	p.preparePace(usedShare, now)
 	best := p.choose(from, a, now)
 	if best == nil {
--- /dev/null
+++ b/internal/dispatch/arrears.go
@@ -0,0 +1,195 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/silverswitch/silverswitch/internal/version"
+)
+
+// The order of organisations while some of them are refused something. What one of them is served
+// is due to each other one as well, up to what that one asked for. Arrears are what was due and
+// was not served. An organisation whose arrears are smaller than another one's by more than a fixed
+// slack has to wait, so that of any two that ask on, neither is served more than the other one by
+// more than the slack and what is forgotten, over any time.
+//
+// This is start-time fair queueing (Goyal et al., 1996; Sheng et al., OSDI 2024, for tokens) without
+// a queue: arrears are the distance of an organisation's virtual time from the largest one. An
+// organisation that asks for little accumulates none, and nobody is charged for a time in which
+// others asked for nothing. The order depends neither on a stated capacity nor on what engines
+// serve, nor on who decided.
+//
+// Load pattern: floods that begin, end, begin again and overlap. While the order remembered six
+// seconds of grants, the organisation that had a burst was refused everything until that was
+// forgotten, and was the least served one then.
+
+const (
+	// arrearsForgetting is the time constant with which arrears are forgotten. It bounds what others
+	// lose by an organisation that cannot use what they leave to it.
+	arrearsForgetting = 3 * time.Second
+	arrearsKept       = 1 - float64(shareStep)/float64(arrearsForgetting) // in a step
+	// stepsPerSecond is the number of steps in a second.
+	stepsPerSecond = int64(time.Second / shareStep)
+	// latestSteps is the time, in steps, within which what was asked for can become due, a refusal
+	// means that an organisation goes short, and a grant has to start. The current step is part of
+	// it, so that it is a second at least.
+	latestSteps = stepsPerSecond + 1
+	// minShortSteps is in how many of the latest steps an organisation that goes short was refused
+	// something: one that has just begun to send is about to be served.
+	minShortSteps = 2
+	// yieldFloorRatio is the ratio of its share of the stated capacity, or of an even part of what
+	// is granted where none is stated, below which an organisation never has to wait for others. It
+	// bounds what others lose by an organisation that starts nothing whatever they leave to it.
+	yieldFloorRatio = 0.4
+)
+
+// standing is an organisation's place in the order, in tokens.
+type standing struct {
+	arrears float64
+	short   bool // it was refused something in minShortSteps of the latest steps
+	// due is what it has asked for that became due, by step.
+	due [ledgerSteps]float64
+	// unstarted is what it was granted and has not started, and counted the part of it that counts
+	// as served: what was granted in the latest steps.
+	unstarted, counted float64
+}
+
+// updateOrder computes the arrears of all organisations at the begin of the current step.
+func (l *ledger) updateOrder() {
+	l.inOrder, l.short, l.pace = l.inOrder[:0], l.short[:0], 0
+	for _, r := range l.rows {
+		r.standing = standing{}
+		l.inOrder = append(l.inOrder, r)
+	}
+	for age := int64(ledgerSteps) - 1; age > 0; age-- {
+		l.replay(age)
+	}
+	for _, r := range l.inOrder {
+		if r.short = l.refusedLately(r, 0) >= minShortSteps; r.short {
+			l.short = append(l.short, r)
+		}
+	}
+}
+
+// replay accounts for one step in the standings.
+func (l *ledger) replay(age int64) {
+	lead, step := 0.0, l.ring.slot(age)
+	served := l.served[:0]
+	for _, r := range l.inOrder {
+		tokens := l.servedIn(r, age)
+		served = append(served, tokens)
+		lead = max(lead, tokens-r.arrears)
+	}
+	for i, r := range l.inOrder {
+		r.due[step] = min(lead, l.claim(r, age))
+		r.arrears = arrearsKept * max(0, r.arrears+r.due[step]-served[i])
+	}
+	l.served = served
+	l.pace += (lead - l.pace) / float64(stepsPerSecond)
+}
+
+// servedIn returns what counts as served to an organisation in a step: what it was granted, and of
+// grants that have not started within the latest steps nothing.
+func (l *ledger) servedIn(r *ledgerRow, age int64) float64 {
+	step := l.ring.slot(age)
+	r.unstarted = max(0, r.unstarted+r.granted[step]-r.started[step])
+	counted := min(r.unstarted, max(0, l.latestAt(&r.granted, age)))
+	served := r.started[step] + counted - r.counted
+	r.counted = counted
+	return served
+}
+
+// claim returns what an organisation has asked for in the latest steps up to one that has not become
+// due.
+func (l *ledger) claim(r *ledgerRow, age int64) float64 {
+	return max(0, l.latestAt(&r.requested, age)-l.latestAt(&r.due, age))
+}
+
+// latestAt sums up the latest steps up to one.
+func (l *ledger) latestAt(tokens *[ledgerSteps]float64, age int64) float64 {
+	sum := 0.0
+	for i := age; i < min(age+latestSteps, ledgerSteps); i++ {
+		sum += tokens[l.ring.slot(i)]
+	}
+	return sum
+}
+
+// refusedLately returns in how many of the latest steps up to one an organisation was refused
+// something.
+func (l *ledger) refusedLately(r *ledgerRow, age int64) int {
+	steps := 0
+	for i := age; i < min(age+latestSteps, ledgerSteps); i++ {
+		if step := l.ring.slot(i); r.requested[step] > r.granted[step] {
+			steps++
+		}
+	}
+	return steps
+}
+
+// slackTokens returns by how many tokens an organisation may be ahead of another one: what the best
+// served one gets in a step, and one largest request, which cannot be divided.
+func (l *ledger) slackTokens() float64 {
+	return l.largestRequest() + l.pace
+}
+
+// usedSlack returns how far an organisation is ahead of the one that is furthest behind it, of those
+// that go short, as a ratio of the slack: from 1 on others go first.
+func (l *ledger) usedSlack(org version.ID) float64 {
+	r := l.rows[org]
+	if r == nil {
+		return 0
+	}
+	ahead, now := 0.0, l.ring.slot(0)
+	for _, o := range l.short {
+		if o != r {
+			owed := o.arrears - o.granted[now]
+			ahead = max(ahead, min(owed+r.granted[now]-r.arrears, owed+l.claim(o, 0)))
+		}
+	}
+	return ahead / max(1, l.slackTokens())
+}
+
+// catchUp returns how far an organisation's arrears entitle it to be judged as if it had used no
+// more than its share, from 0 to 1.
+func (l *ledger) catchUp(org version.ID) float64 {
+	r := l.rows[org]
+	if r == nil {
+		return 0
+	}
+	return min(1, r.arrears/max(1, l.slackTokens()))
+}
+
+// yieldFloor returns the tokens of the window of shares below which an organisation never waits for
+// others.
+func (m *meter) yieldFloor(org version.ID) float64 {
+	if m.capacity > 0 {
+		return yieldFloorRatio * m.shares[org]
+	}
+	granted := 0.0
+	for _, u := range m.orgs {
+		granted += windowTotal(&u.got)
+	}
+	return yieldFloorRatio * granted / float64(max(1, len(m.orgs)))
+}
+
+// mustYield reports whether an organisation is so far ahead of another one that goes short that
+// others go first. The floor applies to the window and to its latest second, so that an organisation
+// that has had a burst is not refused everything.
+func (m *meter) mustYield(org version.ID, now time.Time) bool {
+	m.updateShares(now)
+	if m.ledger.usedSlack(org) < 1 {
+		return false
+	}
+	got, lately := &m.usageOf(org).got, 0.0
+	for age := range stepsPerSecond {
+		lately += got[m.ring.slot(age)]
+	}
+	return min(windowTotal(got), lately*shareSteps/float64(stepsPerSecond)) >= m.yieldFloor(org)
+}
+
+// countedShare is the use of a share by which an organisation's requests may wait and engines may be
+// busy. Beyond its share an organisation that is behind others is judged as if it had used less, so
+// that it catches up before others have to wait for it.
+func (m *meter) countedShare(org version.ID, now time.Time) float64 {
+	usedShare := m.usedShare(org, now)
+	return min(usedShare, 1+(usedShare-1)*(1-m.ledger.catchUp(org)))
+}
--- a/internal/dispatch/ledger.go
+++ b/internal/dispatch/ledger.go
@@ -40,21 +40,24 @@
 	requested, granted, started [ledgerSteps]float64
 	turned                      [gateCount][ledgerSteps]float64
 	byRouter                    map[wire.NodeID]float64 // of turned[gateRouter], since the last report
-	short                       bool                    // others are held back for it
+	standing
 }
 
 // ledger holds the rows of all organisations that requested something.
 type ledger struct {
 	ring    ring
 	rows    map[version.ID]*ledgerRow
-	largest [ledgerSteps]float64   // request of each step
-	limits  [ledgerSteps]leadLimit // by the number of steps, less one
+	largest [ledgerSteps]float64 // request of each step
+
+	// As of the begin of the current step, see updateOrder:
+	inOrder []*ledgerRow // all rows
+	short   []*ledgerRow // of organisations that go short
+	served  []float64    // of inOrder, in the step that is replayed
+	pace    float64      // tokens of the best served organisation in a step, a moving average
 }
 
 func newLedger() ledger {
-	l := ledger{ring: ring{interval: shareStep, size: ledgerSteps}, rows: map[version.ID]*ledgerRow{}}
-	l.updateLimits()
-	return l
+	return ledger{ring: ring{interval: shareStep, size: ledgerSteps}, rows: map[version.ID]*ledgerRow{}}
 }
 
 // advance clears the steps that have left the ledger and returns the slot of the current one.
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -24,7 +24,8 @@
 	Service, Org                       string
 	Requested, Granted, Started, Share int
 	UnmetSeconds                       int  // latest consecutive seconds in which it requested more than it was granted
-	Waits                              bool // others that have had much more are held back for it
+	Arrears                            int  // what was due to it and was not served
+	Waits                              bool // it was refused something lately: others that are ahead of it wait
 }
 
 // EngineReport is what this router expects of the engines in use of a service that it
@@ -168,7 +169,7 @@
 		}
 		u := p.meter.orgs[id]
 		n.out = append(n.out, ShareReport{Service: p.service, Org: n.reports.orgNames[id], Requested: int(windowTotal(&u.requested)), Granted: int(windowTotal(&u.got)), Started: int(windowTotal(&u.started)),
-			Share: int(p.meter.shares[id]), UnmetSeconds: p.meter.ledger.unmetSteps(p.meter.ledger.rows[id]) / int(stepsPerSecond), Waits: p.meter.ledger.rows[id].short})
+			Share: int(p.meter.shares[id]), UnmetSeconds: p.meter.ledger.unmetSteps(p.meter.ledger.rows[id]) / int(stepsPerSecond), Arrears: int(p.meter.ledger.rows[id].arrears), Waits: p.meter.ledger.rows[id].short})
 	}
 }
 
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -145,7 +145,7 @@
 	if m.dirty {
 		m.shares = maxMinShares(m.demands(), m.capacity)
 		m.ledger.advance(now)
-		m.ledger.updateLimits()
+		m.ledger.updateOrder()
 		m.dirty = false
 	}
 }
--- a/internal/dispatch/slowengines_test.go
+++ b/internal/dispatch/slowengines_test.go
@@ -380,7 +380,7 @@
 	m, now := slowMeter(t, 45)
 	assert.False(t, m.mustYield(2, now))
 	assert.False(t, m.mustYield(1, now))
-	assert.Zero(t, m.ledger.usedLead(2))
+	assert.Zero(t, m.ledger.usedSlack(2))
 	m = newMeter(1000)
 	m.addRequest(1, 500, start)
 	m.serve(1, 300, start)
@@ -413,7 +413,7 @@
 	require.True(t, old.mustYield(2, now))
 	assert.True(t, p.meter.mustYield(2, now))
 	assert.False(t, p.meter.mustYield(1, now))
-	assert.InDelta(t, old.ledger.usedLead(2), p.meter.ledger.usedLead(2), 0.001)
+	assert.InDelta(t, old.ledger.usedSlack(2), p.meter.ledger.usedSlack(2), 0.001)
 
 	served := newMeter(1000)
 	for step := range shareSteps {
--- a/internal/process/reportlog.go
+++ b/internal/process/reportlog.go
@@ -13,7 +13,7 @@
 	switch o := o.(type) {
 	case dispatch.ShareReport:
 		log.Info().Str("service", o.Service).Str("organisation", o.Org).Int("asked", o.Requested).Int("got", o.Granted).Int("begun", o.Started).Int("share", o.Share).
-			Int("asking_seconds", o.UnmetSeconds).Bool("waits", o.Waits).Msg("organisation-share")
+			Int("asking_seconds", o.UnmetSeconds).Int("arrears", o.Arrears).Bool("waits", o.Waits).Msg("organisation-share")
 	case dispatch.FairnessReport:
 		log.Info().Str("service", o.Service).Str("least", o.Least).Str("best", o.Best).Float64("margin", o.Margin).Float64("margin_of_seconds", o.MarginOfSeconds).Int("asked", o.Requested).Int("got", o.Granted).Int("begun", o.Started).
 			Int("best_begun", o.BestStarted).Str("gate", o.Gate).Int("turned_by_gate", o.TurnedByGate).Int("turned_by_routers", o.TurnedByRouters).Str("turned_most_by", string(o.Router)).Msg("least-served")
