An organisation far below its share is served where an engine has nothing to read

Where a router short of CPU cannot use what is left to its organisation, others waited below their shares while engines were idle. Whoever has less than 0.55 of his share is placed where an engine has nothing to read: nobody is served earlier if he is refused.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -118,6 +118,8 @@
 	switch {
 	case p.countedWaitMS(c, usedShare) > limitMS:
 		return ReasonCapacity, limitMS
+	case usedShare < idleFloorRatio && c.waitMS == 0:
+		return ReasonNone, limitMS
 	case p.enginesTooBusy(usedShare, now) || p.mustYield(a, now):
 		return ReasonShare, limitMS
 	}
--- a/internal/dispatch/arrears.go
+++ b/internal/dispatch/arrears.go
@@ -40,6 +40,9 @@
 	// is granted where none is stated, below which an organisation never has to wait for others. It
 	// bounds what others lose by an organisation that starts nothing whatever they leave to it.
 	yieldFloorRatio = 0.4
+	// idleFloorRatio is the same ratio where an engine has nothing to read: who is refused there
+	// makes room for nobody.
+	idleFloorRatio = 0.55
 )
 
 // standing is an organisation's place in the order, in tokens.
--- a/internal/dispatch/arrears_test.go
+++ b/internal/dispatch/arrears_test.go
@@ -157,7 +157,7 @@
 
 // Guards against an order that swings: who had a burst while another one went short was charged for
 // it for six seconds, was refused everything until the burst was forgotten, and then went short
-// itself. Engines that serve more and less by turns, down to two fifths of what is stated, and
+// itself. Engines that serve more and less by turns, down to yieldFloorRatio of what is stated, and
 // floods that begin, end and begin again.
 func TestAnySixSecondsOfFloodsAreServedAlike(t *testing.T) {
 	for seed := range uint64(40) {
@@ -273,6 +273,24 @@
 	}
 }
 
+// Guards against engines with nothing to read that refuse an organisation far below its share, because
+// another one, whose router is short of CPU, cannot use what is left to it.
+func TestIdleEngineServesOrganisationFarBelowItsShare(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	p := f.nodes[f.order[0]].pools[serviceID(engines)]
+	ask := &wire.PlacementRequest{Org: 2, TargetMS: 600, DeadlineMS: 6000}
+	for range ledgerSteps {
+		f.run(shareStep)
+		p.meter.addRequest(1, statedWindowTokens, f.now)
+		p.meter.observeServed(2, 0.5*statedWindowTokens/2/shareSteps, f.now)
+	}
+	require.True(t, p.mustYield(ask, f.now))
+	reason, _ := p.refusalReason(ask, &choice{}, p.meter.countedShare(2, f.now), f.now)
+	assert.Equal(t, ReasonNone, reason)
+	reason, _ = p.refusalReason(ask, &choice{waitMS: 1}, p.meter.countedShare(2, f.now), f.now)
+	assert.Equal(t, ReasonShare, reason)
+}
+
 // Guards against engines that stand idle while others wait for an organisation in arrears: it is
 // served first where engines are busy, and others go on within the slack.
 func TestOrganisationInArrearsIsJudgedByLessThanItHasUsed(t *testing.T) {
@@ -319,7 +337,7 @@
 	for range ledgerSteps {
 		now = now.Add(shareStep)
 		m.addRequest(1, statedWindowTokens, now)
-		m.observeServed(2, 0.39*statedWindowTokens/2/shareSteps, now)
+		m.observeServed(2, (yieldFloorRatio-0.01)*statedWindowTokens/2/shareSteps, now)
 	}
 	assert.False(t, m.mustYield(2, now))
 	m.serve(2, 0.02*statedWindowTokens/2, now)
