Interim answers have one bound together

An upstream that sent interim answers without end was read until the caller's deadline: each one began the bound on the size of the head anew, and the watchdog saw unread bytes. The caller got 504, and a sound upstream was not asked. The bound holds for all heads of an answer, and 16 interim answers are the most. The attempt fails at once, counts as the upstream's failure and is repeated where that is allowed.

--- a/internal/conn/exchange.go
+++ b/internal/conn/exchange.go
@@ -4,11 +4,13 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"syscall"
+	"time"
 
 	"github.com/joomcode/errorx"
 )
@@ -35,8 +37,11 @@
 	maxStaleAnswers = 2
 	// maxStaleBodyBytes is the largest body that is skipped to reach the next answer.
 	maxStaleBodyBytes = 256 << 10
-	// maxHeaderBytes is the largest response header, including the status line.
+	// maxHeaderBytes is the largest response header, including the status line and the interim
+	// answers before it.
 	maxHeaderBytes = 256 << 10
+	// maxInterimAnswers is how many interim answers (1xx) may come before an answer.
+	maxInterimAnswers = 16
 	// maxInlineBodyBytes is the largest body that is written before the answer is read. A
 	// larger one is written concurrently, since an upstream may answer early.
 	maxInlineBodyBytes = 2 << 10
@@ -151,15 +156,10 @@
 // late answers to earlier requests are skipped.
 func (x *Exchange) readHeader(method string, own func(*http.Response) bool) error {
 	for stale := 0; ; {
-		x.c.limited.setLimit(maxHeaderBytes)
-		res, err := http.ReadResponse(x.c.br, &http.Request{Method: method})
+		res, err := x.readFinalHeader(method)
 		if err != nil {
 			return err
 		}
-		x.c.limited.setLimit(unlimited)
-		if res.StatusCode >= 100 && res.StatusCode < 200 {
-			continue
-		}
 		x.reportResponse(res)
 		if own(res) {
 			x.Response = res
@@ -174,6 +174,22 @@
 	}
 }
 
+// readFinalHeader reads a response header after any interim ones. The bound on its size holds for
+// all of them together, so that an upstream that sends them without end is no exception.
+func (x *Exchange) readFinalHeader(method string) (*http.Response, error) {
+	x.c.limited.setLimit(maxHeaderBytes)
+	defer x.c.limited.setLimit(unlimited)
+	for range maxInterimAnswers + 1 {
+		res, err := http.ReadResponse(x.c.br, &http.Request{Method: method})
+		if err != nil || res.StatusCode < 100 || res.StatusCode >= 200 {
+			return res, err
+		}
+	}
+	return nil, errInterimAnswers
+}
+
+var errInterimAnswers = fmt.Errorf("more than %d interim answers", maxInterimAnswers)
+
 // reportResponse calls OnResponse, also for answers to earlier requests: what an upstream
 // states about itself is valid whichever request it answers.
 func (x *Exchange) reportResponse(res *http.Response) {
@@ -198,6 +214,12 @@
 	x.pool.putConn(x.c, x.Response.Header)
 }
 
+// CloseAfter closes the connection after a time, whatever arrives on it. stop ends that and reports
+// whether the connection is still open.
+func (x *Exchange) CloseAfter(d time.Duration) (stop func() bool) {
+	return time.AfterFunc(d, func() { x.c.Close() }).Stop
+}
+
 // ReportSilence reports that the upstream fell silent in the middle of its answer. The idle
 // connections on the same path are then closed.
 func (x *Exchange) ReportSilence() { x.pool.handleSilence(x.c.addr, x.pool.clock.Now()) }
