Answers without end are bounded, repeated where they may be, and closed

A bound that is counted by silence is none for an upstream that never falls silent.

- A body without a stated length has 16 MiB at the most, whether it is held or passed on.
- Empty lines and comments are no events: they neither begin an answer nor end a gap (comments show that an upstream lives), and 64 KiB of them without an event are a broken stream.
- What is discarded of an answer has 1 MiB and 50 ms, then the connection is closed.

All of these count as the upstream's failure. Comments before the first event are not passed on any more; those between events are.

--- a/internal/request/forward/answer.go
+++ b/internal/request/forward/answer.go
@@ -21,9 +21,18 @@
 	"github.com/silverswitch/silverswitch/internal/routing"
 )
 
-// maxDiscardedBytes bounds how much of a discarded answer is read so that its connection
-// can be reused.
-const maxDiscardedBytes = 16 << 20
+// Bounds on what is read of an answer, whatever its upstream sends.
+const (
+	// maxDiscardedBytes and maxDiscardTime bound what is read of a discarded answer so that its
+	// connection can be reused.
+	maxDiscardedBytes = 1 << 20
+	maxDiscardTime    = 50 * time.Millisecond
+	// maxUnstatedAnswerBytes bounds an answer without a stated length. A longer one counts as one
+	// without end.
+	maxUnstatedAnswerBytes = 16 << 20
+	// maxFillerBytes bounds the empty lines and comments between two events of a stream.
+	maxFillerBytes = 64 << 10
+)
 
 // answer is an upstream's answer to an attempt.
 type answer struct {
@@ -36,6 +45,7 @@
 	whole         bool            // the body was read to its end
 	firstReported bool            // firstEvent was called
 	unflushed     bool            // events were written to the caller and not yet sent
+	filler        int             // bytes of empty lines and comments since the latest event
 
 	survived    bool          // see reportSurvival
 	timeToFirst time.Duration // from sending to the first event
@@ -46,6 +56,8 @@
 	errUnproven       = errors.New("the answer lacks the upstream's proof header or has a content encoding")
 	errNoEvent        = fmt.Errorf("the stream ended before any event: %w", io.ErrUnexpectedEOF)
 	errNotResumed     = errors.New("the upstream did not resume the stream")
+	errEndless        = fmt.Errorf("an answer without a stated length has more than %d bytes", maxUnstatedAnswerBytes)
+	errFiller         = fmt.Errorf("the stream has more than %d bytes of empty lines and comments without an event", maxFillerBytes)
 	errUnprovenNotRun = errors.New("the upstream's status says that the request did not run, but it may have run")
 )
 
@@ -100,8 +112,7 @@
 // notExecuted handles an answer by which the upstream states that it did not run the
 // request.
 func (a *answer) notExecuted(res *http.Response) step {
-	_, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxDiscardedBytes))
-	a.whole = err == nil
+	a.whole = a.discard(res)
 	a.logAttempt(a.placement, "not-run-by-upstream: "+strconv.Itoa(res.StatusCode), nil)
 	if a.ctx.Err() != nil {
 		a.s.ctrl.End(a.ticket, wire.ProgressUnused)
@@ -120,6 +131,40 @@
 	return stepDone
 }
 
+// discard reads the rest of an answer, so that its connection can be reused, and reports whether it
+// came to its end. The next attempt does not wait for an upstream that goes on.
+func (a *answer) discard(res *http.Response) bool {
+	stop := a.exchange.CloseAfter(maxDiscardTime)
+	n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxDiscardedBytes+1))
+	return stop() && err == nil && n <= maxDiscardedBytes
+}
+
+// bodyOf returns a reader of an answer's body. One without a stated length fails where it is longer
+// than maxUnstatedAnswerBytes.
+func bodyOf(res *http.Response) io.Reader {
+	if res.ContentLength >= 0 {
+		return res.Body
+	}
+	return &boundedReader{r: res.Body, left: maxUnstatedAnswerBytes}
+}
+
+// boundedReader reads up to a number of bytes, and fails if there are more.
+type boundedReader struct {
+	r    io.Reader
+	left int64
+}
+
+func (b *boundedReader) Read(p []byte) (int, error) {
+	if int64(len(p)) > b.left+1 {
+		p = p[:b.left+1]
+	}
+	n, err := b.r.Read(p)
+	if b.left -= int64(n); b.left < 0 {
+		return n - 1, errEndless
+	}
+	return n, err
+}
+
 // handleBroken handles an answer that cannot be forwarded. The request may have run.
 func (a *answer) handleBroken(err error) step {
 	a.mayHaveRun = true
@@ -148,9 +193,10 @@
 	a.firstEvent()
 	buffered := a.hold.Buffer(0)
 	defer buffered.Release()
-	err := buffered.ReadAll(res.Body)
+	body := bodyOf(res)
+	err := buffered.ReadAll(body)
 	if errors.Is(err, memory.ErrFull) {
-		return a.passThrough(res, buffered)
+		return a.passThrough(res, buffered, body)
 	}
 	if err != nil {
 		return a.handleBroken(err)
@@ -176,9 +222,9 @@
 	return stepDone
 }
 
-// passThrough forwards an answer as it arrives, after its beginning has been read. If the
-// answer breaks, the caller's connection is cut so that the answer does not look whole.
-func (a *answer) passThrough(res *http.Response, beginning *memory.Buffer) step {
+// passThrough forwards an answer as it arrives, after its beginning has been read; rest reads what
+// follows. If the answer breaks, the caller's connection is cut so that the answer does not look whole.
+func (a *answer) passThrough(res *http.Response, beginning *memory.Buffer, rest io.Reader) step {
 	a.silence.stop() // the request can no longer be sent to another upstream
 	a.headersSent = true
 	a.copyHeaders(res)
@@ -188,7 +234,7 @@
 	a.w.WriteHeader(res.StatusCode)
 	err := a.writeBuffered(beginning)
 	if err == nil {
-		_, err = io.Copy(a.w, res.Body)
+		_, err = io.Copy(a.w, rest)
 	}
 	if err != nil {
 		a.reportBrokenAttempt(a.placement, false, err)
@@ -256,16 +302,27 @@
 			return a.handleBroken(err)
 		}
 		buf = e.Raw
-		a.firstEvent()
-		a.silence.reset(gapTimeout)
+		if err := a.countFiller(e); err != nil {
+			_ = a.flush(rc)
+			return a.handleBroken(err)
+		}
+		if e.Filler != stream.NoFiller && !a.firstReported {
+			continue // nothing of it is for the caller yet
+		}
+		if e.Filler != stream.EmptyLine {
+			a.firstEvent()
+			a.silence.reset(gapTimeout)
+		}
 		switch ok, err := a.checkPosition(e); {
 		case err != nil:
 			_ = a.flush(rc) // before the stream is resumed, which may take long
 			return a.handleBroken(err)
 		case ok:
-			now := time.Now()
-			a.eventRead(now)
-			a.reportSurvival(now)
+			if e.Filler == stream.NoFiller {
+				now := time.Now()
+				a.eventRead(now)
+				a.reportSurvival(now)
+			}
 			if err := a.writeEvent(res, e); err != nil {
 				return a.callerUnreachable()
 			}
@@ -280,6 +337,19 @@
 	}
 }
 
+// countFiller counts the bytes since the latest event that tell nothing. Comments show that the
+// upstream lives, empty lines do not; without end neither is an answer.
+func (a *answer) countFiller(e stream.Event) error {
+	if e.Filler == stream.NoFiller {
+		a.filler = 0
+		return nil
+	}
+	if a.filler += len(e.Raw); a.filler > maxFillerBytes {
+		return errFiller
+	}
+	return nil
+}
+
 // hasWholeEvent reports whether a whole event has already been read, so that the next one is
 // there without waiting. An overloaded router finds several events at each read, and writes
 // them together: a write takes a fifth of what forwarding an event costs.
--- a/internal/request/stream/event.go
+++ b/internal/request/stream/event.go
@@ -31,8 +31,18 @@
 	Position int64  // from the id field, or NoPosition
 	Data     []byte // value of the last data field
 	Raw      []byte // all lines, including the empty one that ends the event
+	Filler   Filler // what it is if it has no field
 }
 
+// Filler says what an event without any field consists of. It tells nothing.
+type Filler uint8
+
+const (
+	NoFiller    Filler = iota // it has a field
+	EmptyLine                 // an empty line alone
+	OnlyComment               // comments
+)
+
 // Done reports whether the event ends a completion stream.
 func (e Event) Done() bool { return bytes.Equal(e.Data, doneData) }
 
@@ -40,7 +50,7 @@
 // io.EOF; inside an event it returns an ErrEvent that wraps the reader's error. The event's
 // bytes are stored in buf, which the caller may reuse for the next event.
 func Read(r *bufio.Reader, buf []byte) (Event, error) {
-	e := Event{Position: NoPosition, Raw: buf[:0]}
+	e := Event{Position: NoPosition, Raw: buf[:0], Filler: EmptyLine}
 	for {
 		line, err := r.ReadSlice('\n')
 		start := len(e.Raw)
@@ -91,6 +101,11 @@
 
 // parseField parses an id or data line. Other lines are ignored.
 func (e *Event) parseField(line []byte) {
+	if line[0] != ':' {
+		e.Filler = NoFiller
+	} else if e.Filler == EmptyLine {
+		e.Filler = OnlyComment
+	}
 	switch {
 	case bytes.HasPrefix(line, fieldID):
 		text := string(bytes.TrimSpace(line[len(fieldID):]))
