--- a/internal/dispatch/arrears_test.go
+++ b/internal/dispatch/arrears_test.go
@@ -160,6 +160,7 @@
 // itself. Engines that serve more and less by turns, down to yieldFloorRatio of what is stated, and
 // floods that begin, end and begin again.
 func TestAnySixSecondsOfFloodsAreServedAlike(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(40) {
 		lowest := lowestMargin(seed)
 		t.Logf("seed %d: %.2f", seed, lowest)
