--- a/internal/dispatch/arrears.go
+++ b/internal/dispatch/arrears.go
@@ -54,6 +54,8 @@
 	// unstarted is what it was granted and has not started, and counted the part of it that counts
 	// as served: what was granted in the latest steps.
 	unstarted, counted float64
+	// Sums of the latest steps up to the one that is replayed.
+	latestRequested, latestGranted, latestDue float64
 }
 
 // updateOrder computes the arrears of all organisations at the begin of the current step.
@@ -67,7 +69,7 @@
 		l.replay(age)
 	}
 	for _, r := range l.inOrder {
-		if r.short = l.refusedLately(r, 0) >= minShortSteps; r.short {
+		if r.short = l.refusedLately(r) >= minShortSteps; r.short {
 			l.short = append(l.short, r)
 		}
 	}
@@ -75,53 +77,49 @@
 
 // replay accounts for one step in the standings.
 func (l *ledger) replay(age int64) {
-	lead, step := 0.0, l.ring.slot(age)
+	lead, step, left := 0.0, l.ring.slot(age), l.ring.slot(age+latestSteps)
 	served := l.served[:0]
 	for _, r := range l.inOrder {
-		tokens := l.servedIn(r, age)
+		r.latestRequested += r.requested[step]
+		r.latestGranted += r.granted[step]
+		if age+latestSteps < ledgerSteps {
+			r.latestRequested -= r.requested[left]
+			r.latestGranted -= r.granted[left]
+			r.latestDue -= r.due[left]
+		}
+		tokens := r.servedIn(step)
 		served = append(served, tokens)
 		lead = max(lead, tokens-r.arrears)
 	}
 	for i, r := range l.inOrder {
-		r.due[step] = min(lead, l.claim(r, age))
+		r.due[step] = min(lead, max(0, r.latestRequested-r.latestDue))
+		r.latestDue += r.due[step]
 		r.arrears = arrearsKept * max(0, r.arrears+r.due[step]-served[i])
 	}
 	l.served = served
 	l.pace += (lead - l.pace) / float64(stepsPerSecond)
 }
 
-// servedIn returns what counts as served to an organisation in a step: what it was granted, and of
-// grants that have not started within the latest steps nothing.
-func (l *ledger) servedIn(r *ledgerRow, age int64) float64 {
-	step := l.ring.slot(age)
+// servedIn returns what counts as served to an organisation in the step that is replayed: what it
+// was granted, and of grants that have not started within the latest steps nothing.
+func (r *ledgerRow) servedIn(step int) float64 {
 	r.unstarted = max(0, r.unstarted+r.granted[step]-r.started[step])
-	counted := min(r.unstarted, max(0, l.latestAt(&r.granted, age)))
+	counted := min(r.unstarted, max(0, r.latestGranted))
 	served := r.started[step] + counted - r.counted
 	r.counted = counted
 	return served
 }
 
-// claim returns what an organisation has asked for in the latest steps up to one that has not become
-// due.
-func (l *ledger) claim(r *ledgerRow, age int64) float64 {
-	return max(0, l.latestAt(&r.requested, age)-l.latestAt(&r.due, age))
-}
-
-// latestAt sums up the latest steps up to one.
-func (l *ledger) latestAt(tokens *[ledgerSteps]float64, age int64) float64 {
-	sum := 0.0
-	for i := age; i < min(age+latestSteps, ledgerSteps); i++ {
-		sum += tokens[l.ring.slot(i)]
-	}
-	return sum
+// claim returns what an organisation has asked for in the latest steps that has not become due.
+func (l *ledger) claim(r *ledgerRow) float64 {
+	return max(0, l.latest(&r.requested, int(latestSteps))-l.latest(&r.due, int(latestSteps)))
 }
 
-// refusedLately returns in how many of the latest steps up to one an organisation was refused
-// something.
-func (l *ledger) refusedLately(r *ledgerRow, age int64) int {
+// refusedLately returns in how many of the latest steps an organisation was refused something.
+func (l *ledger) refusedLately(r *ledgerRow) int {
 	steps := 0
-	for i := age; i < min(age+latestSteps, ledgerSteps); i++ {
-		if step := l.ring.slot(i); r.requested[step] > r.granted[step] {
+	for age := range latestSteps {
+		if step := l.ring.slot(age); r.requested[step] > r.granted[step] {
 			steps++
 		}
 	}
@@ -145,7 +143,7 @@
 	for _, o := range l.short {
 		if o != r {
 			owed := o.arrears - o.granted[now]
-			ahead = max(ahead, min(owed+r.granted[now]-r.arrears, owed+l.claim(o, 0)))
+			ahead = max(ahead, min(owed+r.granted[now]-r.arrears, owed+l.claim(o)))
 		}
 	}
 	return ahead / max(1, l.slackTokens())
