The slowest test packages run their independent replays at once

internal/dispatch and internal/lab took 295 and 296 s of the 300 s that a package has. Their slowest tests are replays of independent seeds, one after the other, each on one core. No test, seed or bound is changed.

--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -350,6 +350,7 @@
 // loses three datagrams in a hundred. A router's own path to its requests adds a tick. The
 // operators' bound is three seconds.
 func TestHoldPropagatesWithinBound(t *testing.T) {
+	t.Parallel()
 	const bound = 500 * time.Millisecond
 	for _, routers := range []int{8, 60} {
 		f := newFleet(t, routers, 8)
--- a/internal/dispatch/crashingpart_test.go
+++ b/internal/dispatch/crashingpart_test.go
@@ -49,6 +49,7 @@
 // router that does not know it: all routers hold it three seconds after the fifth crash at the
 // latest, though a tenth of the datagrams is lost and each crash is seen by another router.
 func TestPartIsHeldByAllRoutersWithinBound(t *testing.T) {
+	t.Parallel()
 	for _, routers := range []int{8, 60} {
 		f := newFleet(t, routers, 8)
 		rnd := rand.New(rand.NewPCG(5, uint64(routers)))
@@ -151,6 +152,7 @@
 // What parts cost: a crash under which 64 requests ran, with three shared parts each, all at other
 // routers, in bytes that a router receives, and memory.
 func TestPartRecordsAreBounded(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 30, 8)
 	f.run(2 * time.Second)
 	bytes := 0
--- a/internal/dispatch/evacuation_test.go
+++ b/internal/dispatch/evacuation_test.go
@@ -192,6 +192,7 @@
 // second is for the store, the network and the connection. 363 routers take half a minute, so
 // they run only when EVACUATION_ROUTERS asks for them.
 func TestEvacuationIsKnownToAllWithinASecond(t *testing.T) {
+	t.Parallel()
 	runs := map[int]int{8: 10, 91: 1}
 	if routers := intFromEnv(t, "EVACUATION_ROUTERS", 0); routers > 0 {
 		runs[routers] = intFromEnv(t, "EVACUATION_RUNS", 1)
--- a/internal/dispatch/heartbeat_test.go
+++ b/internal/dispatch/heartbeat_test.go
@@ -25,6 +25,7 @@
 // sends 40 datagrams a second in either. Only schedulers and watchers may send to every router,
 // and what the others send must not grow with the fleet.
 func TestHeartbeatRateIsBoundedInALargeFleet(t *testing.T) {
+	t.Parallel()
 	for _, routers := range []int{20, 60} {
 		f := newFleet(t, routers, 2)
 		f.runReadingStore(4 * time.Second)
@@ -52,6 +53,7 @@
 
 // Every router must receive a reading of the store well before it would read the store itself.
 func TestReadingsReachEveryRouterOfALargeFleetInTime(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 60, 2)
 	f.runReadingStore(6 * time.Second)
 	for range 80 {
--- a/internal/dispatch/leaving_test.go
+++ b/internal/dispatch/leaving_test.go
@@ -92,6 +92,7 @@
 // While thousands of upstreams were replaced, each message listed all that had announced that
 // they were leaving, until the last of them had ended.
 func TestLeaveNoticeIsRepeatedForALimitedTime(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 20, 2)
 	id := f.other()
 	announced := 0
--- a/internal/dispatch/plainfailure_test.go
+++ b/internal/dispatch/plainfailure_test.go
@@ -119,6 +119,7 @@
 
 // Guards against an upstream that is sent request after request while it answers none.
 func TestSilentPlainUpstreamGetsOneRequestAtATime(t *testing.T) {
+	t.Parallel()
 	l := loadA()
 	sent := 0
 	l.event = func(s *plainSim) { s.upstreams["c0"].silent = s.now.Sub(s.began) >= 2*time.Second }
@@ -158,6 +159,7 @@
 
 // Guards against an upstream that rejects requests for as long as it has fewer slots than stated.
 func TestUpstreamWithFewerSlotsThanStatedRejectsLittle(t *testing.T) {
+	t.Parallel()
 	l := loadB()
 	l.event = func(s *plainSim) {
 		s.upstreams["c0"].slots = 3
--- a/internal/dispatch/plainslots_test.go
+++ b/internal/dispatch/plainslots_test.go
@@ -90,6 +90,7 @@
 
 // Guards against any change for services whose instances state no slots.
 func TestPlainServiceWithoutStatedSlotsIsPlacedAsBefore(t *testing.T) {
+	t.Parallel()
 	l := loadB()
 	l.slots, l.flood, l.floods = 0, 10, 1
 	with := playPlain(t, l)
--- a/internal/dispatch/relay_test.go
+++ b/internal/dispatch/relay_test.go
@@ -62,6 +62,7 @@
 // once. Each of three routers that read the store sent it to each of 585 others, four of five
 // of them in another place.
 func TestChangeCrossesIntoEachPlaceAFewTimes(t *testing.T) {
+	t.Parallel()
 	const routers, places = 60, 5
 	f := newMultiPlaceFleet(t, routers, places)
 	f.runReadingStore(6 * time.Second)
@@ -81,6 +82,7 @@
 // A new table must be fetched from other places by the relays only, and by all other routers
 // from these. Each of 585 routers fetched it, with all entries, from one of three.
 func TestTableIsFetchedWithinThePlace(t *testing.T) {
+	t.Parallel()
 	const routers, places = 60, 5
 	f := newMultiPlaceFleet(t, routers, places)
 	f.runReadingStore(6 * time.Second)
@@ -102,6 +104,7 @@
 // had such a listing each took the other's content for newer, fetched from each other four times
 // a second, and never from routers of other places that knew all changes since.
 func TestLaterEntriesOfAListingCauseNoFetch(t *testing.T) {
+	t.Parallel()
 	f := newMultiPlaceFleet(t, 60, 5)
 	f.runReadingStore(6 * time.Second)
 	for _, id := range f.order {
@@ -126,6 +129,7 @@
 // A router that learns from another place that its content is old leaves the fetch to its relays
 // for a while, and fetches from there only then.
 func TestChangesElsewhereAreLeftToTheRelays(t *testing.T) {
+	t.Parallel()
 	f := newMultiPlaceFleet(t, 60, 5)
 	f.runReadingStore(6 * time.Second)
 	var id, far wire.NodeID
@@ -154,6 +158,7 @@
 // While the failure of a place's relays is not detected yet, its routers fetch the table from
 // elsewhere.
 func TestTableIsFetchedWithoutRelays(t *testing.T) {
+	t.Parallel()
 	f := newMultiPlaceFleet(t, 60, 5)
 	f.runReadingStore(6 * time.Second)
 	reader := f.watching()[0]
--- a/internal/dispatch/slowengines_test.go
+++ b/internal/dispatch/slowengines_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -288,6 +289,20 @@
 	return w
 }
 
+// replays4017 plays the faults with the seeds from 0 on, several at a time.
+func replays4017(t *testing.T, perMS float64, caching bool, replays int) []*slowLoad {
+	out := make([]*slowLoad, replays)
+	t.Run("replays", func(t *testing.T) {
+		for seed := range out {
+			t.Run(strconv.Itoa(seed), func(t *testing.T) {
+				t.Parallel()
+				out[seed] = replay4017(t, perMS, caching, uint64(seed))
+			})
+		}
+	})
+	return out
+}
+
 // Guards against refusing a small organisation nearly as often as one that floods, where engines
 // serve five eighths of the stated capacity and schedulers follow each other. The soak allows 0.6
 // of the flood's ratio. One replay holds only 10 to 30 requests of the small organisation, so
@@ -296,8 +311,7 @@
 	t.Parallel()
 	const replays, maxMissed, maxMean = 150, 20, 0.36
 	missed, sum := 0, 0.0
-	for seed := range uint64(replays) {
-		w := replay4017(t, 5, false, seed)
+	for _, w := range replays4017(t, 5, false, replays) {
 		small, flood := w.ratio("small"), w.ratio("flood")
 		if flood > 0.25 && small > 0.6*flood {
 			missed++
@@ -318,8 +332,7 @@
 	t.Parallel()
 	const replays, maxMissed = 60, 2
 	missed := 0
-	for seed := range uint64(replays) {
-		w := replay4017(t, 8, true, seed)
+	for _, w := range replays4017(t, 8, true, replays) {
 		if small, flood := w.ratio("small"), w.ratio("flood"); flood > 0.25 && small > 0.6*flood {
 			missed++
 		}
--- a/internal/dispatch/store_test.go
+++ b/internal/dispatch/store_test.go
@@ -34,6 +34,7 @@
 }
 
 func TestLargeFleetHasFewWatchers(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 20, 2)
 	f.runReadingStore(10 * time.Second)
 	assert.Len(t, f.watching(), watcherCount)
@@ -43,6 +44,7 @@
 }
 
 func TestDeadWatchersAreReplaced(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 20, 2)
 	f.runReadingStore(10 * time.Second)
 	old := f.watching()
@@ -62,6 +64,7 @@
 
 // If no watcher can read the store, every router reads it itself.
 func TestAllRoutersReadTheStoreWithoutReadings(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 20, 2)
 	f.runReadingStore(10 * time.Second)
 	f.run(15 * time.Second) // no router reads it
@@ -103,6 +106,7 @@
 // well before the bounds on leaving upstreams and new tables, which are 2 s with 8 routers and
 // 3 s with 60; it used to take 4 to 7 s.
 func TestIsolatedRouterReadsTheStoreItself(t *testing.T) {
+	t.Parallel()
 	for routers, bound := range map[int]time.Duration{8: 1700 * time.Millisecond, 60: 2600 * time.Millisecond} {
 		f := newFleet(t, routers, 2)
 		f.runReadingStore(10 * time.Second)
@@ -137,6 +141,7 @@
 
 // Routers that cannot reach the store are not chosen as watchers until they are tried again.
 func TestWatchersWithoutStoreAccessAreReplaced(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 20, 2)
 	f.runReadingStore(10 * time.Second)
 	away := map[wire.NodeID]bool{}
--- a/internal/dispatch/streamversion_test.go
+++ b/internal/dispatch/streamversion_test.go
@@ -131,6 +131,7 @@
 
 // A stream that nobody knows must be refused at once, and so must one whose version is gone.
 func TestStreamOfUnknownOrLostVersionIsRefusedAtOnce(t *testing.T) {
+	t.Parallel()
 	for _, service := range []string{engines, counter} {
 		f := newFleet(t, 4, 6)
 		f.setVersions("v1", "v2")
@@ -227,6 +228,7 @@
 
 // Records are bounded, and the oldest go first.
 func TestStreamRecordsAreBounded(t *testing.T) {
+	t.Parallel()
 	s := newStreamRecords()
 	for i := range uint64(maxStreamRecords + 1000) {
 		s.put(wire.StreamRecord{Stream: i + 1}, time.Hour, start)
--- a/internal/dispatch/workingset_test.go
+++ b/internal/dispatch/workingset_test.go
@@ -132,6 +132,7 @@
 // ms, more than the scheduler's CPU allows at 1,300 requests a second, and shared parts
 // were read again wherever a request went.
 func TestWorkingSetStaysSmall(t *testing.T) {
+	t.Parallel()
 	c := newPoolSimulation(t, 5820)
 	c.load(400, 2000, 6*time.Second)
 	assert.Zero(t, c.refused)
@@ -143,6 +144,7 @@
 
 // The working set grows with the load at once: nobody is refused while engines are idle.
 func TestWorkingSetGrowsWithLoad(t *testing.T) {
+	t.Parallel()
 	for _, times := range []int{10, 50} {
 		c := newPoolSimulation(t, 5820)
 		c.load(100, 500, 3*time.Second)
--- a/internal/dispatch/yield_test.go
+++ b/internal/dispatch/yield_test.go
@@ -53,6 +53,7 @@
 
 // A change of the store that is sent to relays which have just yielded must reach their place.
 func TestYieldedRelayPassesChangesOn(t *testing.T) {
+	t.Parallel()
 	f := newMultiPlaceFleet(t, 60, 5)
 	f.runReadingStore(6 * time.Second)
 	reader := f.watching()[0]
--- a/internal/lab/fair_test.go
+++ b/internal/lab/fair_test.go
@@ -77,10 +77,12 @@
 
 // The bounds above mean something only if simple strategies exceed them.
 func TestBaselinesExceedTheGapBound(t *testing.T) {
-	t.Parallel()
 	for _, strategy := range Strategies(Routers)[:3] {
-		r := Scenario{Strategy: strategy, Fault: FaultNone, Unit: version.UnitTokens, Seed: 7}.Run()
-		assert.Greater(t, r.Gap, boundNoFault, strategy.Name)
+		t.Run(strategy.Name, func(t *testing.T) {
+			t.Parallel()
+			r := Scenario{Strategy: strategy, Fault: FaultNone, Unit: version.UnitTokens, Seed: 7}.Run()
+			assert.Greater(t, r.Gap, boundNoFault)
+		})
 	}
 }
 
@@ -116,5 +118,7 @@
 // A failure can be replayed from its seed only if runs are deterministic.
 func TestRunIsDeterministic(t *testing.T) {
 	t.Parallel()
-	assert.Equal(t, runChosen(FaultKill, version.UnitTokens, 3), runChosen(FaultKill, version.UnitTokens, 3))
+	other := make(chan Result)
+	go func() { other <- runChosen(FaultKill, version.UnitTokens, 3) }()
+	assert.Equal(t, runChosen(FaultKill, version.UnitTokens, 3), <-other)
 }
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -4,7 +4,6 @@
 package lab
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"time"
 
@@ -285,14 +284,14 @@
 // After calls f once the duration has passed.
 func (w *World) After(d time.Duration, f func()) {
 	w.seq++
-	heap.Push(&w.queue, event{at: w.Now.Add(d), seq: w.seq, f: f})
+	w.queue.push(event{at: w.Now.Add(d), seq: w.seq, f: f})
 }
 
 // Run advances the simulated time and runs all events that are due.
 func (w *World) Run(d time.Duration) {
 	until := w.Now.Add(d)
 	for len(w.queue) > 0 && !w.queue[0].at.After(until) {
-		e := heap.Pop(&w.queue).(event)
+		e := w.queue.pop()
 		w.Now = e.at
 		e.f()
 	}
@@ -306,21 +305,48 @@
 	f   func()
 }
 
-// events is a heap of events in the order of time.
+// events is a binary heap of events in the order of time.
 type events []event
 
-func (q events) Len() int { return len(q) }
-func (q events) Less(i, j int) bool {
-	if q[i].at.Equal(q[j].at) {
-		return q[i].seq < q[j].seq
+func (e event) before(o event) bool {
+	if e.at.Equal(o.at) {
+		return e.seq < o.seq
 	}
-	return q[i].at.Before(q[j].at)
+	return e.at.Before(o.at)
 }
-func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *events) Pop() any {
-	old := *q
-	e := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return e
+
+func (q *events) push(e event) {
+	*q = append(*q, e)
+	list := *q
+	for i := len(list) - 1; i > 0; {
+		parent := (i - 1) / 2
+		if !list[i].before(list[parent]) {
+			return
+		}
+		list[i], list[parent] = list[parent], list[i]
+		i = parent
+	}
+}
+
+// pop removes the earliest event.
+func (q *events) pop() event {
+	list := *q
+	first, last := list[0], len(list)-1
+	list[0], list[last] = list[last], event{}
+	list = list[:last]
+	*q = list
+	for i := 0; ; {
+		child := 2*i + 1
+		if child >= last {
+			return first
+		}
+		if child+1 < last && list[child+1].before(list[child]) {
+			child++
+		}
+		if !list[child].before(list[i]) {
+			return first
+		}
+		list[i], list[child] = list[child], list[i]
+		i = child
+	}
 }
--- a/internal/lab/safety_test.go
+++ b/internal/lab/safety_test.go
@@ -43,6 +43,7 @@
 }
 
 func TestKeyRunsOnceThroughTwoRouters(t *testing.T) {
+	t.Parallel()
 	w := newFleet(t, 8, 1)
 	k := keyAt(w, 1)
 	first := order(w, 0, k)
@@ -56,6 +57,7 @@
 }
 
 func TestKeyRunsOnceAfterItsRouterRestartsEmpty(t *testing.T) {
+	t.Parallel()
 	w := newFleet(t, 8, 2)
 	k := keyAt(w, 1)
 	first := order(w, 0, k)
@@ -73,6 +75,7 @@
 }
 
 func TestKeyRunsOnceWhenMostWitnessesRestart(t *testing.T) {
+	t.Parallel()
 	w := newFleet(t, 8, 3)
 	k := keyAt(w, 1)
 	first := order(w, 0, k)
@@ -91,6 +94,7 @@
 }
 
 func TestOnlyOneSideOfPartitionRunsKey(t *testing.T) {
+	t.Parallel()
 	w := newFleet(t, 8, 4)
 	k := keyAt(w, 1)
 	partitionAfter(w, 4)
@@ -110,6 +114,7 @@
 }
 
 func TestRouterThawedAfterRequestTimeoutRunsKeyAtMostOnce(t *testing.T) {
+	t.Parallel()
 	w := newFleet(t, 8, 5)
 	k := keyAt(w, 1)
 	first := order(w, 0, k)
@@ -128,6 +133,7 @@
 // Under random network and router faults, no key may start twice, no refused job may have
 // started, and no key that has run may be reported as not-run later.
 func TestAtMostOnceUnderRandomFaults(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		w := newFleet(t, 7, rapid.Uint64Range(1, 1<<30).Draw(rt, "seed"))
 		w.Link.Drop = rapid.Float64Range(0, 0.3).Draw(rt, "drop")
@@ -196,6 +202,7 @@
 }
 
 func TestAllowedPlacesHoldUnderPartitionsAndChanges(t *testing.T) {
+	t.Parallel()
 	w := smallWorld(twoOrgs, 6, 6, core.DefaultSched())
 	w.KeepOpen(w.Version.ByName("x"), "chat", 60, []int{0, 1, 2})
 	w.KeepOpen(w.Version.ByName("y"), "chat", 60, []int{0, 2, 4})
@@ -224,6 +231,7 @@
 // A version that one router receives first evacuates a place; the next version ends the
 // evacuation.
 func TestEvacuatedPlaceGetsNoNewRequests(t *testing.T) {
+	t.Parallel()
 	w := smallWorld(twoOrgs, 6, 9, core.DefaultSched())
 	w.KeepOpen(w.Version.ByName("x"), "chat", 80, []int{0, 1, 2, 3, 4, 5})
 	w.Run(20 * time.Second)
@@ -259,6 +267,7 @@
 }
 
 func TestLeavingUpstreamGetsNoNewRequests(t *testing.T) {
+	t.Parallel()
 	sources := map[string]func(w *World, u version.ID){
 		"the upstream itself notifies one router": func(w *World, u version.ID) {
 			w.Step(w.Hosts[w.Order[2]], core.Drain{Upstream: u})
@@ -292,6 +301,7 @@
 }
 
 func TestOlderVersionIsNeverAdopted(t *testing.T) {
+	t.Parallel()
 	w := smallWorld(twoOrgs, 5, 8, core.DefaultSched())
 	v2, v3 := twoOrgs.Load(2), twoOrgs.Load(3)
 	w.Step(w.Hosts[w.Order[0]], core.NewVersion{Version: v3})
@@ -312,6 +322,7 @@
 }
 
 func TestFleetAgreesOnOneValueOfRevision(t *testing.T) {
+	t.Parallel()
 	w := smallWorld(twoOrgs, 5, 9, core.DefaultSched())
 	other := twoOrgs
 	other.Slots = 5
@@ -329,6 +340,7 @@
 }
 
 func TestPlannedStopCutsNoRequest(t *testing.T) {
+	t.Parallel()
 	w := smallWorld(twoOrgs, 4, 10, core.DefaultSched())
 	var jobs []*Job
 	o := w.Version.ByName("x")
@@ -347,6 +359,7 @@
 }
 
 func TestRoutersAgreeOnScheduler(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		w := New(twoOrgs.Load(1), rapid.Uint64Range(1, 1<<30).Draw(rt, "seed"), nil)
 		w.Link.Drop = rapid.Float64Range(0.3, 0.8).Draw(rt, "drop")
@@ -368,6 +381,7 @@
 }
 
 func TestSlotsAreRecoveredAfterFaults(t *testing.T) {
+	t.Parallel()
 	w := smallWorld(twoOrgs, 6, 12, core.DefaultSched())
 	w.Link.Drop = 0.1
 	w.KeepOpen(w.Version.ByName("x"), "chat", 80, []int{0, 1, 2, 3, 4, 5})
