What waits in a router, why the scheduler refuses, and second tries are told

The hypotheses of the incident could not be told apart by lines: refusals for the order and for busy engines had one gate and one reason, nothing told that the engines had nothing to read, nor how many requests wait in a router, nor where callers come back to.

- organisation-second tells the gates order and busy apart; engines-believed tells the tokens that were refused though their engine had nothing to read (refused_idle).

No decision is changed.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -77,14 +77,17 @@
 	}
 	c := best.best(p.requestTargetMS(a))
 	if p.engine != nil {
-		reason, limitMS := p.refusalReason(a, c, usedShare, now)
-		if reason != ReasonNone && c.up != best.cheapest.up {
+		refusal, limitMS := p.refusal(a, c, usedShare, now)
+		if refusal != nil && c.up != best.cheapest.up {
 			c = &best.cheapest
-			reason, limitMS = p.refusalReason(a, c, usedShare, now)
+			refusal, limitMS = p.refusal(a, c, usedShare, now)
 		}
-		if reason != ReasonNone && p.mayRefuse(a) {
-			p.meter.ledger.addTurned(a.Org, gateOf(reason), tokens, now)
-			return decision{retryAfter: p.backlogRetryAfter(a, c.waitMS, limitMS), reason: reason, bestWaitMS: c.waitMS, limitMS: limitMS, ownMS: p.learner.Model().Base + c.ownMS, usedShare: usedPercent}
+		if refusal != nil && p.mayRefuse(a) {
+			p.meter.ledger.addTurned(a.Org, refusal.gate, tokens, now)
+			if c.waitMS == 0 {
+				p.meter.ledger.addIdleRefusal(tokens, now)
+			}
+			return decision{retryAfter: p.backlogRetryAfter(a, c.waitMS, limitMS), reason: refusal.reason, bestWaitMS: c.waitMS, limitMS: limitMS, ownMS: p.learner.Model().Base + c.ownMS, usedShare: usedPercent}
 		}
 		paced := p.choosePaced(a, best, c, usedShare, now)
 		if paced == nil {
@@ -99,17 +102,21 @@
 	return decision{choice: c, usedShare: usedPercent}
 }
 
-// gateOf returns the gate of a refusal by refusalReason.
-func gateOf(reason Reason) gate {
-	if reason == ReasonShare {
-		return gateShare
-	}
-	return gateWait
+// refusal is why a request should not be placed.
+type refusal struct {
+	reason Reason
+	gate   gate
 }
 
-// refusalReason returns why a request should not be placed, or ReasonNone, and how long it
-// may wait there, in milliseconds.
-func (p *pool) refusalReason(a *wire.PlacementRequest, c *choice, usedShare float64, now time.Time) (Reason, float64) {
+var (
+	refusedForWait  = &refusal{ReasonCapacity, gateWait}
+	refusedForBusy  = &refusal{ReasonShare, gateBusy}
+	refusedForOrder = &refusal{ReasonShare, gateOrder}
+)
+
+// refusal returns why a request should not be placed, or nil, and how long it may wait there, in
+// milliseconds.
+func (p *pool) refusal(a *wire.PlacementRequest, c *choice, usedShare float64, now time.Time) (*refusal, float64) {
 	limitMS := p.waitLimit(a, c, usedShare)
 	if a.Resumed && a.Version != 0 {
 		limitMS = max(limitMS, maxResumeWaitRatio*p.requestTargetMS(a))
@@ -117,13 +124,15 @@
 	}
 	switch {
 	case p.countedWaitMS(c, usedShare) > limitMS:
-		return ReasonCapacity, limitMS
+		return refusedForWait, limitMS
 	case usedShare < idleFloorRatio && c.waitMS == 0:
-		return ReasonNone, limitMS
-	case p.enginesTooBusy(usedShare, now) || p.mustYield(a, now):
-		return ReasonShare, limitMS
+		return nil, limitMS
+	case p.enginesTooBusy(usedShare, now):
+		return refusedForBusy, limitMS
+	case p.mustYield(a, now):
+		return refusedForOrder, limitMS
 	}
-	return ReasonNone, limitMS
+	return nil, limitMS
 }
 
 // countedWaitMS is the wait that counts against the limit. For an organisation over its
--- a/internal/dispatch/arrears_test.go
+++ b/internal/dispatch/arrears_test.go
@@ -286,10 +286,10 @@
 		p.meter.observeServed(2, 0.5*statedWindowTokens/2/shareSteps, f.now)
 	}
 	require.True(t, p.mustYield(ask, f.now))
-	reason, _ := p.refusalReason(ask, &choice{}, p.meter.countedShare(2, f.now), f.now)
-	assert.Equal(t, ReasonNone, reason)
-	reason, _ = p.refusalReason(ask, &choice{waitMS: 1}, p.meter.countedShare(2, f.now), f.now)
-	assert.Equal(t, ReasonShare, reason)
+	refusal, _ := p.refusal(ask, &choice{}, p.meter.countedShare(2, f.now), f.now)
+	assert.Nil(t, refusal)
+	refusal, _ = p.refusal(ask, &choice{waitMS: 1}, p.meter.countedShare(2, f.now), f.now)
+	assert.Equal(t, refusedForOrder, refusal)
 }
 
 // Guards against engines that stand idle while others wait for an organisation in arrears: it is
--- a/internal/dispatch/ledger.go
+++ b/internal/dispatch/ledger.go
@@ -25,14 +25,15 @@
 
 const (
 	gateWait   gate = iota // the scheduler: no upstream in time
-	gateShare              // the scheduler: others go first
+	gateOrder              // the scheduler: others go first
+	gateBusy               // the scheduler: engines are busy, and the share is used up
 	gatePace               // the scheduler: running streams would become late
 	gateRouter             // the router that received it, short of CPU or without its scheduler
 	gateCount
 )
 
 func (g gate) String() string {
-	return [gateCount]string{"wait", "share", "pace", "router"}[g]
+	return [gateCount]string{"wait", "order", "busy", "pace", "router"}[g]
 }
 
 // ledgerRow is the tokens of one organisation by step.
@@ -48,6 +49,9 @@
 	ring    ring
 	rows    map[version.ID]*ledgerRow
 	largest [ledgerSteps]float64 // request of each step
+	// idleRefusals is the tokens that the scheduler refused in each step though the engine that
+	// they would have gone to had nothing to read.
+	idleRefusals [ledgerSteps]float64
 
 	// As of the begin of the current step, see updateOrder:
 	inOrder []*ledgerRow // all rows
@@ -66,7 +70,7 @@
 }
 
 func (l *ledger) clearStep(i int) {
-	l.largest[i] = 0
+	l.largest[i], l.idleRefusals[i] = 0, 0
 	for org, r := range l.rows {
 		r.requested[i], r.granted[i], r.started[i] = 0, 0, 0
 		for g := range r.turned {
@@ -126,6 +130,11 @@
 	r.byRouter[router] += tokens
 }
 
+// addIdleRefusal counts tokens refused though their engine had nothing to read.
+func (l *ledger) addIdleRefusal(tokens float64, now time.Time) {
+	l.idleRefusals[l.advance(now)] += tokens
+}
+
 // refund takes back a grant in its step.
 func (l *ledger) refund(org version.ID, tokens float64, grantedAt, now time.Time) {
 	l.advance(now)
--- a/internal/dispatch/ledger_test.go
+++ b/internal/dispatch/ledger_test.go
@@ -26,7 +26,7 @@
 		l.addRequest(1, 4000, now)
 		l.addRequest(2, 8000, now)
 		l.addRequest(3, 200, now)
-		l.addTurned(1, gateShare, 1000, now)
+		l.addTurned(1, gateOrder, 1000, now)
 		l.addTurnedAt(1, "10.1.0.9:1", 2000, now)
 	}
 	return &l, now
@@ -130,7 +130,7 @@
 	p.meter.ledger.addRequest(1, 500, at)
 	p.meter.ledger.addGrant(1, 300, at)
 	p.meter.ledger.addStart(1, 200, at)
-	p.meter.ledger.addTurned(1, gateShare, 100, at)
+	p.meter.ledger.addTurned(1, gateOrder, 100, at)
 	p.meter.ledger.addTurnedAt(1, "10.1.0.9:1", 50, at)
 	n.out = nil
 	for _, after := range []time.Duration{1900, 2050, 2900, 3060, 4070} {
@@ -143,6 +143,28 @@
 		}
 	}
 	want := SecondReport{Service: engines, Org: "one", Second: begin, Requested: 500, Granted: 300, Started: 200}
-	want.Turned[gateShare], want.Turned[gateRouter] = 100, 50
+	want.Turned[gateOrder], want.Turned[gateRouter] = 100, 50
 	assert.Equal(t, []SecondReport{want}, got)
 }
+
+// An order that holds the fleet down looked like busy engines: refusals beyond shares and for the
+// order had one gate, and nothing told that the engines they would have gone to had nothing to read.
+func TestRefusalsWhileEnginesAreIdleAreTold(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	id := f.order[0]
+	p := f.nodes[id].pools[serviceID(engines)]
+	for range shareSteps {
+		f.run(shareStep)
+		p.meter.addRequest(version.IDOf("waits"), statedWindowTokens, f.now)
+		p.meter.addRequest(version.IDOf("flood"), statedWindowTokens, f.now)
+		p.meter.serve(version.IDOf("waits"), 60_000, f.now)
+		p.meter.serve(version.IDOf("flood"), 120_000, f.now)
+	}
+	f.arrive(id, 1, engines, "flood", 3000)
+	require.IsType(t, Refuse{}, f.got[id][1])
+	l := &p.meter.ledger
+	cost := l.latest(&l.idleRefusals, int(stepsPerSecond))
+	assert.GreaterOrEqual(t, cost, 3000.0)
+	assert.Equal(t, cost, l.latest(&l.rows[version.IDOf("flood")].turned[gateOrder], ledgerSteps))
+	assert.Zero(t, l.latest(&l.rows[version.IDOf("flood")].turned[gateBusy], ledgerSteps))
+}
--- a/internal/dispatch/pacecost.go
+++ b/internal/dispatch/pacecost.go
@@ -113,7 +113,7 @@
 		return c
 	}
 	if other := &best.paced; other.up != nil {
-		if reason, _ := p.refusalReason(a, other, usedShare, now); reason == ReasonNone {
+		if refusal, _ := p.refusal(a, other, usedShare, now); refusal == nil {
 			return other
 		}
 	}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -36,6 +36,9 @@
 	All           int
 	Least, Median WaitParts
 	BusyPercent   int // of the engines' time, taken up by recently placed reading
+	// IdleRefused is the tokens refused in the last second though the engine that they would have
+	// gone to had nothing to read.
+	IdleRefused int
 }
 
 // WaitParts is the expected wait at one engine and its components.
@@ -184,7 +187,7 @@
 		return
 	}
 	slices.SortFunc(all, func(a, b WaitParts) int { return cmp.Compare(a.WaitMS, b.WaitMS) })
-	n.out = append(n.out, EngineReport{Service: p.service, Engines: len(all), Least: all[0], Median: all[len(all)/2], BusyPercent: int(100 * p.busy.ratio(p.open(now), now)), All: len(p.order)})
+	n.out = append(n.out, EngineReport{Service: p.service, Engines: len(all), Least: all[0], Median: all[len(all)/2], BusyPercent: int(100 * p.busy.ratio(p.open(now), now)), All: len(p.order), IdleRefused: int(p.meter.ledger.latest(&p.meter.ledger.idleRefusals, int(stepsPerSecond)))})
 }
 
 func (p *pool) waitParts(u *upstream, now time.Time) WaitParts {
--- a/internal/process/overload.go
+++ b/internal/process/overload.go
@@ -46,6 +46,8 @@
 	// backlogAge returns how long connections may have waited to be accepted; may be nil. Set
 	// before run.
 	backlogAge func(now time.Time) time.Duration
+	// unsent returns how many requests wait in this router; may be nil. Set before run.
+	unsent func() int64
 }
 
 // overloadState is the latest decision, and what it was made from.
@@ -71,6 +73,9 @@
 		if d.backlogAge != nil {
 			s.backlog = d.backlogAge(t)
 		}
+		if d.unsent != nil {
+			s.unsent = d.unsent()
+		}
 		used, at = u, t
 		d.observe(s)
 	}
--- a/internal/process/reportlog.go
+++ b/internal/process/reportlog.go
@@ -24,7 +24,7 @@
 		}
 		e.Msg("organisation-second")
 	case dispatch.EngineReport:
-		log.Info().Str("service", o.Service).Int("engines", o.Engines).Int("busy_percent", o.BusyPercent).
+		log.Info().Str("service", o.Service).Int("engines", o.Engines).Int("busy_percent", o.BusyPercent).Int("refused_idle", o.IdleRefused).
 			Dict("least", waitFields(o.Least)).Dict("median", waitFields(o.Median)).Msg("engines-believed")
 	case dispatch.LocalDecisionReport:
 		log.Info().Str("service", o.Service).Str("organisation", o.Org).Int("placed", o.Placed).Int("refused", o.Refused).
--- a/internal/process/routeddaemon.go
+++ b/internal/process/routeddaemon.go
@@ -87,7 +87,9 @@
 		d.close()
 		return nil, err
 	}
-	if d.callerServer, err = newCallerServer(set.Callers, forward.NewServer(d.ctrl, d.exchanges, dialect, key, forward.Limits{MaxRequests: maxRequestsFor(set.MemoryMB), Memory: d.memory}, reg, log), set.Files, d.controlBehind, log); err != nil {
+	server := forward.NewServer(d.ctrl, d.exchanges, dialect, key, forward.Limits{MaxRequests: maxRequestsFor(set.MemoryMB), Memory: d.memory}, reg, log)
+	d.ctrl.overload.unsent = server.Unsent
+	if d.callerServer, err = newCallerServer(set.Callers, server, set.Files, d.controlBehind, log); err != nil {
 		d.close()
 		return nil, err
 	}
--- a/internal/process/sheddecision.go
+++ b/internal/process/sheddecision.go
@@ -14,6 +14,7 @@
 	unread time.Duration // median time for which requests had lain unread, 0 if none were sampled
 	// backlog is the longest that a connection may have waited to be accepted.
 	backlog time.Duration
+	unsent  int64         // requests that wait in this router
 	target  time.Duration // strict target latency of the requests that arrived, 0 if none arrived
 }
 
--- a/internal/request/forward/failure.go
+++ b/internal/request/forward/failure.go
@@ -45,6 +45,9 @@
 	req.w.WriteHeader(f.status)
 	_, _ = io.WriteString(req.w, body) // the caller may be gone
 	req.s.count.failed(f.status)
+	if f.retryAfter > 0 {
+		req.s.secondTries.refuse(req.followed, req.org, f.reason)
+	}
 	req.logEnd(f)
 }
 
--- a/internal/request/forward/harness_test.go
+++ b/internal/request/forward/harness_test.go
@@ -73,6 +73,7 @@
 	targets    []time.Duration  // of arrived requests
 	unservable *dispatch.Refuse // refusal of every request without a placement; may be nil
 	submitted  atomic.Int64     // calls of Submit
+	held       chan *Ticket     // gets the tickets in place of decisions; may be nil
 }
 
 func (c *fakeControl) Table() *routing.Table { return c.table }
@@ -171,6 +172,10 @@
 func (c *fakeControl) Submit(dispatch.Request) *Ticket {
 	c.submitted.Add(1)
 	t := NewTicket(1)
+	if c.held != nil {
+		c.held <- t
+		return t
+	}
 	c.decide(t)
 	return t
 }
--- a/internal/request/forward/loadshedder_test.go
+++ b/internal/request/forward/loadshedder_test.go
@@ -1,10 +1,12 @@
 package forward
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 // A flood from one organisation overloads a router. The router must not shed the requests
@@ -60,3 +62,28 @@
 	assert.Less(t, refused["large"], sent["large"]/20, "although it sends most of the requests within shares")
 	assert.True(t, shedder.refuses("flood", 0, 0, now), "also while the CPU keeps up")
 }
+
+// What waits in a router until it is sent was not told: a router that had let in more than it could
+// send looked like one that served as much with the same CPU.
+func TestRequestsThatWaitInTheRouterAreCounted(t *testing.T) {
+	h := newHarness(t)
+	h.control.held = make(chan *Ticket, 3)
+	done := make(chan int)
+	for range 3 {
+		go func() {
+			res, _, err := h.do(t, "POST", "/stream/x", "body")
+			assert.NoError(t, err)
+			done <- res.StatusCode
+		}()
+	}
+	var tickets []*Ticket
+	for range 3 {
+		tickets = append(tickets, <-h.control.held)
+	}
+	assert.EqualValues(t, 3, h.server.Unsent())
+	for _, ticket := range tickets {
+		h.control.decide(ticket)
+		assert.Equal(t, http.StatusServiceUnavailable, <-done)
+	}
+	require.Eventually(t, func() bool { return h.server.Unsent() == 0 }, 5*time.Second, time.Millisecond)
+}
--- a/internal/request/forward/run.go
+++ b/internal/request/forward/run.go
@@ -26,7 +26,8 @@
 	lastPosition int64 // of the last event forwarded; at first the caller's Last-Event-Id
 	headersSent  bool  // the answer's headers have been sent to the caller
 
-	sentAt time.Time // of the latest attempt, by the server's clock
+	counted bool      // it does not count as unsent any more
+	sentAt  time.Time // of the latest attempt, by the server's clock
 }
 
 // maxWithdrawn bounds the placements of one request that are withdrawn before it is sent,
@@ -125,7 +126,10 @@
 	began := time.Now()
 	r.sentAt = r.s.clock.Now()
 	m := r.message(p)
-	m.OnStart = silence.watch
+	m.OnStart = func(x *conn.Exchange) {
+		r.countSent()
+		silence.watch(x)
+	}
 	exchange, err := r.send(ctx, p.Instance.Address, m)
 	if err != nil {
 		return r.sendFailed(p, err)
@@ -134,6 +138,14 @@
 	return a.deliver()
 }
 
+// countSent ends the time in which the request counts as waiting in this router.
+func (r *run) countSent() {
+	if !r.counted {
+		r.counted = true
+		r.s.unsent.Add(-1)
+	}
+}
+
 // firstEventTimeout returns how long an upstream may be silent before its answer begins.
 // After it the request is sent elsewhere, so 0 (no limit) is returned if that is not
 // allowed. The answer has then missed its target latency already; a shorter timeout would
--- a/internal/request/forward/server.go
+++ b/internal/request/forward/server.go
@@ -26,9 +26,11 @@
 	limit         int // concurrent requests
 	memory        *memory.Account
 	open          atomic.Int64
+	unsent        atomic.Int64 // requests submitted and not sent to an upstream yet
 	loadShedder   *loadShedder
 	healthChecker *healthChecker
 	count         counters
+	secondTries   *secondTries
 	reqLog        *requestLog
 	key           *fingerprint.Key
 	clock         *clock.Clock
@@ -39,6 +41,8 @@
 // the key.
 func NewServer(ctrl Control, exchanges *conn.Exchanges, dialect Dialect, key *fingerprint.Key, limit Limits, reg metrics.Registry, log zerolog.Logger) *Server {
 	s := &Server{ctrl: ctrl, exchanges: exchanges, dialect: dialect, key: key, clock: clock.System, limit: limit.MaxRequests, memory: limit.Memory, loadShedder: newLoadShedder(), count: newCounters(reg), reqLog: newRequestLog(log), tracing: newTracing()}
+	s.secondTries = newSecondTries(reg)
+	_ = reg.Register("forward.unsent", metrics.NewFunctionalGauge(s.Unsent)) // the name is new
 	s.healthChecker = newHealthChecker(exchanges, dialect, s.clock)
 	exchanges.OnResponse = s.handleNotice
 	exchanges.OnOpen = func() { s.count.opened.Inc(1) }
@@ -48,6 +52,10 @@
 	return s
 }
 
+// Unsent returns how many requests wait in this router: they were submitted for placement and have
+// not been sent to an upstream.
+func (s *Server) Unsent() int64 { return s.unsent.Load() }
+
 // callerRequest is one request, from its headers to its outcome.
 type callerRequest struct {
 	s        *Server
@@ -67,6 +75,7 @@
 	hold     memory.Hold
 	deadline time.Time
 	prompt   prompt
+	followed followed
 	print    *fingerprint.Fingerprint // computed on first use
 }
 
@@ -103,6 +112,7 @@
 		return
 	}
 	s.ctrl.RequestArrived(req.route.TargetLatency)
+	req.followed = s.secondTries.arrived(&s.dialect, r.Header, req.org, req.arrived, s.reqLog)
 	if req.refuseUnservable() {
 		return
 	}
@@ -240,6 +250,7 @@
 	}
 	ctx, stop := req.s.clock.WithDeadline(req.r.Context(), req.deadline)
 	defer stop()
+	req.s.unsent.Add(1)
 	t := req.s.ctrl.Submit(dispatch.Request{
 		Service:    req.service,
 		Org:        req.org,
@@ -254,5 +265,6 @@
 		Resumed:    req.resumed,
 	})
 	r := &run{callerRequest: req, ctx: ctx, ticket: t, lastPosition: parseLastEventID(req.r.Header)}
+	defer r.countSent()
 	r.loop()
 }
