A router short of CPU lets in no more than it can send

A flood of one organisation came by a router of 0.192 of a core; it began 0 to 0.3 million tokens a second for six seconds, then 0.5 to 1.1 million at the same use of its CPU, and a request waited 2.6 s in it until its engine had it.

Cause: until the shed ratio has risen (a tenth of a second to a second after a flood begins) a router lets in several times what it can send. These requests take the CPU from each other and from all that follow, by turns, so each of them is decided without the scheduler or sent after its caller has left.

Change: the requests for engines without a decision are bounded by what the router sends in a sixth of the target (16 at least, as a decision takes a few milliseconds); beyond that 98 in 100 are refused, from the organisations that send most. The bound holds whatever the use, so it acts from the first millisecond. A dial to a dead engine and the wait for a slot of a plain service do not count.

--- a/internal/process/forwardcontrol.go
+++ b/internal/process/forwardcontrol.go
@@ -17,6 +17,9 @@
 // ShedRatio implements forward.Control.
 func (rc *RoutedController) ShedRatio() float64 { return rc.overload.shedRatio() }
 
+// MaxUndecided implements forward.Control.
+func (rc *RoutedController) MaxUndecided() int64 { return rc.overload.current().maxUndecided }
+
 // RequestArrived implements forward.Control.
 func (rc *RoutedController) RequestArrived(target time.Duration) {
 	rc.overload.arrivals.addTarget(target)
--- a/internal/process/overload.go
+++ b/internal/process/overload.go
@@ -46,14 +46,15 @@
 	// backlogAge returns how long connections may have waited to be accepted; may be nil. Set
 	// before run.
 	backlogAge func(now time.Time) time.Duration
-	// unsent returns how many requests wait in this router; may be nil. Set before run.
-	unsent func() int64
+	// undecided returns how many requests have no decision yet; may be nil. Set before run.
+	undecided func() int64
 }
 
 // overloadState is the latest decision, and what it was made from.
 type overloadState struct {
-	ratio  float64 // fraction of arrivals to refuse
-	reason shedReason
+	ratio        float64 // fraction of arrivals to refuse
+	maxUndecided int64   // see shedDecision.maxUndecided
+	reason       shedReason
 	shedDecision
 	loadSample
 }
@@ -73,8 +74,8 @@
 		if d.backlogAge != nil {
 			s.backlog = d.backlogAge(t)
 		}
-		if d.unsent != nil {
-			s.unsent = d.unsent()
+		if d.undecided != nil {
+			s.undecided = d.undecided()
 		}
 		used, at = u, t
 		d.observe(s)
@@ -92,6 +93,7 @@
 	d.decision.update(s)
 	state := overloadState{shedDecision: d.decision, loadSample: s}
 	state.ratio, state.reason = d.decision.ratio()
+	state.maxUndecided = d.decision.maxUndecided()
 	state.recent, state.targets = nil, nil // modified by the next update
 	d.state.Store(&state)
 }
--- a/internal/process/overloadmetrics.go
+++ b/internal/process/overloadmetrics.go
@@ -36,5 +36,5 @@
 
 // addFields adds the decision and its inputs to a log line.
 func (s overloadState) addFields(e *zerolog.Event) *zerolog.Event {
-	return e.Float64("excess", s.ratio).Str("reason", string(s.reason)).Float64("use", s.use).Int64("lag_us", s.lag.Microseconds()).Int64("unread_ms", s.unread.Milliseconds()).Int64("accept_wait_ms", s.backlog.Milliseconds()).Int64("target_ms", s.target.Milliseconds()).Int64("unsent", s.unsent)
+	return e.Float64("excess", s.ratio).Str("reason", string(s.reason)).Float64("use", s.use).Int64("lag_us", s.lag.Microseconds()).Int64("unread_ms", s.unread.Milliseconds()).Int64("accept_wait_ms", s.backlog.Milliseconds()).Int64("target_ms", s.target.Milliseconds()).Int64("undecided", s.undecided).Int64("most_undecided", s.maxUndecided)
 }
--- a/internal/process/requestcost_bench_test.go
+++ b/internal/process/requestcost_bench_test.go
@@ -110,6 +110,7 @@
 }
 
 func (c *costControl) Table() *routing.Table               { return c.table }
+func (*costControl) MaxUndecided() int64                   { return 0 }
 func (c *costControl) ShedRatio() float64                  { return c.shedRatio }
 func (c *costControl) AdmitRatio(string, string) float64   { return 1 - c.shedRatio }
 func (c *costControl) RequestArrived(target time.Duration) { c.arrivals.addTarget(target) }
--- a/internal/process/routeddaemon.go
+++ b/internal/process/routeddaemon.go
@@ -88,7 +88,7 @@
 		return nil, err
 	}
 	server := forward.NewServer(d.ctrl, d.exchanges, dialect, key, forward.Limits{MaxRequests: maxRequestsFor(set.MemoryMB), Memory: d.memory}, reg, log)
-	d.ctrl.overload.unsent = server.Unsent
+	d.ctrl.overload.undecided = server.Undecided
 	if d.callerServer, err = newCallerServer(set.Callers, server, set.Files, d.controlBehind, log); err != nil {
 		d.close()
 		return nil, err
--- a/internal/process/sheddecision.go
+++ b/internal/process/sheddecision.go
@@ -13,9 +13,9 @@
 	lag    time.Duration // scheduling lag, a moving average
 	unread time.Duration // median time for which requests had lain unread, 0 if none were sampled
 	// backlog is the longest that a connection may have waited to be accepted.
-	backlog time.Duration
-	unsent  int64         // requests that wait in this router
-	target  time.Duration // strict target latency of the requests that arrived, 0 if none arrived
+	backlog   time.Duration
+	undecided int64         // requests without a decision
+	target    time.Duration // strict target latency of the requests that arrived, 0 if none arrived
 }
 
 // shedReason is why a router sheds load.
@@ -198,6 +198,32 @@
 	return used / max(1, wall)
 }
 
+const (
+	// undecidedTargetDivisor divides the target to give the time in which a router with all of its
+	// CPU sends the requests that may be undecided. Refusals of others take up to two thirds of
+	// that CPU.
+	undecidedTargetDivisor = 6
+	// requestCPU is the CPU time that a request takes until it is sent to an upstream.
+	requestCPU = 700 * time.Microsecond
+	// minUndecided may be undecided in any case, as while a scheduler is silent.
+	minUndecided = 16
+)
+
+// maxUndecided returns how many requests may have no decision at the same time, 0 for no limit. A
+// decision takes a few milliseconds, so more of them wait for the CPU, and take it from each other
+// until all are too late.
+//
+// Load pattern: a flood begins at a router short of CPU. Until the shed ratio had risen, more was
+// let in than the router could send; it was decided without the scheduler, or its callers left, and
+// the router served a third of what it could for as long as the flood went on.
+func (d *shedDecision) maxUndecided() int64 {
+	if d.cores <= 0 {
+		return 0
+	}
+	drain := d.shedTarget() / undecidedTargetDivisor
+	return max(minUndecided, int64(d.cores*float64(drain)/float64(requestCPU)))
+}
+
 // lagWeight is the part of the lag rule that applies at the mean CPU use.
 func (d *shedDecision) lagWeight() float64 {
 	return min(1, max(0, (d.meanUse(lagMeanPeriods)-minLagUse)/(fullLagUse-minLagUse)))
--- a/internal/request/forward/control.go
+++ b/internal/request/forward/control.go
@@ -33,6 +33,9 @@
 	// ShedRatio returns the fraction of all arriving requests that this router should
 	// refuse because it is overloaded (short of CPU).
 	ShedRatio() float64
+	// MaxUndecided returns how many requests for engines may have no decision at the same time, 0
+	// for no limit.
+	MaxUndecided() int64
 	// RequestArrived reports the target latency of each request whose headers are
 	// acceptable, whether or not it is then shed.
 	RequestArrived(target time.Duration)
--- a/internal/request/forward/harness_test.go
+++ b/internal/request/forward/harness_test.go
@@ -70,10 +70,11 @@
 	healthCheckFirst    bool     // placements require a health check
 	neverPlaceAgain     bool     // PlaceAgain gets no decision
 
-	targets    []time.Duration  // of arrived requests
-	unservable *dispatch.Refuse // refusal of every request without a placement; may be nil
-	submitted  atomic.Int64     // calls of Submit
-	held       chan *Ticket     // gets the tickets in place of decisions; may be nil
+	targets      []time.Duration  // of arrived requests
+	unservable   *dispatch.Refuse // refusal of every request without a placement; may be nil
+	submitted    atomic.Int64     // calls of Submit
+	maxUndecided int64            // see Control
+	held         chan *Ticket     // gets the tickets in place of decisions; may be nil
 }
 
 func (c *fakeControl) Table() *routing.Table { return c.table }
@@ -87,6 +88,8 @@
 	return 0
 }
 
+func (c *fakeControl) MaxUndecided() int64 { return c.maxUndecided }
+
 func (c *fakeControl) AdmitRatio(string, string) float64 { return 1 }
 
 func (c *fakeControl) Unusable(p *dispatch.Placement) Unusable {
@@ -226,7 +229,7 @@
 
 func testTable(t testing.TB) *routing.Table {
 	t.Helper()
-	b := routing.Builder{Number: 7, Limits: routing.Limits{BodyBytes: 1000}, Services: []*routing.Service{{Name: "s", Health: "/health"}}}
+	b := routing.Builder{Number: 7, Limits: routing.Limits{BodyBytes: 1000}, Services: []*routing.Service{{Name: "s", Health: "/health"}, {Name: "engines", Engine: &routing.Engine{Slots: 4, MemoryTokens: 1000}}}}
 	split := []routing.WeightedService{{Service: "s", Weight: 1}}
 	route := func(prefix string, k routing.Kind, resumable bool, attempts int) *routing.Route {
 		r := &routing.Route{Name: prefix, Host: "h.example", Prefix: prefix, Kind: k, Resumable: resumable,
@@ -239,6 +242,7 @@
 	route("/stream/", routing.Stream, true, 2)
 	route("/single/", routing.Stream, false, 1)
 	route("/patient/", routing.AtMostOnce, false, 2).Timeout = time.Minute
+	route("/engine/", routing.Stream, true, 2).Split = []routing.WeightedService{{Service: "engines", Weight: 1}}
 	b.AddOrganisation(&routing.Organisation{Name: "alpha"}, []string{"key-a"})
 	b.AddOrganisation(&routing.Organisation{Name: "beta"}, []string{"key-b"})
 	table, err := b.Build()
--- a/internal/request/forward/loadshedder_test.go
+++ b/internal/request/forward/loadshedder_test.go
@@ -63,15 +63,16 @@
 	assert.True(t, shedder.refuses("flood", 0, 0, now), "also while the CPU keeps up")
 }
 
-// What waits in a router until it is sent was not told: a router that had let in more than it could
-// send looked like one that served as much with the same CPU.
+// What waits in a router for a decision was not told: a router that had let in more than it could
+// send looked like one that served as much with the same CPU. Requests for plain services may
+// wait for a free slot, which takes no CPU.
 func TestRequestsThatWaitInTheRouterAreCounted(t *testing.T) {
 	h := newHarness(t)
 	h.control.held = make(chan *Ticket, 3)
 	done := make(chan int)
 	for range 3 {
 		go func() {
-			res, _, err := h.do(t, "POST", "/stream/x", "body")
+			res, _, err := h.do(t, "POST", "/engine/x", "body")
 			assert.NoError(t, err)
 			done <- res.StatusCode
 		}()
@@ -80,10 +81,56 @@
 	for range 3 {
 		tickets = append(tickets, <-h.control.held)
 	}
-	assert.EqualValues(t, 3, h.server.Unsent())
+	assert.EqualValues(t, 3, h.server.Undecided())
+	plain := make(chan struct{})
+	go func() {
+		_, _, err := h.do(t, "POST", "/stream/x", "body")
+		assert.NoError(t, err)
+		close(plain)
+	}()
+	h.control.decide(<-h.control.held)
+	<-plain
+	assert.EqualValues(t, 3, h.server.Undecided())
 	for _, ticket := range tickets {
 		h.control.decide(ticket)
 		assert.Equal(t, http.StatusServiceUnavailable, <-done)
 	}
-	require.Eventually(t, func() bool { return h.server.Unsent() == 0 }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return h.server.Undecided() == 0 }, 5*time.Second, time.Millisecond)
+}
+
+// A flood at a router short of CPU. What was let in before the shed ratio had risen waited in the
+// router until its callers had left, and so did all that came after it.
+func TestRouterShortOfCPURefusesWhatItCannotSend(t *testing.T) {
+	h := newHarness(t)
+	h.control.held, h.control.maxUndecided = make(chan *Ticket, 100), 2
+	done := make(chan int)
+	call := func() {
+		res, _, err := h.do(t, "POST", "/engine/x", "body")
+		assert.NoError(t, err)
+		done <- res.StatusCode
+	}
+	go call()
+	go call()
+	tickets := []*Ticket{<-h.control.held, <-h.control.held}
+	refused := 0
+	for range 200 { // 4 of 200 are let in by the ratio
+		go call()
+		select {
+		case status := <-done:
+			assert.Equal(t, http.StatusServiceUnavailable, status)
+			refused++
+		case ticket := <-h.control.held:
+			tickets = append(tickets, ticket)
+		}
+	}
+	assert.Greater(t, refused, 180)
+	for _, ticket := range tickets {
+		h.control.decide(ticket)
+		<-done
+	}
+	require.Eventually(t, func() bool { return h.server.Undecided() == 0 }, 5*time.Second, time.Millisecond)
+	go call()
+	ticket := <-h.control.held // what waited has been sent
+	h.control.decide(ticket)
+	<-done
 }
--- a/internal/request/forward/run.go
+++ b/internal/request/forward/run.go
@@ -26,8 +26,9 @@
 	lastPosition int64 // of the last event forwarded; at first the caller's Last-Event-Id
 	headersSent  bool  // the answer's headers have been sent to the caller
 
-	counted bool      // it does not count as unsent any more
-	sentAt  time.Time // of the latest attempt, by the server's clock
+	undecided bool // it counts in Server.undecided
+
+	sentAt time.Time // of the latest attempt, by the server's clock
 }
 
 // maxWithdrawn bounds the placements of one request that are withdrawn before it is sent,
@@ -48,6 +49,7 @@
 	for {
 		waitStart := time.Now()
 		d, ok := r.ticket.wait(r.ctx)
+		r.countDecided()
 		r.s.count.decision.UpdateSince(waitStart)
 		if !ok {
 			r.s.ctrl.End(r.ticket, wire.ProgressUnused)
@@ -126,10 +128,7 @@
 	began := time.Now()
 	r.sentAt = r.s.clock.Now()
 	m := r.message(p)
-	m.OnStart = func(x *conn.Exchange) {
-		r.countSent()
-		silence.watch(x)
-	}
+	m.OnStart = silence.watch
 	exchange, err := r.send(ctx, p.Instance.Address, m)
 	if err != nil {
 		return r.sendFailed(p, err)
@@ -138,11 +137,11 @@
 	return a.deliver()
 }
 
-// countSent ends the time in which the request counts as waiting in this router.
-func (r *run) countSent() {
-	if !r.counted {
-		r.counted = true
-		r.s.unsent.Add(-1)
+// countDecided ends the time in which the request counts as undecided.
+func (r *run) countDecided() {
+	if r.undecided {
+		r.undecided = false
+		r.s.undecided.Add(-1)
 	}
 }
 
--- a/internal/request/forward/server.go
+++ b/internal/request/forward/server.go
@@ -26,7 +26,7 @@
 	limit         int // concurrent requests
 	memory        *memory.Account
 	open          atomic.Int64
-	unsent        atomic.Int64 // requests submitted and not sent to an upstream yet
+	undecided     atomic.Int64 // requests for engines that were submitted and have no decision yet
 	loadShedder   *loadShedder
 	healthChecker *healthChecker
 	count         counters
@@ -42,7 +42,7 @@
 func NewServer(ctrl Control, exchanges *conn.Exchanges, dialect Dialect, key *fingerprint.Key, limit Limits, reg metrics.Registry, log zerolog.Logger) *Server {
 	s := &Server{ctrl: ctrl, exchanges: exchanges, dialect: dialect, key: key, clock: clock.System, limit: limit.MaxRequests, memory: limit.Memory, loadShedder: newLoadShedder(), count: newCounters(reg), reqLog: newRequestLog(log), tracing: newTracing()}
 	s.secondTries = newSecondTries(reg)
-	_ = reg.Register("forward.unsent", metrics.NewFunctionalGauge(s.Unsent)) // the name is new
+	_ = reg.Register("forward.undecided", metrics.NewFunctionalGauge(s.Undecided)) // the name is new
 	s.healthChecker = newHealthChecker(exchanges, dialect, s.clock)
 	exchanges.OnResponse = s.handleNotice
 	exchanges.OnOpen = func() { s.count.opened.Inc(1) }
@@ -52,9 +52,9 @@
 	return s
 }
 
-// Unsent returns how many requests wait in this router: they were submitted for placement and have
-// not been sent to an upstream.
-func (s *Server) Unsent() int64 { return s.unsent.Load() }
+// Undecided returns how many requests for engines were submitted and have no decision yet. The
+// scheduler decides on these at once, so they wait for this router's CPU.
+func (s *Server) Undecided() int64 { return s.undecided.Load() }
 
 // callerRequest is one request, from its headers to its outcome.
 type callerRequest struct {
@@ -116,7 +116,7 @@
 	if req.refuseUnservable() {
 		return
 	}
-	if full || s.loadShedder.refuses(req.org, s.ctrl.ShedRatio(), s.ctrl.AdmitRatio(req.service, req.org), req.arrived) {
+	if full || s.loadShedder.refuses(req.org, s.shedRatio(), s.ctrl.AdmitRatio(req.service, req.org), req.arrived) {
 		req.shedRequest()
 		return
 	}
@@ -138,6 +138,19 @@
 	req.run()
 }
 
+// maxUndecidedShedRatio is the fraction of arrivals that is refused while as many requests
+// are undecided as may be.
+const maxUndecidedShedRatio = 0.98
+
+// shedRatio returns the fraction of all arriving requests to refuse.
+func (s *Server) shedRatio() float64 {
+	ratio := s.ctrl.ShedRatio()
+	if most := s.ctrl.MaxUndecided(); most > 0 && s.Undecided() >= most {
+		return max(ratio, maxUndecidedShedRatio)
+	}
+	return ratio
+}
+
 // shedRequest refuses a request because this router is overloaded. Its work is still
 // counted as demand, so that the organisation's share does not shrink because its requests
 // arrived at this router.
@@ -250,8 +263,12 @@
 	}
 	ctx, stop := req.s.clock.WithDeadline(req.r.Context(), req.deadline)
 	defer stop()
-	req.s.unsent.Add(1)
-	t := req.s.ctrl.Submit(dispatch.Request{
+	r := &run{callerRequest: req, ctx: ctx, undecided: req.table.HasEngines(req.service), lastPosition: parseLastEventID(req.r.Header)}
+	if r.undecided {
+		req.s.undecided.Add(1)
+	}
+	defer r.countDecided()
+	r.ticket = req.s.ctrl.Submit(dispatch.Request{
 		Service:    req.service,
 		Org:        req.org,
 		Input:      req.prompt.input,
@@ -264,7 +281,5 @@
 		Stream:     req.stream,
 		Resumed:    req.resumed,
 	})
-	r := &run{callerRequest: req, ctx: ctx, ticket: t, lastPosition: parseLastEventID(req.r.Header)}
-	defer r.countSent()
 	r.loop()
 }
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -230,6 +230,12 @@
 	return ""
 }
 
+// HasEngines reports whether a service's upstreams are engines.
+func (t *Table) HasEngines(service string) bool {
+	s := t.Services[service]
+	return s != nil && s.Engine != nil
+}
+
 // RequiresAPIKey reports whether requests need an API key: they do when organisations are
 // published, even if none of them holds a key any more.
 func (t *Table) RequiresAPIKey() bool { return t.keys != nil }
