What a share covers has no step where the share is used up

Change: what is let in is what the share covers of what is asked for, also below the share, there up to half as much again; a flood that has just begun is counted by its latest second, not by what it has sent in a window of four.

TestCoverageHasNoStepAtTheShare and TestCoverageCountsWhatAFloodRequestsNow failed before. TestShareCoverageRatio expected that everything is let in below the share, which is the fault: it expects the covered ratio now, and that what a share covers whole is let in.

--- a/internal/dispatch/sharecoverage.go
+++ b/internal/dispatch/sharecoverage.go
@@ -22,8 +22,10 @@
 // left with twice its share, whatever the scheduler would have granted it.
 const coverageFactor = 2.0
 
-// ShareCoverage returns the organisations that have used up their shares and request more
-// than is covered.
+// minCoveredUse is the use of a share below which no more of what is requested is covered.
+const minCoveredUse = 2.0 / 3
+
+// ShareCoverage returns the organisations that request more than is covered.
 //
 // Load pattern: of 2,000 requests a second of one organisation at a small router 25 are
 // served. Sending a placement request for each of the others, and waiting for the reply, is
@@ -56,18 +58,40 @@
 // coverageFromUpdate is the ratio that the share covers, by the scheduler's latest update.
 func (n *Node) coverageFromUpdate(p *pool, org version.ID, now time.Time) float64 {
 	w := n.shareUpdates.received[serviceOrg{p.id, org}]
-	if w.at.IsZero() || n.localUsedShare(p, org, now) < 1 {
+	if w.at.IsZero() {
 		return 1
 	}
-	return coverageFactor * float64(w.Share) / max(1, float64(w.Requested))
+	requested := max(float64(w.Requested), p.local.latestRequested(org, now))
+	return coverageOf(float64(w.Share), n.localUsedShare(p, org, now), requested)
+}
+
+// coverageOf returns the ratio of the tokens requested in a window that a share covers: more of them
+// the less of the share was used, without a step where it is used up.
+//
+// Load pattern: a flood of an organisation that has used about its share, through a router short of
+// CPU. Everything was let in whenever it was just below its share; the router sent little of that in
+// time, so that the share stayed unused.
+func coverageOf(share, usedShare, requested float64) float64 {
+	return coverageFactor * share / min(1, max(minCoveredUse, usedShare)) / max(1, requested)
 }
 
 // coverageByShare is the ratio that the share covers, by the scheduler's own meter.
 func (m *meter) coverageByShare(org version.ID, now time.Time) float64 {
 	m.updateShares(now)
-	u, share := m.usageOf(org), m.shares[org]
-	if share <= 0 || windowTotal(&u.got) < share {
+	share := m.shares[org]
+	if share <= 0 {
 		return 1
 	}
-	return coverageFactor * share / max(1, windowTotal(&u.requested))
+	requested := max(windowTotal(&m.usageOf(org).requested), m.latestRequested(org, now))
+	return coverageOf(share, m.usedShare(org, now), requested)
+}
+
+// latestRequested returns what an organisation requested in the latest second, scaled to the window,
+// so that a flood that has just begun counts as what it is.
+func (m *meter) latestRequested(org version.ID, now time.Time) float64 {
+	u, latest := m.at(org, now), 0.0
+	for age := range stepsPerSecond {
+		latest += u.requested[m.ring.slot(age)]
+	}
+	return latest * shareSteps / float64(stepsPerSecond)
 }
