Who is ahead may go further where engines are idle

Cause: the slack in tokens does not know whether those who go first use what is left to them. One that brings little through its router held all others to its pace, and as the slack follows the pace of the best served one it fell with it.

Change: where more than 45 in 100 engines have nothing to read the slack grows, up to one and a half steps more at 75. Others then go on at up to one and a half times the pace of one that cannot use its turns; it still gets more than half of what the best served one does in any six seconds.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -64,6 +64,7 @@
 	}
 	p.meter.ledger.observeSize(tokens, now)
 	p.sampleBusy(now)
+	p.meter.ledger.idle = p.idleness(now)
 	usedPercent := usedSharePercent(p.meter.usedShare(a.Org, now))
 	usedShare := p.meter.countedShare(a.Org, now)
 	p.preparePace(usedShare, now)
--- a/internal/dispatch/arrears.go
+++ b/internal/dispatch/arrears.go
@@ -43,6 +43,12 @@
 	// idleFloorRatio is the same ratio where an engine has nothing to read: who is refused there
 	// makes room for nobody.
 	idleFloorRatio = 0.55
+	// idleSlackSteps is by how many steps of what the best served one gets the slack is larger where
+	// engines are idle, so that who goes first does not use them. With what is forgotten, one that
+	// goes on at a constant pace is followed by others at one and a half times that pace.
+	idleSlackSteps = 1.5
+	// From minIdleRatio of idle engines on the slack is larger, from fullIdleRatio on by all of it.
+	minIdleRatio, fullIdleRatio = 0.45, 0.75
 )
 
 // standing is an organisation's place in the order, in tokens.
@@ -133,7 +139,8 @@
 }
 
 // usedSlack returns how far an organisation is ahead of the one that is furthest behind it, of those
-// that go short, as a ratio of the slack: from 1 on others go first.
+// that go short, as a ratio of the slack, which is larger where engines are idle: from 1 on others go
+// first.
 func (l *ledger) usedSlack(org version.ID) float64 {
 	r := l.rows[org]
 	if r == nil {
@@ -146,7 +153,7 @@
 			ahead = max(ahead, min(owed+r.granted[now]-r.arrears, owed+l.claim(o)))
 		}
 	}
-	return ahead / max(1, l.slackTokens())
+	return ahead / max(1, l.slackTokens()+idleSlackSteps*l.idle*l.pace)
 }
 
 // catchUp returns how far an organisation's arrears entitle it to be judged as if it had used no
--- a/internal/dispatch/arrears_test.go
+++ b/internal/dispatch/arrears_test.go
@@ -344,3 +344,43 @@
 	m.serve(2, 0.02*statedWindowTokens/2, now)
 	assert.True(t, m.mustYield(2, now))
 }
+
+// Guards against an order that holds the fleet down. One organisation brings little through a router
+// short of CPU; all others were held to its pace, a request or two ahead, while engines had nothing to
+// read. Where engines are idle they go on at up to one and a half times its pace, so that it gets
+// more than half of what the best served one does in any six seconds.
+func TestIdleEnginesServeOthersWithinABound(t *testing.T) {
+	const brought, largest = 20_000.0, 4000.0
+	play := func(idle float64) (others, margin float64) {
+		m := newMeter(0)
+		m.ledger.idle = idle
+		var of [2][40 * int(stepsPerSecond)]float64
+		now := start
+		for step := range of[0] {
+			now = now.Add(shareStep)
+			m.addRequest(1, 20*brought, now)
+			m.serve(1, brought, now)
+			of[0][step] = brought
+			for range 100 {
+				m.addRequest(2, largest, now)
+				m.ledger.observeSize(largest, now)
+				if !m.mustYield(2, now) {
+					m.serve(2, largest, now)
+					of[1][step] += largest
+				}
+			}
+		}
+		margin = 1
+		const six, from = 6 * int(stepsPerSecond), 4 * int(stepsPerSecond)
+		for at := from; at+six <= len(of[0]); at++ {
+			margin = min(margin, floats.Sum(of[0][at:at+six])/floats.Sum(of[1][at:at+six]))
+		}
+		return floats.Sum(of[1][from:]) / floats.Sum(of[0][from:]), margin
+	}
+	busy, _ := play(0)
+	idle, margin := play(1)
+	t.Logf("others got %.2f times as much at busy engines, %.2f at idle ones, margin %.2f", busy, idle, margin)
+	assert.Less(t, busy, 1.25)
+	assert.Greater(t, idle, 1.3)
+	assert.Greater(t, margin, minOrderMargin)
+}
--- a/internal/dispatch/busy.go
+++ b/internal/dispatch/busy.go
@@ -12,6 +12,8 @@
 	busySteps = 10
 	// busySampleInterval is the time between two samples of the engines.
 	busySampleInterval = busyStep / 2
+	// idleSteps is the number of steps that tell whether engines are idle now.
+	idleSteps = 3
 	// maxUnseenRatio bounds the time that placed reading takes up, as a ratio of the time in which
 	// engines were seen to have something to read: what a scheduler learns late.
 	maxUnseenRatio = 2.0
@@ -50,16 +52,23 @@
 	b.sampledAt = now
 }
 
+// readingRatio returns the mean of the samples of the latest steps, 0 without any.
+func (b *busyMeter) readingRatio(steps int64, now time.Time) float64 {
+	b.advance(now)
+	reading, samples := 0.0, 0
+	for age := range steps {
+		i := b.ring.slot(age)
+		reading, samples = reading+b.reading[i], samples+b.samples[i]
+	}
+	return reading / float64(max(1, samples))
+}
+
 // ratio returns the fraction of the time of the given number of engines that is taken up.
 func (b *busyMeter) ratio(engines int, now time.Time) float64 {
 	b.advance(now)
 	window := float64((busySteps * busyStep).Milliseconds())
 	placed := floats.Sum(b.ms[:]) / window / float64(max(1, engines))
-	samples := 0
-	for _, n := range b.samples {
-		samples += n
-	}
-	return min(placed, maxUnseenRatio*floats.Sum(b.reading[:])/float64(max(1, samples)))
+	return min(placed, maxUnseenRatio*b.readingRatio(busySteps, now))
 }
 
 // sampleBusy takes a sample of the engines, unless the last one is recent.
@@ -75,3 +84,10 @@
 	}
 	p.busy.sample(reading, p.open(now), now)
 }
+
+// idleness returns how idle the engines were lately, from 0 up to minIdleRatio of them without anything
+// to read, to 1 from fullIdleRatio on.
+func (p *pool) idleness(now time.Time) float64 {
+	idle := 1 - p.busy.readingRatio(idleSteps, now)
+	return min(1, max(0, (idle-minIdleRatio)/(fullIdleRatio-minIdleRatio)))
+}
--- a/internal/dispatch/ledger.go
+++ b/internal/dispatch/ledger.go
@@ -58,6 +58,7 @@
 	short   []*ledgerRow // of organisations that go short
 	served  []float64    // of inOrder, in the step that is replayed
 	pace    float64      // tokens of the best served organisation in a step, a moving average
+	idle    float64      // how idle the engines are, from 0 to 1: see pool.idleness
 }
 
 func newLedger() ledger {
