The network is polled while connections are accepted, and their queue is short

Cause: with one CPU the runtime polls the network when no goroutine is ready, and otherwise by a background thread, which gets no CPU here for seconds. While connections wait in the kernel's queue, accepting and refusing them needs no poll and always leaves a goroutine ready. What paced accepting before counted connections that were accepted and not read, of which there is one at a time.

Change: a listener that waits, at most each 10 ms and for at most 20 ms, until a pipe written by itself was read through the poller. What does not fit costs no CPU; its caller tries elsewhere a second later. Package net always asks for the longest queue, so the socket is made by system calls. The application interface has the same listener.

--- a/internal/process/acceptdelay_test.go
+++ b/internal/process/acceptdelay_test.go
@@ -24,7 +24,7 @@
 	var checks atomic.Int64
 	for name, behindFor := range map[string]int64{"until datagrams are read": 3, "control stays behind": 1 << 40} {
 		checks.Store(0)
-		cs, err := newCallerServer("127.0.0.1:0", ok, 0, func() bool { return checks.Add(1) <= behindFor }, zerolog.Nop())
+		cs, err := newCallerServer("127.0.0.1:0", 0, ok, 0, func() bool { return checks.Add(1) <= behindFor }, zerolog.Nop())
 		require.NoError(t, err, name)
 		res, err := http.Get("http://" + cs.listener.Addr().String())
 		require.NoError(t, err, name)
--- a/internal/process/appdaemon.go
+++ b/internal/process/appdaemon.go
@@ -100,9 +100,14 @@
 	if err != nil {
 		return ErrSettings.Wrap(err, "[router] caller_address = %q", d.set.Callers)
 	}
-	operator, err := net.Listen("tcp", d.set.Operator)
+	polled, err := newPolledListener(callers)
 	if err != nil {
 		callers.Close()
+		return ErrSettings.Wrap(err, "pipe")
+	}
+	operator, err := net.Listen("tcp", d.set.Operator)
+	if err != nil {
+		polled.Close()
 		return ErrSettings.Wrap(err, "[router] operator_address = %q", d.set.Operator)
 	}
 	server := request.NewServer(d.ctrl, d.upstreams, fingerprintKey, d.set.Limits, d.memory, reg)
@@ -114,7 +119,7 @@
 		Protocols:         protocols(),
 	}
 	d.operator = &http.Server{Handler: operatorHandler(d.ctrl, reg), ReadHeaderTimeout: d.set.HeadTime}
-	go d.serve(d.callers, callers)
+	go d.serve(d.callers, polled)
 	go func() { _ = d.operator.Serve(operator) }()
 	return nil
 }
--- a/internal/process/arrivalstats_test.go
+++ b/internal/process/arrivalstats_test.go
@@ -26,7 +26,7 @@
 			time.Sleep(busy)
 		}
 	})
-	cs, err := newCallerServer("127.0.0.1:0", handler, 0, nil, zerolog.Nop())
+	cs, err := newCallerServer("127.0.0.1:0", 0, handler, 0, nil, zerolog.Nop())
 	require.NoError(t, err)
 	defer cs.close()
 	var d overloadDetector
--- a/internal/process/callerserver.go
+++ b/internal/process/callerserver.go
@@ -34,15 +34,17 @@
 
 // newCallerServer listens for callers and starts serving them. While controlBehind returns
 // true, connections are accepted more slowly.
-func newCallerServer(addr string, handler http.Handler, descriptors int, controlBehind func() bool, log zerolog.Logger) (*callerServer, error) {
-	// Callers that vanish without closing are detected by the limits on idle time and
-	// requests. Keep-alive probes would cost four system calls per connection.
-	config := net.ListenConfig{KeepAlive: -1}
-	l, err := config.Listen(context.Background(), "tcp", addr)
+func newCallerServer(addr string, cores float64, handler http.Handler, descriptors int, controlBehind func() bool, log zerolog.Logger) (*callerServer, error) {
+	l, err := listenCallers(addr, cores)
 	if err != nil {
 		return nil, ErrSettings.Wrap(err, "[router] caller_address = %q", addr)
 	}
-	cs := &callerServer{listener: l, connLimiter: newConnLimiter(descriptors), controlBehind: controlBehind, log: log, handler: handler, relayed: map[*limitedServer]struct{}{}, limits: newLimitsInForce()}
+	polled, err := newPolledListener(l)
+	if err != nil {
+		l.Close()
+		return nil, ErrSettings.Wrap(err, "pipe")
+	}
+	cs := &callerServer{listener: polled, connLimiter: newConnLimiter(descriptors), controlBehind: controlBehind, log: log, handler: handler, relayed: map[*limitedServer]struct{}{}, limits: newLimitsInForce()}
 	cs.own = newLimitedServer(withCloseHint(cs.connLimiter.closeHint, handler), l.Addr(), cs.connState, cs.limits, log)
 	cs.limits.onChange(cs.limitsChanged)
 	go cs.accept()
--- a/internal/process/callerserver_test.go
+++ b/internal/process/callerserver_test.go
@@ -21,7 +21,7 @@
 func startCallerServer(t *testing.T, l routing.Limits) string {
 	t.Helper()
 	ok := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "ok") })
-	cs, err := newCallerServer("127.0.0.1:0", ok, 0, nil, zerolog.Nop())
+	cs, err := newCallerServer("127.0.0.1:0", 0, ok, 0, nil, zerolog.Nop())
 	require.NoError(t, err)
 	t.Cleanup(cs.close)
 	cs.setLimits(l)
--- a/internal/process/limits_test.go
+++ b/internal/process/limits_test.go
@@ -21,7 +21,7 @@
 func startChangingServer(t *testing.T, l routing.Limits) *callerServer {
 	t.Helper()
 	ok := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
-	cs, err := newCallerServer("127.0.0.1:0", ok, 0, nil, zerolog.Nop())
+	cs, err := newCallerServer("127.0.0.1:0", 0, ok, 0, nil, zerolog.Nop())
 	require.NoError(t, err)
 	t.Cleanup(cs.close)
 	cs.setLimits(l)
@@ -58,7 +58,7 @@
 // A connection that was accepted before the first table kept the built-in limits.
 func TestFirstTableReachesOpenConnections(t *testing.T) {
 	ok := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
-	cs, err := newCallerServer("127.0.0.1:0", ok, 0, nil, zerolog.Nop())
+	cs, err := newCallerServer("127.0.0.1:0", 0, ok, 0, nil, zerolog.Nop())
 	require.NoError(t, err)
 	t.Cleanup(cs.close)
 	c, br := dialCallerServer(t, cs.listener.Addr().String())
@@ -75,7 +75,7 @@
 // limit that was lower than the table's.
 func TestRouterWithoutATableRefusesNoHeader(t *testing.T) {
 	ok := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
-	cs, err := newCallerServer("127.0.0.1:0", ok, 0, nil, zerolog.Nop())
+	cs, err := newCallerServer("127.0.0.1:0", 0, ok, 0, nil, zerolog.Nop())
 	require.NoError(t, err)
 	t.Cleanup(cs.close)
 	c, br := dialCallerServer(t, cs.listener.Addr().String())
--- a/internal/process/relaying_test.go
+++ b/internal/process/relaying_test.go
@@ -49,7 +49,7 @@
 	r := &relayingRouter{ctrl: &fakeRelayControl{peers: peers}, reg: metrics.NewRegistry()}
 	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, name) })
 	var err error
-	r.callerServer, err = newCallerServer(ip+":0", handler, files, nil, zerolog.Nop())
+	r.callerServer, err = newCallerServer(ip+":0", 0, handler, files, nil, zerolog.Nop())
 	require.NoError(t, err)
 	ctx, stop := context.WithCancel(context.Background())
 	r.relaying, err = startRelaying(ctx, relayingSettings{Address: ip + ":" + port, Secret: "a-secret-for-tests-only", Power: power, MemoryMB: memory, Registry: r.reg, Log: zerolog.Nop()}, r.ctrl, r.callerServer)
--- a/internal/process/requestcost_bench_test.go
+++ b/internal/process/requestcost_bench_test.go
@@ -68,7 +68,7 @@
 	defer exchanges.Close()
 	log := zerolog.New(io.Discard)
 	handler := forward.NewServer(ctrl, exchanges, costDialect, key, forward.Limits{MaxRequests: 1000, Memory: memory.NewAccount(64 << 20)}, metrics.NewRegistry(), log)
-	cs, err := newCallerServer("127.0.0.1:0", handler, 4096, func() bool { return false }, log)
+	cs, err := newCallerServer("127.0.0.1:0", 0, handler, 4096, func() bool { return false }, log)
 	require.NoError(b, err)
 	defer cs.close()
 	cs.setLimits(ctrl.table.Limits)
--- a/internal/process/routeddaemon.go
+++ b/internal/process/routeddaemon.go
@@ -89,7 +89,7 @@
 	}
 	server := forward.NewServer(d.ctrl, d.exchanges, dialect, key, forward.Limits{MaxRequests: maxRequestsFor(set.MemoryMB), Memory: d.memory}, reg, log)
 	d.ctrl.overload.undecided = server.Undecided
-	if d.callerServer, err = newCallerServer(set.Callers, server, set.Files, d.controlBehind, log); err != nil {
+	if d.callerServer, err = newCallerServer(set.Callers, set.Cores, server, set.Files, d.controlBehind, log); err != nil {
 		d.close()
 		return nil, err
 	}
--- a/internal/process/unreadconns_test.go
+++ b/internal/process/unreadconns_test.go
@@ -34,7 +34,7 @@
 // send nothing: a caller waits only a second for a new connection.
 func TestSilentConnectionsDelayAcceptingOnlyForAWhile(t *testing.T) {
 	ok := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {})
-	cs, err := newCallerServer("127.0.0.1:0", ok, 0, nil, zerolog.Nop())
+	cs, err := newCallerServer("127.0.0.1:0", 0, ok, 0, nil, zerolog.Nop())
 	require.NoError(t, err)
 	defer cs.close()
 	for range 2 * maxUnreadConns {
