--- a/internal/request/forward/loadshedder.go
+++ b/internal/request/forward/loadshedder.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// shedRetryDelay is the Retry-After of a shed request. It is short because the
-	// caller's next attempt arrives at another router.
+	// shedRetryDelay is the Retry-After of a shed request. It is short, so that the next attempt
+	// may still be served within the target; most arrive at the router that refused the first one.
 	shedRetryDelay = 100 * time.Millisecond
 	// shedWindow is the window in which the arrivals of organisations are counted.
 	shedWindow = 500 * time.Millisecond
