--- a/internal/dispatch/busy.go
+++ b/internal/dispatch/busy.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// busyStep and busySteps are the steps of the window in which the engines' use is measured.
+	// busyStep and busySteps give the window over which the engines' use is averaged: a second.
 	busyStep  = 100 * time.Millisecond
 	busySteps = 10
 	// busySampleInterval is the time between two samples of the engines.
