A service's answers leave room for its organisation's other services

What callers saw: beside a service whose servers send bodies without end, requests for a sound service of the same organisation were refused with 503 (memory-full): 249 of 263 beside bodies of a stated 4 GB. Cause: the account bounds organisations only. Answers of one service fill the organisation's part to the last byte, and the next request of any of its services is refused. Evidence: TestServiceThatFillsMemoryLeavesRoomForOthersOfItsOrganisation fails with one level, and callers of a sound service are refused in the emulated flood at 88 and 536 MB. Change: a second level of the dynamic threshold. A service may hold twice what its organisation may hold beyond what it holds: one alone 73% of the limit, with 7% left to the others.

--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -1,4 +1,5 @@
-// Package memory keeps the account of the memory that requests hold, by organisation.
+// Package memory keeps the account of the memory that requests hold, by organisation and, within
+// it, by service.
 package memory
 
 import (
@@ -11,6 +12,10 @@
 	// (dynamic thresholds, Choudhury and Hahn, 1998): one alone gets four fifths of the limit, and a
 	// fifth is free when another comes.
 	freeMultiple = 4
+	// serviceMultiple bounds what one service may hold, as a multiple of what its organisation may
+	// hold beyond what it holds: one service alone gets some 73% of the limit, and 7% is free
+	// for the organisation's other services.
+	serviceMultiple = 2
 	// minRetryDelay and maxRetryDelay bound the estimate of RetryDelay.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 5 * time.Second
@@ -24,7 +29,8 @@
 
 // Account bounds the sum of the memory that requests hold. An organisation is refused once it
 // holds freeMultiple times what is free, so the one that fills the memory is the one that is
-// refused. It is safe for concurrent use.
+// refused. The same holds for a service within its organisation, whose answers may fill the memory
+// as well as the requests for it. It is safe for concurrent use.
 type Account struct {
 	now func() time.Time
 
@@ -41,7 +47,19 @@
 // holder is what an organisation holds.
 type holder struct {
 	used     int64
-	promised time.Time // until then, what is released is promised to requests that were refused
+	services map[string]int64 // what is held for each service
+	promised time.Time        // until then, what is released is promised to requests that were refused
+}
+
+// add adds n bytes, which may be negative, for a service.
+func (o *holder) add(service string, n int64) {
+	o.used += n
+	if service == "" {
+		return
+	}
+	if o.services[service] += n; o.services[service] == 0 {
+		delete(o.services, service)
+	}
 }
 
 // NewAccount returns an account with a limit in bytes.
@@ -99,26 +117,45 @@
 type Hold struct {
 	account *Account
 	org     string
+	service string // "" while it is not known
 	bytes   int64
 	since   time.Time
 }
 
 // Hold returns an empty hold of an organisation.
-func (a *Account) Hold(org string) Hold { return Hold{account: a, org: org, since: a.now()} }
+func (a *Account) Hold(org string) Hold { return a.HoldFor(org, "") }
+
+// HoldFor returns an empty hold of an organisation for one of its services.
+func (a *Account) HoldFor(org, service string) Hold {
+	return Hold{account: a, org: org, service: service, since: a.now()}
+}
+
+// Assign states the service that a hold of an unknown one is for.
+func (h *Hold) Assign(service string) {
+	a := h.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if o := a.orgs[h.org]; o != nil && h.bytes > 0 {
+		o.add(h.service, -h.bytes)
+		o.add(service, h.bytes)
+	}
+	h.service = service
+}
 
 // Reserve adds n bytes to the hold. It returns false, and adds nothing, if the organisation has
-// used up what it may hold.
+// used up what it may hold, or the service its part of that.
 func (h *Hold) Reserve(n int64) bool {
 	a := h.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	o := a.orgs[h.org]
-	held := int64(0)
+	held, heldForService := int64(0), int64(0)
 	if o != nil {
-		held = o.used
+		held, heldForService = o.used, o.services[h.service]
 	}
 	free := a.limit - a.used - n
-	if free < 0 || held+n > freeMultiple*free {
+	left := freeMultiple*free - held - n // for the organisation
+	if free < 0 || left < 0 || h.service != "" && heldForService+n > serviceMultiple*left {
 		a.refused++
 		return false
 	}
@@ -126,10 +163,10 @@
 		return true
 	}
 	if o == nil {
-		o = &holder{}
+		o = &holder{services: map[string]int64{}}
 		a.orgs[h.org] = o
 	}
-	o.used += n
+	o.add(h.service, n)
 	a.used += n
 	h.bytes += n
 	a.idle.trim(free)
@@ -143,7 +180,7 @@
 	defer a.mu.Unlock()
 	n = min(n, h.bytes)
 	h.bytes -= n
-	return Hold{account: a, org: h.org, bytes: n, since: h.since}
+	return Hold{account: a, org: h.org, service: h.service, bytes: n, since: h.since}
 }
 
 // Release releases the whole hold.
@@ -174,7 +211,7 @@
 	a.used -= n
 	h.bytes -= n
 	o := a.orgs[h.org]
-	if o.used -= n; o.used == 0 {
+	if o.add(h.service, -n); o.used == 0 {
 		delete(a.orgs, h.org)
 	}
 }
--- a/internal/memory/account_test.go
+++ b/internal/memory/account_test.go
@@ -57,6 +57,24 @@
 	assert.Equal(t, map[string]int64{"flood": largestBody, "other": 6 * mb}, a.Usage().Organisations)
 }
 
+// Answers of one service filled all that its organisation may hold, and the requests for the others were
+// refused.
+func TestServiceThatFillsMemoryLeavesRoomForOthersOfItsOrganisation(t *testing.T) {
+	a := NewAccount(limitFor(smallestVM, 15*mb))
+	for bad := a.HoldFor("alpha", "bad"); bad.Reserve(chunkBytes); {
+	}
+	assert.GreaterOrEqual(t, a.Used(), a.limit*7/10, "memory that is free is used")
+	other := a.Hold("beta")
+	require.True(t, other.Reserve(mb))
+	for range 16 {
+		h := a.Hold("alpha")
+		require.True(t, h.Reserve(64<<10))
+		h.Assign("sound")
+		require.True(t, h.Reserve(16<<10), "and its answer")
+	}
+	assert.Equal(t, int64(16*80<<10), a.orgs["alpha"].services["sound"])
+}
+
 // A bound that follows what else the process holds must not refuse the largest body for good.
 func TestLargestBodyFitsSmallestVM(t *testing.T) {
 	for _, base := range []int64{0, 20 * mb, 60 * mb} {
@@ -227,6 +245,7 @@
 func TestAccountAddsUp(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		a := NewAccount(int64(rapid.IntRange(1, 100).Draw(t, "limit")) * 1000)
+		services := rapid.SampledFrom([]string{"", "x", "y"})
 		var holds []*Hold
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			if n := len(holds); n > 0 && rapid.Bool().Draw(t, "release") {
@@ -239,13 +258,23 @@
 				holds[i].Release()
 				continue
 			}
-			h := a.Hold(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "organisation"))
+			h := a.HoldFor(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "organisation"), services.Draw(t, "service"))
 			h.Reserve(int64(rapid.IntRange(0, 20_000).Draw(t, "bytes")))
+			if rapid.Bool().Draw(t, "assign") {
+				h.Assign(services.Draw(t, "service"))
+			}
 			holds = append(holds, &h)
 			sum := int64(0)
 			for _, n := range a.Usage().Organisations {
 				sum += n
 			}
+			for _, o := range a.orgs {
+				ofServices := int64(0)
+				for _, n := range o.services {
+					ofServices += n
+				}
+				assert.LessOrEqual(t, ofServices, o.used)
+			}
 			assert.Equal(t, a.Used(), sum)
 			assert.LessOrEqual(t, a.Used(), a.limit)
 		}
--- a/internal/memory/flood_test.go
+++ b/internal/memory/flood_test.go
@@ -10,7 +10,7 @@
 
 // emulatedCaller sends one request after the other, and comes back after a refusal when it is told.
 type emulatedCaller struct {
-	org           string
+	org, service  string
 	bytes         int64
 	hold          *Hold // nil between requests
 	until         time.Time
@@ -46,7 +46,7 @@
 }
 
 func (c *emulatedCaller) try(a *Account, now time.Time, rnd *rand.Rand) {
-	h := a.Hold(c.org)
+	h := a.HoldFor(c.org, c.service)
 	ok := h.Reserve(c.bytes)
 	c.tries++
 	if c.comesBack {
@@ -63,24 +63,25 @@
 	c.hold, c.until = &h, now.Add(900*time.Millisecond+time.Duration(rnd.IntN(1800))*time.Millisecond)
 }
 
-func callersOf(org string, n int, bytes int64) (out []*emulatedCaller) {
+func callersOf(org, service string, n int, bytes int64) (out []*emulatedCaller) {
 	for range n {
-		out = append(out, &emulatedCaller{org: org, bytes: bytes})
+		out = append(out, &emulatedCaller{org: org, service: service, bytes: bytes})
 	}
 	return out
 }
 
-// One organisation has several times as many large bodies as the memory of a small VM holds. What
+// One service of an organisation has several times as many large bodies as the memory of a small VM holds. What
 // the others lose and what of the memory is used are judged together: a bound that protects the
 // others by leaving memory idle is no better than none.
 func TestFloodOfLargeBodiesCostsOthersNothingAndUsesTheMemory(t *testing.T) {
 	for _, vm := range []int{smallestVM, 134, 536} {
 		a := NewAccount(limitFor(vm, 15*mb))
-		flood := callersOf("flood", 3*int(a.limit/largestBody), largestBody)
-		others := append(callersOf("other", 3, mb), callersOf("small", 6, 24<<10)...)
+		flood := callersOf("flood", "flooded", 3*int(a.limit/largestBody), largestBody)
+		others := append(callersOf("other", "own", 3, mb), callersOf("small", "own", 6, 24<<10)...)
+		others = append(others, callersOf("flood", "sound", 8, 64<<10)...)
 		inUse := emulateFlood(a, append(flood, others...), 60*time.Second)
 		for _, c := range others {
-			assert.Zero(t, c.again, "%d MB: no request of %s is refused", vm, c.org)
+			assert.Zero(t, c.again, "%d MB: no request of %s for %s is refused", vm, c.org, c.service)
 			assert.Positive(t, c.served)
 		}
 		assert.Greater(t, inUse, 0.7, "%d MB: part of the limit in use", vm)
--- a/internal/request/forward/body.go
+++ b/internal/request/forward/body.go
@@ -24,7 +24,7 @@
 // reserveMemory reserves the memory of the request before its body is read. It returns a failure
 // if the organisation holds too much. What is reserved must be released.
 func (req *callerRequest) reserveMemory() *failure {
-	req.hold = req.s.memory.Hold(req.org)
+	req.hold = req.s.memory.HoldFor(req.org, req.service)
 	n := requestOverhead + headerBytes(req.r.Header) + memory.ReservedFor(req.r.ContentLength)
 	if !req.hold.Reserve(n) {
 		return req.memoryFull(n)
--- a/internal/request/server.go
+++ b/internal/request/server.go
@@ -259,6 +259,7 @@
 	if app == nil || v.ver.Services[app.Service].Kind != kind {
 		return nil, outcome.BadRequest(http.StatusNotFound, outcome.ReasonApplication, "the organisation has no such application on this route")
 	}
+	v.hold.Assign(string(app.Service))
 	return app, nil
 }
 
