Headers of answers are in the memory account, at their parsed size

What callers saw: 256 callers of a service whose servers send header lines of 6 bytes without end took the process to 145 MB in a VM of 112. Cause: a header was bounded by 256 KB of text. A field of 6 bytes takes some 130 once parsed, so one attempt could take 6 MB that no account held. Evidence: TestHeaderOfShortFieldsIsReservedOrRejected: without the reservation headers of 600 and 900 fields are taken with no room for them. Change: memory.Header counts bytes and fields while a header is read. Calls of the router's own have 16 KB. A request's own header is reserved at its parsed size too. Counter forward.memory.heads.

--- a/internal/conn/exchange.go
+++ b/internal/conn/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -40,6 +41,12 @@
 	// maxHeaderBytes is the largest response header, including the status line and the interim
 	// answers before it.
 	maxHeaderBytes = 256 << 10
+	// maxHeaderFields is the largest number of header fields, interim answers included. A field
+	// takes many times its text once it is parsed.
+	maxHeaderFields = 1000
+	// MaxPlainHeaderBytes is the largest response header of a call of the router's own, which has no
+	// request whose memory it could be part of.
+	MaxPlainHeaderBytes = 16 << 10
 	// maxInterimAnswers is how many interim answers (1xx) may come before an answer.
 	maxInterimAnswers = 16
 	// maxInlineBodyBytes is the largest body that is written before the answer is read. A
@@ -63,6 +70,11 @@
 	OnWritten func()
 	// OnStart is called with the exchange before the first byte is written; may be nil.
 	OnStart func(*Exchange)
+	// Reserve reserves memory for a large response header, and returns false if there is none; may be
+	// nil.
+	Reserve func(n int64) bool
+	// MaxHeaderBytes bounds the response header; maxHeaderBytes if it is 0.
+	MaxHeaderBytes int
 	// UpstreamStart identifies the start of the upstream that the message is for, so that
 	// Abort finds the exchange; may be empty.
 	UpstreamStart string
@@ -100,7 +112,7 @@
 		m.OnStart(x)
 	}
 	x.write(m)
-	if err := x.readHeader(m.Method, own); err != nil {
+	if err := x.readHeader(m, own); err != nil {
 		x.Close(false)
 		if c.reused && (errors.Is(err, syscall.ETIMEDOUT) || errors.Is(context.Cause(ctx), ErrSilence)) {
 			p.handleSilence(addr, p.clock.Now())
@@ -153,9 +165,9 @@
 
 // readHeader reads response headers until the one of this exchange. Interim responses and
 // late answers to earlier requests are skipped.
-func (x *Exchange) readHeader(method string, own func(*http.Response) bool) error {
+func (x *Exchange) readHeader(m *Message, own func(*http.Response) bool) error {
 	for stale := 0; ; {
-		res, err := x.readFinalHeader(method)
+		res, err := x.readFinalHeader(m)
 		if err != nil {
 			return err
 		}
@@ -175,20 +187,24 @@
 
 // readFinalHeader reads a response header after any interim ones. The bound on its size holds for
 // all of them together, so that an upstream that sends them without end is no exception.
-func (x *Exchange) readFinalHeader(method string) (*http.Response, error) {
-	x.c.limited.setLimit(maxHeaderBytes)
-	defer x.c.limited.setLimit(unlimited)
+func (x *Exchange) readFinalHeader(m *Message) (*http.Response, error) {
+	x.c.limited.beginHeader(cmp.Or(m.MaxHeaderBytes, maxHeaderBytes), m.Reserve)
+	defer x.c.limited.endHeader()
 	for range maxInterimAnswers + 1 {
-		res, err := http.ReadResponse(x.c.br, &http.Request{Method: method})
+		res, err := http.ReadResponse(x.c.br, &http.Request{Method: m.Method})
 		if err != nil {
 			return nil, err
 		}
 		if HasTwoHeads(res) {
 			return nil, ErrTwoHeads
 		}
-		if res.StatusCode < 100 || res.StatusCode >= 200 {
-			return res, nil
+		if res.StatusCode >= 100 && res.StatusCode < 200 {
+			continue
 		}
+		if m.Reserve != nil && !x.c.limited.header.Parsed(res.Header, m.Reserve) {
+			return nil, errHeaderMemory
+		}
+		return res, nil
 	}
 	return nil, errInterimAnswers
 }
--- a/internal/conn/exchange_test.go
+++ b/internal/conn/exchange_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -354,6 +355,48 @@
 	assert.Less(t, <-sent, maxSent)
 }
 
+// A header field of a few bytes takes a hundred and more once it is parsed: 256 KB of them took several
+// megabytes for each attempt, which no account held.
+func TestHeaderOfShortFieldsIsReservedOrRejected(t *testing.T) {
+	addr := serveRaw(t, func(c net.Conn) {
+		defer c.Close()
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		fields, _ := strconv.Atoi(r.URL.Path[1:])
+		text := "HTTP/1.1 200 OK\r\n"
+		for i := range fields {
+			text += fmt.Sprintf("a%x:\r\n", i)
+		}
+		_, _ = io.WriteString(c, text+"Content-Length: 2\r\n\r\nok")
+	})
+	p := NewExchanges()
+	defer p.Close()
+	for _, k := range []struct {
+		fields, limit, room int
+		ok                  bool
+	}{{30, 0, 0, true}, {600, 0, 1 << 20, true}, {600, 0, 10 << 10, false}, {900, 0, 1 << 20, true}, {900, 0, 10 << 10, false},
+		{30_000, 0, 1 << 30, false}, {900, MaxPlainHeaderBytes, 1 << 20, true}, {900, 2 << 10, 1 << 20, false}} {
+		reserved := int64(0)
+		m := &Message{Method: "GET", Target: "/" + strconv.Itoa(k.fields), Host: "h", Header: http.Header{}, MaxHeaderBytes: k.limit, Reserve: func(n int64) bool {
+			if reserved+n > int64(k.room) {
+				return false
+			}
+			reserved += n
+			return true
+		}}
+		x, err := p.Send(context.Background(), addr, m, anyAnswer)
+		assert.Equal(t, k.ok, err == nil, "%+v: %v", k, err)
+		if err != nil {
+			assert.False(t, IsNotSent(err) || IsDisconnected(err), "the answer is broken")
+			continue
+		}
+		assert.Equal(t, k.fields > 100, reserved > int64(100*k.fields), "%+v: %d", k, reserved)
+		x.Close(false)
+	}
+}
+
 // The limit applies to each response header separately: a body may be larger, and a reused
 // connection may deliver any number of answers.
 func TestHeaderLimitAppliesToEachAnswer(t *testing.T) {
--- a/internal/conn/pool.go
+++ b/internal/conn/pool.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/silverswitch/silverswitch/internal/clock"
+	"github.com/silverswitch/silverswitch/internal/memory"
 )
 
 // Limits of the connections to upstreams.
@@ -115,28 +116,44 @@
 	return &upstreamConn{resetConn: c, addr: addr, limited: limited, br: bufio.NewReaderSize(limited, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
 }
 
-// limitedReader limits the bytes read. net/http reads a response header of any size, so an
-// endless one would fill the router's memory.
+// limitedReader limits the bytes and the memory of a response header. net/http reads one of any size,
+// so an endless one would fill the router's memory.
 type limitedReader struct {
 	r         io.Reader
 	remaining int // bytes; unlimited for no limit
+	header    memory.Header
+	reserve   func(n int64) bool // nil for no account
 }
 
 const unlimited = -1
 
-var errHeaderTooLarge = errors.New("the response header is too large")
+var (
+	errHeaderTooLarge = errors.New("the response header is too large")
+	errHeaderMemory   = errors.New("no memory for the response header")
+)
+
+// beginHeader begins a header of at most n bytes.
+func (l *limitedReader) beginHeader(n int, reserve func(n int64) bool) {
+	l.remaining, l.header, l.reserve = n, memory.Header{}, reserve
+}
 
-func (l *limitedReader) setLimit(n int) { l.remaining = n }
+// endHeader removes the limits.
+func (l *limitedReader) endHeader() { l.remaining, l.reserve = unlimited, nil }
 
+// Read reserves what came before, which belongs to the header since more of it is read. Of the last
+// bytes a part may belong to the body.
 func (l *limitedReader) Read(p []byte) (int, error) {
-	if l.remaining == unlimited {
+	switch {
+	case l.remaining == unlimited:
 		return l.r.Read(p)
-	}
-	if l.remaining == 0 {
+	case l.remaining == 0 || l.header.Fields() > maxHeaderFields:
 		return 0, errHeaderTooLarge
+	case l.reserve != nil && !l.header.Reserve(l.reserve):
+		return 0, errHeaderMemory
 	}
 	n, err := l.r.Read(p[:min(len(p), l.remaining)])
 	l.remaining -= n
+	l.header.Read(p[:n])
 	return n, err
 }
 
--- a/internal/request/forward/body.go
+++ b/internal/request/forward/body.go
@@ -25,7 +25,8 @@
 // if the organisation holds too much. What is reserved must be released.
 func (req *callerRequest) reserveMemory() *failure {
 	req.hold = req.s.memory.HoldFor(req.org, req.service)
-	n := requestOverhead + headerBytes(req.r.Header) + memory.ReservedFor(req.r.ContentLength)
+	header := memory.HeaderOf(req.r.Header)
+	n := requestOverhead + header.Cost() + memory.ReservedFor(req.r.ContentLength)
 	if !req.hold.Reserve(n) {
 		return req.memoryFull(n)
 	}
@@ -40,15 +41,6 @@
 	return &f
 }
 
-func headerBytes(h http.Header) (n int64) {
-	for name, values := range h {
-		for _, v := range values {
-			n += int64(len(name) + len(v))
-		}
-	}
-	return n
-}
-
 // refuseTooLarge returns the failure of a request whose stated length is above the limit.
 func (req *callerRequest) refuseTooLarge() *failure {
 	if req.r.ContentLength <= req.s.ctrl.MaxBodyBytes() {
@@ -84,6 +76,15 @@
 	return &failure{status: http.StatusBadRequest, reason: "body-broken", err: err}
 }
 
+// reserveHeader reserves memory for a large header of an answer.
+func (req *callerRequest) reserveHeader(n int64) bool {
+	ok := req.hold.Reserve(n)
+	if !ok {
+		req.s.count.headsRefused.Inc(1)
+	}
+	return ok
+}
+
 // releaseMemory releases all that the request holds, but for a body that is still being written to
 // an upstream.
 func (req *callerRequest) releaseMemory() {
--- a/internal/request/forward/counters.go
+++ b/internal/request/forward/counters.go
@@ -16,7 +16,7 @@
 	arrived, answered, opened, resumed, repeated, broken, shed, unservable, memoryFull, quarantined, withdrawn, healthChecks metrics.Counter
 	leavingNotices, backoffNotices                                                                                           metrics.Counter
 	silences, secondRefused, firstWentOn, secondWentOn                                                                       metrics.Counter
-	eventsRefused                                                                                                            metrics.Counter
+	eventsRefused, headsRefused                                                                                              metrics.Counter
 	streamEvents, streamsLate, gapWarnings                                                                                   metrics.Counter
 	firstEvent, decision, longestGap                                                                                         metrics.Timer
 	byStatus                                                                                                                 *sync.Map // metrics.Counter by status
@@ -30,8 +30,8 @@
 		repeated: c("repeated"), broken: c("broken"), shed: c("shed"), unservable: c("unservable"), memoryFull: c("memory.full"), quarantined: c("held"), withdrawn: c("withdrawn"), healthChecks: c("looked"),
 		leavingNotices: c("notices.leaving"), backoffNotices: c("notices.backoff"),
 		silences: c("silences"), secondRefused: c("second.refused"), firstWentOn: c("second.lost"), secondWentOn: c("second.won"),
-		eventsRefused: c("memory.events"),
-		streamEvents:  c("stream.events"), streamsLate: c("stream.late"), gapWarnings: c("stream.gap.warnings"),
+		eventsRefused: c("memory.events"), headsRefused: c("memory.heads"),
+		streamEvents: c("stream.events"), streamsLate: c("stream.late"), gapWarnings: c("stream.gap.warnings"),
 		longestGap: metrics.GetOrRegisterTimer("forward.stream.gap", reg),
 		firstEvent: metrics.GetOrRegisterTimer("forward.first", reg),
 		decision:   metrics.GetOrRegisterTimer("forward.decision", reg),
--- a/internal/request/forward/healthcheck.go
+++ b/internal/request/forward/healthcheck.go
@@ -95,7 +95,7 @@
 func (h *healthChecker) probe(ctx context.Context, i routing.Instance, path string) healthResult {
 	ctx, stop := h.clock.WithDeadline(ctx, h.clock.Now().Add(healthCheckTimeout))
 	defer stop()
-	m := &conn.Message{Method: http.MethodGet, Target: path, Host: i.Address, Header: http.Header{}, UpstreamStart: i.StartID()}
+	m := &conn.Message{Method: http.MethodGet, Target: path, Host: i.Address, Header: http.Header{}, MaxHeaderBytes: conn.MaxPlainHeaderBytes, UpstreamStart: i.StartID()}
 	x, err := h.exchanges.Send(ctx, i.Address, m, func(*http.Response) bool { return true })
 	if err != nil {
 		return healthResult{}
--- a/internal/request/forward/run.go
+++ b/internal/request/forward/run.go
@@ -157,7 +157,7 @@
 		h.Set(headerLastEventID, strconv.FormatInt(lastPosition, 10))
 	}
 	return &conn.Message{Method: r.r.Method, Target: r.r.RequestURI, Host: r.r.Host, Header: h,
-		StillWanted: func() bool { return r.s.ctrl.Unusable(p) == MaySend }, UpstreamStart: p.Instance.StartID()}
+		StillWanted: func() bool { return r.s.ctrl.Unusable(p) == MaySend }, Reserve: r.reserveHeader, UpstreamStart: p.Instance.StartID()}
 }
 
 // isOwnAnswer reports whether an answer belongs to this request. A late answer to an
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -110,6 +110,11 @@
 	}
 	switch res.State {
 	case relay.Replied:
+		header := memory.HeaderOf(res.Response.Header)
+		if !header.Reserve(r.v.hold.Reserve) {
+			res.Response.Body.Close()
+			return r.failed(u, id, relay.Result{State: relay.InDoubt})
+		}
 		a := &answer{run: r, upstream: u, attempt: id, res: res, ctx: ctx, stop: stop, began: time.Now()}
 		return a.deliver()
 	case relay.NotSent, relay.NotStarted:
