Headers of callers are in the memory account while they are read

What callers saw: 1,500 connections that sent 15 KB of header lines of 6 bytes and no end, without a key, took the process to 247 MB in a VM of 112. Cause: a header that is being read belongs to no request yet, so nothing but its 16 KB of text bounded it, and it takes twenty times as much once parsed. Change: limitedConn reserves what a header takes beyond 12 KB before more of it is read, for no organisation; where there is no room the connection is answered 503 with Retry-After, which is true since the header is not whole. Gauge headers.memory.refused.

--- a/internal/process/limitedconn.go
+++ b/internal/process/limitedconn.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/silverswitch/silverswitch/internal/conn"
+	"github.com/silverswitch/silverswitch/internal/memory"
 	"github.com/silverswitch/silverswitch/internal/routing"
 )
 
@@ -45,13 +46,17 @@
 	mu     sync.Mutex
 	phase  connPhase
 	since  time.Time
-	header int64 // bytes read in phaseHeader
+	size   int           // bytes read in phaseHeader
+	header memory.Header // what may have been read of the header that comes or is being read
+	latest memory.Header // what the latest read may have left in the server's buffer
+	hold   memory.Hold   // of header; the organisation is not known yet
 }
 
 // SetReadDeadline sets the deadline of the limits in force where the server sets one of its marks.
 func (c *limitedConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.hold.Release()
 	now := time.Now()
 	switch d := t.Sub(now); {
 	case t.IsZero() || d < headerTimeoutMark/2:
@@ -62,7 +67,10 @@
 	default:
 		c.phase = phaseIdle
 	}
-	c.since, c.header = now, 0
+	if c.phase == phaseIdle {
+		c.header = c.latest
+	}
+	c.since, c.size = now, 0
 	return c.applyDeadline(c.limits.get())
 }
 
@@ -87,33 +95,72 @@
 	}
 }
 
-// Read refuses a request whose header exceeds the limit. The server would do so by its own limit,
-// which it cannot change.
+// Read refuses a request whose header exceeds the limit, or for which there is no memory. The server
+// would do the former by its own limit, which it cannot change.
 func (c *limitedConn) Read(p []byte) (int, error) {
-	if c.headerExceeds() {
-		c.refuseHeader()
+	if refusal := c.refusesHeader(); refusal != "" {
+		c.refuseHeader(refusal)
 		return 0, io.EOF
 	}
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
-	if c.phase == phaseHeader {
-		c.header += int64(n)
-	}
+	c.countRead(p[:n], len(p) <= serverBufferBytes)
 	c.mu.Unlock()
 	return n, err
 }
 
-func (c *limitedConn) headerExceeds() bool {
+// serverBufferBytes is the size of the server's buffer. A larger read bypasses it.
+const serverBufferBytes = 4 << 10
+
+// countRead counts what was read, which the server has buffered or not. The connection must be locked.
+func (c *limitedConn) countRead(p []byte, buffered bool) {
+	if len(p) > 1 { // the server reads single bytes while a handler runs, and keeps its buffer
+		c.latest = memory.Header{}
+	}
+	if buffered {
+		c.latest.Read(p)
+	}
+	switch c.phase {
+	case phaseHeader:
+		c.size += len(p)
+		c.header.Read(p)
+	case phaseIdle:
+		c.header.Read(p)
+	}
+}
+
+// Refusals of headers. A header that is not whole belongs to a request that has not run.
+const (
+	headerTooLarge  = "431 Request Header Fields Too Large"
+	headerNoMemory  = "503 Service Unavailable"
+	headerRetryText = "Retry-After: 0.2\r\n"
+)
+
+// refusesHeader returns the status of a refusal before more of a header is read, "" for none. What was
+// read so far belongs to the header.
+func (c *limitedConn) refusesHeader() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.phase == phaseHeader && c.header >= int64(c.limits.get().HeaderBytes)+headerSlop
+	switch {
+	case c.phase != phaseHeader:
+		return ""
+	case c.size >= c.limits.get().HeaderBytes+headerSlop:
+		return headerTooLarge
+	case !c.header.Reserve(c.hold.Reserve):
+		c.limits.headersRefused.Add(1)
+		return headerNoMemory
+	}
+	return ""
 }
 
 // refuseHeader answers as net/http does, and waits for the caller to read the answer.
-func (c *limitedConn) refuseHeader() {
-	const text = "431 Request Header Fields Too Large"
+func (c *limitedConn) refuseHeader(status string) {
+	retry := ""
+	if status == headerNoMemory {
+		retry = headerRetryText
+	}
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalLinger))
-	_, err := io.WriteString(c.Conn, "HTTP/1.1 "+text+"\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n"+text)
+	_, err := io.WriteString(c.Conn, "HTTP/1.1 "+status+"\r\nContent-Type: text/plain; charset=utf-8\r\n"+retry+"Connection: close\r\n\r\n"+status)
 	if err == nil && c.CloseWrite() == nil {
 		time.Sleep(refusalLinger)
 	}
@@ -122,6 +169,10 @@
 // Close implements net.Conn.
 func (c *limitedConn) Close() error {
 	c.closed(c)
+	c.mu.Lock()
+	c.phase = phaseOther
+	c.hold.Release()
+	c.mu.Unlock()
 	return c.Conn.Close()
 }
 
--- a/internal/process/limitedserver.go
+++ b/internal/process/limitedserver.go
@@ -42,7 +42,7 @@
 
 // Serve serves one connection. It returns before the connection ends.
 func (s *limitedServer) Serve(c net.Conn) {
-	limited := &limitedConn{Conn: c, limits: s.limits, closed: s.forget}
+	limited := &limitedConn{Conn: c, limits: s.limits, closed: s.forget, hold: s.limits.memory.Load().Hold("")}
 	s.mu.Lock()
 	s.conns[limited] = struct{}{}
 	s.mu.Unlock()
--- a/internal/process/limits.go
+++ b/internal/process/limits.go
@@ -3,8 +3,10 @@
 import (
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/silverswitch/silverswitch/internal/memory"
 	"github.com/silverswitch/silverswitch/internal/routing"
 )
 
@@ -28,14 +30,24 @@
 	replaced []replacedLimits
 	current  routing.Limits
 	changed  []func() // called without the lock after each change
+
+	memory         atomic.Pointer[memory.Account] // of headers that are being read
+	headersRefused atomic.Int64                   // for want of memory
 }
 
+// initialHeaderMemory bounds the memory of headers, in bytes, until the process has its account.
+const initialHeaderMemory = 4 << 20
+
 type replacedLimits struct {
 	limits routing.Limits
 	until  time.Time
 }
 
-func newLimitsInForce() *limitsInForce { return &limitsInForce{current: initialLimits} }
+func newLimitsInForce() *limitsInForce {
+	f := &limitsInForce{current: initialLimits}
+	f.memory.Store(memory.NewAccount(initialHeaderMemory))
+	return f
+}
 
 // get returns the present limits.
 func (f *limitsInForce) get() routing.Limits {
--- a/internal/process/routeddaemon.go
+++ b/internal/process/routeddaemon.go
@@ -97,6 +97,8 @@
 		d.close()
 		return nil, err
 	}
+	d.callerServer.limits.memory.Store(d.memory)
+	_ = reg.Register("headers.memory.refused", metrics.NewFunctionalGauge(d.callerServer.limits.headersRefused.Load)) // the name is new
 	d.ctrl.OnTable, d.ctrl.limits = d.callerServer.setLimits, d.callerServer.limits
 	d.ctrl.overload.observeCallers(d.callerServer.connLimiter, reg)
 	d.ctrl.overload.backlogAge = d.callerServer.backlog.age
