Messages of peers and headers of the store are bounded before they are read whole

What callers saw: nothing yet. Whoever reached the peer address, or stood at a peer's, could make a router keep a message of any size, without the fleet's key; the store's headers were bounded at 10 MB. Cause: the JSON-RPC codec keeps a message until it is whole, whatever length it states, and the bound on content is applied after that. Change: boundedConn ends a connection after 64 KB of queries or 8 MB of a sealed answer, which then counts as unreadable; 256 connections are served at a time.

--- a/internal/conn/fetch.go
+++ b/internal/conn/fetch.go
@@ -5,9 +5,11 @@
 	"compress/gzip"
 	"context"
 	"crypto/rand"
+	"errors"
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -29,8 +31,34 @@
 	// and the entries of 50,000 upstreams, and is a small fraction of the smallest router's
 	// memory.
 	maxFetchedBytes = 16 << 20
+	// maxQueryBytes and maxSealedAnswerBytes bound what is read of a connection. Neither side has
+	// proved that it is of the fleet before its message was read whole.
+	maxQueryBytes        = 64 << 10
+	maxSealedAnswerBytes = 8 << 20
+	// maxFetchConns bounds the connections that are served at the same time.
+	maxFetchConns = 256
 )
 
+// errTooLong means that a peer sent more than is read of one connection.
+var errTooLong = errors.New("the peer's message is too long")
+
+// boundedConn is a connection of which a number of bytes may be read.
+type boundedConn struct {
+	net.Conn
+	left    int // read by one goroutine
+	tooLong atomic.Bool
+}
+
+func (c *boundedConn) Read(p []byte) (int, error) {
+	if c.left == 0 {
+		c.tooLong.Store(true)
+		return 0, errTooLong
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.left)])
+	c.left -= n
+	return n, err
+}
+
 // ErrUnreadable means that a peer took a query, and its answer cannot be used or is not there in time.
 // The same query may get the same answer again, from any peer.
 var ErrUnreadable = ErrPeer.NewSubtype("unreadable")
@@ -71,6 +99,8 @@
 	sealer   *Sealer
 	handlers Handlers
 
+	open atomic.Int64 // connections
+
 	mu     sync.Mutex
 	recent []compressedAnswer // recently compressed answers, the latest last
 }
@@ -103,11 +133,25 @@
 			c.Close()
 			continue
 		}
-		stream := jsonrpc2.NewBufferedStream(c, jsonrpc2.VSCodeObjectCodec{})
-		jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(s.handle), jsonrpc2.SetLogger(discardLogger{}))
+		s.serve(c)
 	}
 }
 
+// serve answers the queries of a connection, unless there are too many connections.
+func (s *FetchServer) serve(c net.Conn) {
+	if s.open.Add(1) > maxFetchConns {
+		s.open.Add(-1)
+		c.Close()
+		return
+	}
+	stream := jsonrpc2.NewBufferedStream(&boundedConn{Conn: c, left: maxQueryBytes}, jsonrpc2.VSCodeObjectCodec{})
+	rpc := jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(s.handle), jsonrpc2.SetLogger(discardLogger{}))
+	go func() {
+		<-rpc.DisconnectNotify()
+		s.open.Add(-1)
+	}()
+}
+
 // discardLogger drops the log lines of the JSON-RPC library; the requester receives refusals
 // as errors.
 type discardLogger struct{}
@@ -166,7 +210,8 @@
 	if err != nil {
 		return nil, ErrPeer.Wrap(err, "fetch from %s", addr)
 	}
-	stream := jsonrpc2.NewBufferedStream(c, jsonrpc2.VSCodeObjectCodec{})
+	bounded := &boundedConn{Conn: c, left: maxSealedAnswerBytes}
+	stream := jsonrpc2.NewBufferedStream(bounded, jsonrpc2.VSCodeObjectCodec{})
 	rpc := jsonrpc2.NewConn(ctx, stream, jsonrpc2.HandlerWithError(rejectAll), jsonrpc2.SetLogger(discardLogger{}))
 	defer rpc.Close()
 	nonce := make([]byte, nonceBytes)
@@ -174,6 +219,9 @@
 	var res FetchResult
 	p := FetchParams{Nonce: nonce, Requester: q.Requester, Have: q.Have, Proof: sealer.Seal(q.proof(), nonce)}
 	if err := rpc.Call(ctx, q.Method, p, &res); err != nil {
+		if bounded.tooLong.Load() {
+			return nil, ErrUnreadable.Wrap(err, "fetch from %s: %s", addr, errTooLong)
+		}
 		if ctx.Err() != nil {
 			return nil, ErrUnreadable.Wrap(err, "fetch from %s: not there in time", addr)
 		}
--- a/internal/process/platform.go
+++ b/internal/process/platform.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/silverswitch/silverswitch/internal/conn"
 	"github.com/silverswitch/silverswitch/internal/core"
 	"github.com/silverswitch/silverswitch/internal/core/wire"
 	"github.com/silverswitch/silverswitch/internal/version"
@@ -65,7 +66,7 @@
 func NewPlatform(base string, ctrl *AppController, log zerolog.Logger, reg metrics.Registry) *Platform {
 	return &Platform{
 		base:     base,
-		client:   &http.Client{Transport: &http.Transport{Proxy: nil}, Timeout: platformWatchTimeout + platformClientSlack},
+		client:   &http.Client{Transport: &http.Transport{Proxy: nil, MaxResponseHeaderBytes: conn.MaxPlainHeaderBytes}, Timeout: platformWatchTimeout + platformClientSlack},
 		ctrl:     ctrl,
 		log:      log,
 		calls:    metrics.GetOrRegisterCounter("platform.calls", reg),
