--- a/internal/conn/exchange_test.go
+++ b/internal/conn/exchange_test.go
@@ -366,18 +366,25 @@
 		}
 		fields, _ := strconv.Atoi(r.URL.Path[1:])
 		text := "HTTP/1.1 200 OK\r\n"
-		for i := range fields {
+		for i := range max(fields, -fields) {
 			text += fmt.Sprintf("a%x:\r\n", i)
 		}
+		if fields < 0 { // without an end
+			_, _ = io.WriteString(c, text)
+			_, _ = io.Copy(io.Discard, c)
+			return
+		}
 		_, _ = io.WriteString(c, text+"Content-Length: 2\r\n\r\nok")
 	})
 	p := NewExchanges()
 	defer p.Close()
+	ctx, stop := context.WithTimeout(t.Context(), 5*time.Second)
+	defer stop()
 	for _, k := range []struct {
 		fields, limit, room int
 		ok                  bool
 	}{{30, 0, 0, true}, {600, 0, 1 << 20, true}, {600, 0, 10 << 10, false}, {900, 0, 1 << 20, true}, {900, 0, 10 << 10, false},
-		{30_000, 0, 1 << 30, false}, {900, MaxPlainHeaderBytes, 1 << 20, true}, {900, 2 << 10, 1 << 20, false}} {
+		{30_000, 0, 1 << 30, false}, {-900, 0, 10 << 10, false}, {900, MaxPlainHeaderBytes, 1 << 20, true}, {900, 2 << 10, 1 << 20, false}} {
 		reserved := int64(0)
 		m := &Message{Method: "GET", Target: "/" + strconv.Itoa(k.fields), Host: "h", Header: http.Header{}, MaxHeaderBytes: k.limit, Reserve: func(n int64) bool {
 			if reserved+n > int64(k.room) {
@@ -386,7 +393,8 @@
 			reserved += n
 			return true
 		}}
-		x, err := p.Send(context.Background(), addr, m, anyAnswer)
+		x, err := p.Send(ctx, addr, m, anyAnswer)
+		assert.NoError(t, ctx.Err(), "%+v", k)
 		assert.Equal(t, k.ok, err == nil, "%+v: %v", k, err)
 		if err != nil {
 			assert.False(t, IsNotSent(err) || IsDisconnected(err), "the answer is broken")
