--- a/internal/request/forward/rival.go
+++ b/internal/request/forward/rival.go
@@ -217,7 +217,11 @@
 		a.close()
 	}
 	at.end()
-	r.logAttempt(at.placement, "second-attempt-failed", err)
+	event := "second-attempt-failed"
+	if rv.ctx.Err() != nil {
+		event = "second-attempt-cancelled"
+	}
+	r.logAttempt(at.placement, event, err)
 	return again
 }
 
