--- a/internal/conn/pool.go
+++ b/internal/conn/pool.go
@@ -89,6 +89,16 @@
 	}
 }
 
+// Open opens a connection to an upstream and keeps it for the next exchange.
+func (p *Exchanges) Open(ctx context.Context, addr string) error {
+	c, err := p.dial(ctx, addr)
+	if err != nil {
+		return ErrNotSent.Wrap(err, "connect to %s", addr)
+	}
+	p.addIdle(c)
+	return nil
+}
+
 func (p *Exchanges) pop(addr string) *upstreamConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/dispatch/inflight.go
+++ b/internal/dispatch/inflight.go
@@ -195,9 +195,7 @@
 
 func (n *Node) refuse(f *inflightRequest, v decision, by wire.NodeID) {
 	delete(n.inflight, f.req.ID)
-	if f.beside {
-		n.budget(f.service).returnRepeat()
-	}
+	n.returnRepeat(f)
 	n.Counts.Refused++
 	switch v.reason {
 	case ReasonStreamUnknown:
@@ -296,6 +294,7 @@
 		return
 	}
 	f.avoid = append(f.avoid, f.upstreamID)
+	f.beside = false // its repeat was used
 	n.sendNote(f, wire.ProgressNote{No: f.req.ID, Event: in.Event}, now)
 	if in.Event != wire.ProgressUnused && !n.budget(f.service).allowRepeat(n.fleetSize(), n.demandRatio(f.service, now), now) {
 		n.refuse(f, decision{reason: ReasonBudget, retryAfter: budgetRetryAfter}, n.settings.ID)
@@ -304,6 +303,13 @@
 	n.findPlacement(f, now)
 }
 
+// returnRepeat gives back the repeat of a second placement that there was not.
+func (n *Node) returnRepeat(f *inflightRequest) {
+	if f.beside {
+		n.budget(f.service).returnRepeat()
+	}
+}
+
 // placeBeside looks for a second upstream for a request whose first one goes on with it.
 func (n *Node) placeBeside(in PlaceBeside, now time.Time) {
 	first := n.inflight[in.ID]
@@ -377,6 +383,7 @@
 		n.sendNote(f, wire.ProgressNote{No: f.req.ID, Event: in.Event}, now)
 		return
 	}
+	n.returnRepeat(f)
 	n.leaveQueue(f)
 }
 
--- a/internal/dispatch/streamversion.go
+++ b/internal/dispatch/streamversion.go
@@ -60,12 +60,16 @@
 
 func newStreamRecords() streamRecords { return streamRecords{byStream: map[uint64]streamRecord{}} }
 
-// put keeps a record for a duration. A record of an earlier attempt does not replace a later one's.
+// put keeps a record for a duration, or for as long as it is kept already. A record of an earlier attempt
+// does not replace a later one's.
 func (s *streamRecords) put(r wire.StreamRecord, d time.Duration, now time.Time) {
 	if old, known := s.byStream[r.Stream]; known && old.Try > r.Try && old.Version != r.Version {
 		return
 	}
 	until := now.Add(d)
+	if old, known := s.byStream[r.Stream]; known && old.Version == r.Version && old.until.After(until) {
+		until = old.until
+	}
 	s.byStream[r.Stream] = streamRecord{r, until}
 	s.order = append(s.order, streamExpiry{r.Stream, until})
 	s.expire(now)
--- a/internal/request/forward/answer.go
+++ b/internal/request/forward/answer.go
@@ -80,7 +80,7 @@
 func (a *answer) deliver() step {
 	defer a.close()
 	res := a.exchange.Response
-	if !a.mayRepeat() && !statesNotExecuted(&a.s.dialect, res) && a.exchange.SentWhole() {
+	if !a.mayRepeat() && !a.hasRival(a.attempt) && !statesNotExecuted(&a.s.dialect, res) && a.exchange.SentWhole() {
 		a.releaseBodyEarly()
 	}
 	err := a.unusable()
@@ -464,15 +464,16 @@
 		if e.Filler != stream.NoFiller && !a.firstReported {
 			continue // nothing of it is for the caller yet
 		}
+		ok, err := a.checkPosition(e)
 		if e.Filler != stream.EmptyLine {
-			if !a.goesOn(a.attempt) {
+			if !a.passOn(e, ok) {
 				return a.handleBroken(conn.ErrSilence)
 			}
-			a.firstEvent()
 			a.silence.reset(gapTimeout)
 			a.pulse.heard(time.Now())
+			a.firstEvent()
 		}
-		switch ok, err := a.checkPosition(e); {
+		switch {
 		case err != nil:
 			_ = a.flush(rc) // before the stream is resumed, which may take long
 			return a.handleBroken(err)
@@ -550,7 +551,6 @@
 		a.copyHeaders(res)
 		a.w.WriteHeader(res.StatusCode)
 	}
-	a.passOn(e)
 	a.unflushed = true
 	_, err := a.w.Write(e.Raw)
 	return err
@@ -563,18 +563,23 @@
 	r.headersSent = true
 }
 
-// passOn records an event that is forwarded.
-func (a *answer) passOn(e stream.Event) {
-	if e.Filler != stream.NoFiller {
-		return
-	}
+// passOn states that the answer goes on with an event, and records its position if it is to be forwarded:
+// a second attempt that begins from now on goes on after it. It returns false if the attempt was given up.
+func (a *answer) passOn(e stream.Event, forward bool) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if !a.goesOnLocked(a.attempt) {
+		return false
+	}
+	if !forward || e.Filler != stream.NoFiller {
+		return true
+	}
 	a.unnumbered = e.Position == stream.NoPosition
 	if !a.unnumbered {
 		a.lastPosition = e.Position
 		a.run.lastPosition = e.Position
 	}
+	return true
 }
 
 // flush sends the events written since the last flush.
--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -43,6 +43,11 @@
 		return
 	}
 	at.over = true
+	at.mu.Lock()
+	if at.going == at {
+		at.going = nil
+	}
+	at.mu.Unlock()
 	at.silence.stop()
 	at.pulse.end()
 	at.cancel(nil)
--- a/internal/request/forward/harness_test.go
+++ b/internal/request/forward/harness_test.go
@@ -254,6 +254,7 @@
 	route("/once/", routing.AtMostOnce, false, 2)
 	route("/safe/", routing.Idempotent, false, 2)
 	route("/stream/", routing.Stream, true, 2)
+	route("/long/", routing.Stream, true, 2).Timeout = 10 * time.Second
 	route("/single/", routing.Stream, false, 1)
 	route("/patient/", routing.AtMostOnce, false, 2).Timeout = time.Minute
 	route("/engine/", routing.Stream, true, 2).Split = []routing.WeightedService{{Service: "engines", Weight: 1}}
--- a/internal/request/forward/pulse.go
+++ b/internal/request/forward/pulse.go
@@ -66,6 +66,11 @@
 	}
 }
 
+// wasHeard reports whether the upstream was heard after a time.
+func (p *pulse) wasHeard(after time.Time) bool {
+	return p != nil && p.last.Load() > int64(after.Sub(p.began))
+}
+
 func (p *pulse) end() {
 	if p != nil {
 		p.running.Add(-1)
--- a/internal/request/forward/rival.go
+++ b/internal/request/forward/rival.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/silverswitch/silverswitch/internal/conn"
@@ -23,6 +24,10 @@
 	// maxOverlap bounds the time in which two upstreams work on one stream. A stream that goes on
 	// elsewhere may not be worked on by its first upstream for 400 ms longer.
 	maxOverlap = 250 * time.Millisecond
+	// maxPause is how long the silence of an upstream is waited out that is silent in all its answers
+	// and accepts connections, before its stream goes on elsewhere: a second attempt at a stream must be
+	// chosen within maxOverlap, whether or not it has an event by then.
+	maxPause = 2 * time.Second
 	// maxServicePause is how long the silence of a whole service is waited out. Nothing is gained by
 	// repeating its requests at another of its upstreams meanwhile.
 	maxServicePause = 2500 * time.Millisecond
@@ -40,6 +45,7 @@
 	request  *run
 	first    *attempt
 	since    time.Time // since when the first one is silent
+	latest   time.Time // until then a pause may be waited out: half of the time that the request has left
 	begun    bool      // the caller has the beginning of an answer
 	position int64     // of the last event that the caller has
 	body     *memory.Buffer
@@ -47,6 +53,7 @@
 	overlap  *time.Timer        // ends the time in which two upstreams may work on a stream; may be nil
 	ctx      context.Context
 	cancel   context.CancelFunc
+	chosen   chan struct{} // closed when it is committed
 	done     chan struct{} // closed when the goroutine has ended
 
 	// Guarded by run.mu.
@@ -64,10 +71,20 @@
 func (r *run) fellSilent(at *attempt) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.ended || r.rival != nil || r.going != at || !r.mayRepeatLocked() {
+	if r.ended || !r.mayRepeatLocked() {
 		return
 	}
-	rv := &rival{request: r, first: at, since: time.Now().Add(-at.silence.limit()), begun: r.headersSent, position: r.lastPosition, body: r.body, done: make(chan struct{})}
+	if r.rival != nil && r.rival.attempt == at {
+		r.rival.makeRoom()
+	}
+	if r.rival != nil || r.going != at {
+		return
+	}
+	now := time.Now()
+	rv := &rival{
+		request: r, first: at, since: now.Add(-at.silence.limit()), latest: now.Add(r.s.clock.Until(r.deadline) / 2),
+		begun: r.headersSent, position: r.lastPosition, body: r.body, chosen: make(chan struct{}), done: make(chan struct{}),
+	}
 	rv.body.Retain()
 	rv.ctx, rv.cancel = context.WithCancel(r.ctx)
 	r.rival = rv
@@ -86,25 +103,41 @@
 	}
 }
 
-// awaitEvidence waits until a second attempt may be of use: while none of the service's upstreams that
-// have requests of this router is heard, the service pauses, or the path to it. It returns false if the
-// first attempt goes on.
+// awaitEvidence waits until a second attempt may be of use. It returns false if the first goes on.
 func (rv *rival) awaitEvidence() bool {
-	r := rv.request
+	var unreachable atomic.Bool
 	for first := true; rv.ctx.Err() == nil; first = false {
-		heard, silent := r.s.pulses.during(r.service, rv.since, time.Now())
-		waits := heard == 0 && len(silent) >= servicePauseUpstreams && time.Since(rv.since) < maxServicePause
+		heard, silent := rv.request.s.pulses.during(rv.request.service, rv.since, time.Now())
+		waits := rv.mayPause(heard, len(silent), time.Now()) && !unreachable.Load()
 		if first {
-			r.logSilence(rv, heard, len(silent), waits)
+			rv.request.logSilence(rv, heard, len(silent), waits)
 		}
 		if !waits {
 			return true
 		}
+		if first {
+			go func() {
+				unreachable.Store(!rv.request.s.reach.accepts(rv.first.placement.Instance.Address))
+			}()
+		}
 		sleep(rv.ctx, evidenceInterval)
 	}
 	return false
 }
 
+// mayPause reports whether the upstream may pause, alone or with its service, so that it is worth waiting
+// for. One whose other answers go on does not.
+func (rv *rival) mayPause(heard, silent int, now time.Time) bool {
+	silence := now.Sub(rv.since)
+	switch {
+	case rv.first.pulse.wasHeard(rv.since.Add(silence/2)) || now.After(rv.latest):
+		return false
+	case heard == 0 && silent >= servicePauseUpstreams:
+		return silence < maxServicePause
+	}
+	return rv.request.route.Kind == routing.Stream && silence < maxPause
+}
+
 // try makes a second attempt. It reports whether another one may follow.
 func (rv *rival) try() (again bool) {
 	r := rv.request
@@ -140,7 +173,12 @@
 	}
 	at.pulse.heard(time.Now())
 	a := &answer{attempt: at, exchange: exchange, lastPosition: rv.position, continues: rv.begun}
-	if err := a.readAhead(); err != nil {
+	err = a.readAhead()
+	if errors.Is(err, errUpstreamStatus) && !r.mayRepeat() {
+		rv.waitForFirst() // before the failure is passed on
+		err = nil
+	}
+	if err != nil {
 		return rv.failed(at, a, err)
 	}
 	if !rv.commit() {
@@ -167,7 +205,9 @@
 func (rv *rival) send(at *attempt) (*conn.Exchange, error) {
 	r := rv.request
 	m := r.message(at.placement, rv.begun, rv.position)
-	m.OnStart = func(*conn.Exchange) {
+	at.silence.reset(r.firstEventTimeout(at.placement))
+	m.OnStart = func(x *conn.Exchange) {
+		at.silence.watch(x)
 		r.secondSent.Store(true)
 		if r.route.Kind == routing.Stream {
 			rv.overlap = time.AfterFunc(maxOverlap, func() { rv.commit() })
@@ -182,12 +222,29 @@
 	return x, err
 }
 
+// waitForFirst waits while the first attempt may still go on.
+func (rv *rival) waitForFirst() {
+	end := rv.since.Add(maxServicePause)
+	if rv.latest.Before(end) {
+		end = rv.latest
+	}
+	t := time.NewTimer(time.Until(end))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-rv.chosen:
+	case <-rv.ctx.Done():
+	}
+}
+
 // commit gives the first attempt up for the second, unless it goes on or the second has failed.
 func (rv *rival) commit() bool {
 	r := rv.request
 	r.mu.Lock()
 	ok := !rv.lost && rv.attempt != nil
-	rv.committed = rv.committed || ok
+	if ok {
+		rv.choose()
+	}
 	r.mu.Unlock()
 	if ok {
 		rv.first.cancel(conn.ErrSilence)
@@ -195,6 +252,21 @@
 	return ok
 }
 
+// makeRoom gives the first attempt up for the second where that is silent too, so that a third one may
+// begin beside it: two are under way at the most. The request must be locked.
+func (rv *rival) makeRoom() {
+	rv.choose()
+	rv.first.cancel(conn.ErrSilence)
+}
+
+// choose makes the second attempt the request's. The request must be locked.
+func (rv *rival) choose() {
+	if !rv.committed {
+		rv.committed = true
+		close(rv.chosen)
+	}
+}
+
 // failed handles a second attempt without an answer to go on with. If the first was given up for it, the
 // request's goroutine takes care of it.
 func (rv *rival) failed(at *attempt, a *answer, err error) (again bool) {
@@ -228,18 +300,17 @@
 // note reports a failed second attempt to the control state, and returns the note with which its
 // placement ends.
 func (rv *rival) note(at *attempt, a *answer, err error) uint8 {
-	r := rv.request
-	switch {
-	case rv.ctx.Err() != nil:
+	if rv.ctx.Err() != nil {
 		return wire.ProgressUnused // cancelled here
+	}
+	rv.avoid = append(rv.avoid, at.placement.Instance)
+	switch {
 	case conn.IsRefused(err):
-		r.s.ctrl.ConnRefused(at.placement.Instance)
-		rv.avoid = append(rv.avoid, at.placement.Instance)
+		rv.request.s.ctrl.ConnRefused(at.placement.Instance)
 		return wire.ProgressRefused
 	case conn.IsWithdrawn(err):
 		return wire.ProgressUnused
 	case isNotSent(err):
-		rv.avoid = append(rv.avoid, at.placement.Instance)
 		return wire.ProgressFailed
 	case errors.Is(err, errNotExecuted):
 		return rejectionNote(a.exchange.Response)
@@ -265,6 +336,10 @@
 func (r *run) goesOn(at *attempt) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.goesOnLocked(at)
+}
+
+func (r *run) goesOnLocked(at *attempt) bool {
 	rv := r.rival
 	switch {
 	case rv == nil || rv.first != at:
@@ -277,39 +352,45 @@
 	return true
 }
 
+// hasRival reports whether a second attempt is under way beside an attempt.
+func (r *run) hasRival(at *attempt) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rival != nil && r.rival.first == at
+}
+
 // succeed goes on with the second attempt after the first has ended, if there is one that was sent. note
 // says how the first ended, err why; it must be closed.
 func (at *attempt) succeed(note uint8, err error) (next step, replaced bool) {
 	r := at.run
 	r.mu.Lock()
 	rv := r.rival
-	if rv == nil || rv.first != at {
-		r.mu.Unlock()
-		return 0, false
-	}
-	if rv.attempt == nil {
-		rv.lose()
+	if rv == nil || rv.first != at || rv.attempt == nil {
+		r.going = nil
+		if rv != nil {
+			rv.lose()
+		}
 		r.mu.Unlock()
 		return 0, false
 	}
-	rv.committed = true
+	rv.choose()
 	second := rv.attempt
+	r.rival, r.going = nil, second
 	r.mu.Unlock()
 	r.s.count.secondWentOn.Inc(1)
 	at.logAttempt(at.placement, "second-attempt-goes-on", err)
 	at.s.ctrl.End(at.ticket, note)
 	at.end()
-	<-rv.done
-	rv.stopOverlap()
-	r.mu.Lock()
-	r.rival, r.going = nil, second
-	r.mu.Unlock()
 	r.ticket = second.ticket
 	defer rv.cancel()
 	defer second.end()
+	second.silence.reset(r.firstEventTimeout(second.placement))
+	<-rv.done
+	rv.stopOverlap()
 	if rv.answer == nil {
 		return second.sendFailed(rv.err), true
 	}
+	rv.answer.lastPosition = r.position()
 	return rv.answer.deliver(), true
 }
 
@@ -317,11 +398,25 @@
 func (r *run) endRivals() {
 	r.mu.Lock()
 	r.ended = true
-	if rv := r.rival; rv != nil {
+	rv := r.rival
+	if rv != nil {
 		rv.lose()
 	}
 	r.mu.Unlock()
 	r.rivals.Wait()
+	if rv != nil && rv.committed {
+		rv.drop()
+	}
+}
+
+// drop releases a second attempt that was chosen, and that the request has no more use for.
+func (rv *rival) drop() {
+	rv.stopOverlap()
+	rv.request.s.ctrl.End(rv.attempt.ticket, wire.ProgressUnused)
+	if rv.answer != nil {
+		rv.answer.close()
+	}
+	rv.attempt.end()
 }
 
 // sleep waits for a duration or the end of the context.
--- a/internal/request/forward/rival_test.go
+++ b/internal/request/forward/rival_test.go
@@ -40,6 +40,10 @@
 
 func (u *pausingUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body) // the router may have gone
+	if r.Header.Get("X-Id") != "r1" {
+		w.WriteHeader(http.StatusMisdirectedRequest) // of another process, to an address that was used before
+		return
+	}
 	u.runs.Add(1)
 	u.begunAt.Store(time.Now().UnixNano())
 	w.Header().Set("X-Id", r.Header.Get("X-Id"))
@@ -83,9 +87,9 @@
 
 // A refused second placement ended an answer that went on a moment later.
 func TestRefusedSecondAttemptEndsNoAnswer(t *testing.T) {
-	u := newPausingUpstream(t, 4, 3, 1500*time.Millisecond)
+	u := newPausingUpstream(t, 4, 3, maxPause+300*time.Millisecond)
 	r := newHarness(t, u.addr)
-	_, body, err := r.do(t, "POST", "/stream/x", "body")
+	_, body, err := r.do(t, "POST", "/long/x", "body")
 	require.NoError(t, err)
 	assert.Equal(t, wholeStream(4), body)
 	assert.Equal(t, int64(1), u.runs.Load())
@@ -94,11 +98,11 @@
 
 // Both upstreams went on with a stream whose first one had only paused.
 func TestSecondAttemptIsCancelledWhenTheFirstGoesOn(t *testing.T) {
-	first := newPausingUpstream(t, 20, 3, 850*time.Millisecond)
+	first := newPausingUpstream(t, 20, 3, maxPause+100*time.Millisecond)
 	first.gap = 30 * time.Millisecond
 	second := newPausingUpstream(t, 20, 3, time.Minute)
 	r := newHarness(t, first.addr, second.addr)
-	_, body, err := r.do(t, "POST", "/stream/x", "body")
+	_, body, err := r.do(t, "POST", "/long/x", "body")
 	require.NoError(t, err)
 	assert.Equal(t, wholeStream(20), body)
 	assert.Equal(t, int64(1), second.runs.Load())
@@ -115,7 +119,7 @@
 	first := newPausingUpstream(t, 4, 3, time.Minute)
 	second := newPausingUpstream(t, 4, 3, 600*time.Millisecond)
 	r := newHarness(t, first.addr, second.addr)
-	_, body, err := r.do(t, "POST", "/stream/x", "body")
+	_, body, err := r.do(t, "POST", "/long/x", "body")
 	require.NoError(t, err)
 	assert.Equal(t, wholeStream(4), body)
 	require.Eventually(t, func() bool { return first.leftAt.Load() != 0 }, 5*time.Second, 5*time.Millisecond)
@@ -133,7 +137,7 @@
 		}
 		r.exchanges.Abort("i-0")
 	}()
-	_, body, err := r.do(t, "POST", "/stream/x", "body")
+	_, body, err := r.do(t, "POST", "/long/x", "body")
 	require.NoError(t, err)
 	assert.Equal(t, wholeStream(4), body)
 	assert.Equal(t, []uint8{wire.ProgressFailed, wire.ProgressDone}, r.control.recordedNotes())
@@ -158,7 +162,7 @@
 	ends := make(chan string, 2)
 	for range 2 {
 		go func() {
-			_, body, err := r.do(t, "POST", "/stream/x", "body")
+			_, body, err := r.do(t, "POST", "/long/x", "body")
 			assert.NoError(t, err)
 			ends <- body
 		}()
--- a/internal/request/forward/server.go
+++ b/internal/request/forward/server.go
@@ -33,6 +33,7 @@
 	count         counters
 	secondTries   *secondTries
 	pulses        *pulses
+	reach         *reach
 	reqLog        *requestLog
 	key           *fingerprint.Key
 	clock         *clock.Clock
@@ -42,7 +43,7 @@
 // NewServer returns a Server. It identifies repeated requests by fingerprints made with
 // the key.
 func NewServer(ctrl Control, exchanges *conn.Exchanges, dialect Dialect, key *fingerprint.Key, limit Limits, reg metrics.Registry, log zerolog.Logger) *Server {
-	s := &Server{ctrl: ctrl, exchanges: exchanges, dialect: dialect, key: key, clock: clock.System, limit: limit.MaxRequests, memory: limit.Memory, loadShedder: newLoadShedder(), pulses: newPulses(), count: newCounters(reg), reqLog: newRequestLog(log), tracing: newTracing()}
+	s := &Server{ctrl: ctrl, exchanges: exchanges, dialect: dialect, key: key, clock: clock.System, limit: limit.MaxRequests, memory: limit.Memory, loadShedder: newLoadShedder(), pulses: newPulses(), reach: newReach(exchanges), count: newCounters(reg), reqLog: newRequestLog(log), tracing: newTracing()}
 	s.secondTries = newSecondTries(reg)
 	_ = reg.Register("forward.undecided", metrics.NewFunctionalGauge(s.Undecided)) // the name is new
 	s.healthChecker = newHealthChecker(exchanges, dialect, s.clock)
