Planned stops: a request whose header ends after the wait is answered

What callers saw: a request that had begun to arrive when the wait for the balancer ended was read whole, and its connection closed without a word. Cause: http.Server.Shutdown ends a connection after the header of its next request has been read. Each server of callers now stops by itself: the goroutine that reads a connection ends it where nothing of a request has arrived, and reads on where something has. Evidence: TestStoppingRouterAnswersARequestThatHasBegun got no answer before.

--- a/internal/process/limitedconn.go
+++ b/internal/process/limitedconn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -46,21 +47,24 @@
 	phase  connPhase
 	since  time.Time
 	header int64 // bytes read in phaseHeader
+	begun  bool  // bytes of the next request were read, while the connection waits for one
+	stops  bool  // see stop
 }
 
 // SetReadDeadline sets the deadline of the limits in force where the server sets one of its marks.
 func (c *limitedConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := time.Now()
+	now, idle := time.Now(), c.phase == phaseIdle
 	switch d := t.Sub(now); {
 	case t.IsZero() || d < headerTimeoutMark/2:
 		c.phase = phaseOther
 		return c.Conn.SetReadDeadline(t)
 	case d < (headerTimeoutMark+idleTimeoutMark)/2:
 		c.phase = phaseHeader
+		c.begun = c.begun || idle // the server waits for the first bytes before that
 	default:
-		c.phase = phaseIdle
+		c.phase, c.begun = phaseIdle, false
 	}
 	c.since, c.header = now, 0
 	return c.applyDeadline(c.limits.get())
@@ -94,13 +98,58 @@
 		c.refuseHeader()
 		return 0, io.EOF
 	}
-	n, err := c.Conn.Read(p)
+	for {
+		if c.endsUnread() {
+			return 0, io.EOF
+		}
+		n, err := c.Conn.Read(p)
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.stopped() {
+			continue
+		}
+		c.mu.Lock()
+		if c.phase == phaseHeader {
+			c.header += int64(n)
+		}
+		c.begun = c.begun || n > 0
+		c.mu.Unlock()
+		return n, err
+	}
+}
+
+// stop ends the connection where it waits for a request of which nothing has arrived, now or later. The
+// goroutine that reads sees to it, so that nothing is read and then dropped.
+func (c *limitedConn) stop() {
 	c.mu.Lock()
-	if c.phase == phaseHeader {
-		c.header += int64(n)
+	defer c.mu.Unlock()
+	c.stops = true
+	if c.awaitsRequest() {
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+	}
+}
+
+// awaitsRequest reports whether nothing of the next request was read yet. The connection must be locked.
+func (c *limitedConn) awaitsRequest() bool { return c.phase != phaseOther && !c.begun }
+
+// stopped reports whether the connection waits for a request that it will not wait for.
+func (c *limitedConn) stopped() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stops && c.awaitsRequest()
+}
+
+// endsUnread reports whether a connection that stops has nothing to read. Otherwise the request that
+// has arrived is read.
+func (c *limitedConn) endsUnread() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.stops || !c.awaitsRequest() {
+		return false
+	}
+	if !c.HasUnread() {
+		return true
 	}
-	c.mu.Unlock()
-	return n, err
+	_ = c.applyDeadline(c.limits.get()) // fails only on a closed connection
+	return false
 }
 
 func (c *limitedConn) headerExceeds() bool {
--- a/internal/process/limitedserver.go
+++ b/internal/process/limitedserver.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/rs/zerolog"
 )
@@ -17,6 +18,7 @@
 	chanListener *chanListener
 	mu           sync.Mutex
 	conns        map[*limitedConn]struct{}
+	stopping     bool // no request begins on a connection on which nothing has arrived
 }
 
 // newLimitedServer returns a server. connState may be nil.
@@ -45,6 +47,9 @@
 	limited := &limitedConn{Conn: c, limits: s.limits, closed: s.forget}
 	s.mu.Lock()
 	s.conns[limited] = struct{}{}
+	if s.stopping {
+		limited.stop()
+	}
 	s.mu.Unlock()
 	s.chanListener.deliver(limited)
 }
@@ -65,8 +70,35 @@
 	}
 }
 
-// Shutdown closes idle connections at once and others after their current request.
-func (s *limitedServer) Shutdown(ctx context.Context) error { return s.server.Shutdown(ctx) }
+// shutdownPollInterval is how often a stop looks for connections that are left.
+const shutdownPollInterval = 5 * time.Millisecond
+
+// Shutdown closes the connections on which no request has arrived, and each other one after the answers
+// to those that have. http.Server.Shutdown would close connections whose requests it has just read.
+func (s *limitedServer) Shutdown(ctx context.Context) error {
+	s.mu.Lock()
+	s.stopping = true
+	for c := range s.conns {
+		c.stop()
+	}
+	s.mu.Unlock()
+	tick := time.NewTicker(shutdownPollInterval)
+	defer tick.Stop()
+	for s.open() > 0 {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func (s *limitedServer) open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
 
 // Close closes all connections.
 func (s *limitedServer) Close() { s.server.Close() }
