Planned stops: callers are told at the end of the grace

What callers saw: at the end of the grace, and at a second signal, connections were closed without a word under requests that ran (not idempotent ones among them), waited for a placement or for the end of their own body. Cause: the end of the grace was known to nobody who could answer; RoutedDaemon.close closed connections under the handlers. A Stop ends every run whose answer has not begun, through the one place that decides what the caller is told: 502 if it may have run, 503 otherwise; what is still left 0.4 s later is cut. A second signal ends the grace and takes the same way.

--- a/cmd/silverswitchd/main.go
+++ b/cmd/silverswitchd/main.go
@@ -112,11 +112,17 @@
 	return w, func() { _ = w.Close() } // nothing can be done about an error of standard output
 }
 
-// stop shuts the router down gracefully; a second signal ends the process at once. The exit
-// code says whether requests were cut.
+// secondSignalTimeout bounds the time from a second signal to the end of the process. Within it callers
+// are told that their requests have ended.
+const secondSignalTimeout = 2 * time.Second
+
+// stop shuts the router down gracefully; a second signal ends the grace. The exit code says
+// whether requests were cut.
 func stop(d daemon, signals <-chan os.Signal, log zerolog.Logger) int {
+	ctx, endGrace := context.WithCancel(context.Background())
+	defer endGrace()
 	ended := make(chan int, 1)
-	go func() { ended <- d.Shutdown(context.Background()) }()
+	go func() { ended <- d.Shutdown(ctx) }()
 	select {
 	case cut := <-ended:
 		if cut > 0 {
@@ -125,6 +131,11 @@
 		return exitOK
 	case <-signals:
 		log.Warn().Int("requests", d.OpenRequests(time.Second)).Msg("ended-at-once")
-		return exitRequestsCut
+		endGrace()
+	}
+	select {
+	case <-ended:
+	case <-time.After(secondSignalTimeout):
 	}
+	return exitRequestsCut
 }
--- a/internal/process/callerserver.go
+++ b/internal/process/callerserver.go
@@ -142,8 +142,8 @@
 // stopAccepting closes the listener. Open connections stay open.
 func (cs *callerServer) stopAccepting() { cs.listener.Close() }
 
-// shutdown stops accepting, closes idle connections at once and others after their current
-// request.
+// shutdown stops accepting, closes the connections on which no request has arrived at once, and others
+// after their current request.
 func (cs *callerServer) shutdown(ctx context.Context) error {
 	cs.stopAccepting()
 	return cs.own.Shutdown(ctx)
--- a/internal/process/routeddaemon.go
+++ b/internal/process/routeddaemon.go
@@ -34,6 +34,7 @@
 	peerSocket      *conn.PeerSocket
 	fetchServer     *conn.FetchServer
 	exchanges       *conn.Exchanges
+	server          *forward.Server
 	callerServer    *callerServer
 	relaying        *relaying // nil where [relay] address is empty
 	operatorServer  *http.Server
@@ -47,6 +48,8 @@
 const (
 	// shutdownMargin is the part of a planned stop's bound that is reserved for closing.
 	shutdownMargin = 600 * time.Millisecond
+	// tellTimeout is the part of it in which callers are told that their requests have ended.
+	tellTimeout = 400 * time.Millisecond
 )
 
 // Deployment holds what depends on the platform that the routers run on.
@@ -88,6 +91,7 @@
 		return nil, err
 	}
 	server := forward.NewServer(d.ctrl, d.exchanges, dialect, key, forward.Limits{MaxRequests: maxRequestsFor(set.MemoryMB), Memory: d.memory}, reg, log)
+	d.server = server
 	d.ctrl.overload.undecided = server.Undecided
 	if d.callerServer, err = newCallerServer(set.Callers, set.Cores, server, set.Files, d.controlBehind, log); err != nil {
 		d.close()
@@ -316,8 +320,10 @@
 }
 
 // Shutdown performs the planned stop: it becomes unready for the load balancer, keeps
-// serving requests that still arrive, waits until all requests have ended or the bound
-// cuts them, and closes. It returns the number of requests cut.
+// serving requests that still arrive, waits until all requests have ended,
+// or the bound or the context ends them, and closes. Callers whose answers have not begun are
+// told first, which takes tellTimeout at most. It returns the number of requests cut: those that
+// may have run and got no whole answer.
 func (d *RoutedDaemon) Shutdown(ctx context.Context) int {
 	began := time.Now()
 	d.mu.Lock()
@@ -325,16 +331,15 @@
 	d.mu.Unlock()
 	d.log.Info().Int64("wait_ms", wait.Milliseconds()).Int64("bound_ms", bound.Milliseconds()).Msg("stopping")
 	d.ctrl.Leave()
-	sleep(ctx, wait)
 	if bound > 0 {
 		var stop context.CancelFunc
 		ctx, stop = context.WithDeadline(ctx, began.Add(bound-shutdownMargin))
 		defer stop()
 	}
-	err := d.shutdownCallers(ctx)
-	cut := d.ctrl.OpenRequests()
-	if err != nil {
-		d.log.Warn().Int("requests", cut).Msg("requests-cut")
+	sleep(ctx, wait)
+	cut := 0
+	if err := d.shutdownCallers(ctx); err != nil {
+		cut = d.endRequests()
 	}
 	d.close()
 	d.ctrl.sent.log(d.log)
@@ -342,6 +347,18 @@
 	return cut
 }
 
+// endRequests ends all requests that are left at the end of the grace, and tells their callers. It
+// returns the number of those that may have run and got no whole answer.
+func (d *RoutedDaemon) endRequests() (cut int) {
+	d.server.Stop.EndUnanswered()
+	ctx, stop := context.WithTimeout(context.Background(), tellTimeout)
+	defer stop()
+	_ = d.shutdownCallers(ctx) // what is left is cut
+	begun, told := d.ctrl.OpenRequests(), d.server.StopTotals()
+	d.log.Warn().Int("requests", begun).Int64("told_not_run", told.NotRun).Int64("told_in_doubt", told.InDoubt).Msg("requests-cut")
+	return begun + int(told.InDoubt)
+}
+
 // shutdownCallers closes the connections of callers, those relayed to other routers and those
 // that other routers relay here, each after its current request.
 func (d *RoutedDaemon) shutdownCallers(ctx context.Context) error {
--- a/internal/request/forward/body.go
+++ b/internal/request/forward/body.go
@@ -65,8 +65,14 @@
 	}
 	rc := http.NewResponseController(req.w)
 	_ = rc.SetReadDeadline(req.s.clock.Monotonic(req.deadline)) // not supported by test recorders
+	undo := req.interruptBody(rc)
 	req.body = req.hold.Buffer(req.r.ContentLength)
 	err := req.body.ReadAll(http.MaxBytesReader(req.w, req.r.Body, req.s.ctrl.MaxBodyBytes()))
+	undo()
+	if req.stopOver() {
+		req.w.Header().Set("Connection", "close")
+		return req.bodyStopped()
+	}
 	if err == nil {
 		_ = rc.SetReadDeadline(time.Time{})
 		return nil
--- a/internal/request/forward/ending.go
+++ b/internal/request/forward/ending.go
@@ -26,6 +26,7 @@
 // attempt may have run it. Nobody is left without a word who still listens.
 func (r *run) endUnanswered(e unanswered) step {
 	r.endRivals()
+	e = r.stopEnding(e)
 	switch {
 	case r.r.Context().Err() != nil:
 		r.s.count.broken.Inc(1)
--- a/internal/request/forward/server.go
+++ b/internal/request/forward/server.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -37,12 +38,17 @@
 	key           *fingerprint.Key
 	clock         *clock.Clock
 	tracing       tracing
+	stopAlone     []*Stop
+
+	// Stop is the planned stop of this router.
+	Stop *Stop
 }
 
 // NewServer returns a Server. It identifies repeated requests by fingerprints made with
 // the key.
 func NewServer(ctrl Control, exchanges *conn.Exchanges, dialect Dialect, key *fingerprint.Key, limit Limits, reg metrics.Registry, log zerolog.Logger) *Server {
-	s := &Server{ctrl: ctrl, exchanges: exchanges, dialect: dialect, key: key, clock: clock.System, limit: limit.MaxRequests, memory: limit.Memory, loadShedder: newLoadShedder(), pulses: newPulses(), count: newCounters(reg), reqLog: newRequestLog(log), tracing: newTracing()}
+	s := &Server{ctrl: ctrl, exchanges: exchanges, dialect: dialect, key: key, clock: clock.System, limit: limit.MaxRequests, memory: limit.Memory, loadShedder: newLoadShedder(), pulses: newPulses(), count: newCounters(reg), reqLog: newRequestLog(log), tracing: newTracing(), Stop: NewStop()}
+	s.stopAlone = []*Stop{s.Stop}
 	s.secondTries = newSecondTries(reg)
 	_ = reg.Register("forward.undecided", metrics.NewFunctionalGauge(s.Undecided)) // the name is new
 	s.healthChecker = newHealthChecker(exchanges, dialect, s.clock)
@@ -268,7 +274,10 @@
 	}
 	ctx, stop := req.s.clock.WithDeadline(req.r.Context(), req.deadline)
 	defer stop()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
 	r := &run{callerRequest: req, ctx: ctx, undecided: req.table.HasEngines(req.service), lastPosition: parseLastEventID(req.r.Header)}
+	defer r.watchStop(end)()
 	if r.undecided {
 		req.s.undecided.Add(1)
 	}
