Planned stops: what can't end within the grace is refused

What callers saw: requests that come late in the grace were passed on, and cut at its end. Cause: nobody asked at the time of placing how much of the grace was left. A route that it doesn't know is expected to use all of its time, unless no other router lives. No second attempt begins beside a silent one that couldn't end either. Counter forward.stop.refused; the line stopped has the number.

--- a/internal/process/routedcontroller.go
+++ b/internal/process/routedcontroller.go
@@ -41,6 +41,7 @@
 	asOf             atomic.Uint64
 	scheduledEngines atomic.Pointer[[]routing.Instance] // engines that this router schedules
 	neighbours       atomic.Pointer[[]relay.Peer]       // other live routers of the own place
+	alone            atomic.Bool                        // no other live router is known
 	leaving          atomic.Bool
 	OnTable          func(routing.Limits) // called with the limits of each accepted table; set before Run
 	limits           *limitsInForce       // what OnTable sets; set before Run
@@ -315,8 +316,12 @@
 		peers = append(peers, relay.Peer{ID: string(r.ID), Power: r.Power})
 	}
 	rc.neighbours.Store(&peers)
+	rc.alone.Store(!rc.node.HasPeers())
 }
 
+// Alone reports whether no other live router is known.
+func (rc *RoutedController) Alone() bool { return rc.alone.Load() }
+
 // Neighbours implements relayControl.
 func (rc *RoutedController) Neighbours() []relay.Peer {
 	if p := rc.neighbours.Load(); p != nil {
--- a/internal/process/routeddaemon.go
+++ b/internal/process/routeddaemon.go
@@ -91,7 +91,7 @@
 		return nil, err
 	}
 	server := forward.NewServer(d.ctrl, d.exchanges, dialect, key, forward.Limits{MaxRequests: maxRequestsFor(set.MemoryMB), Memory: d.memory}, reg, log)
-	d.server = server
+	d.server, server.Alone = server, d.ctrl.Alone
 	d.ctrl.overload.undecided = server.Undecided
 	if d.callerServer, err = newCallerServer(set.Callers, set.Cores, server, set.Files, d.controlBehind, log); err != nil {
 		d.close()
@@ -320,7 +320,7 @@
 }
 
 // Shutdown performs the planned stop: it becomes unready for the load balancer, keeps
-// serving requests that still arrive, waits until all requests have ended,
+// serving requests that still arrive and can end in time, waits until all requests have ended,
 // or the bound or the context ends them, and closes. Callers whose answers have not begun are
 // told first, which takes tellTimeout at most. It returns the number of requests cut: those that
 // may have run and got no whole answer.
@@ -330,12 +330,14 @@
 	wait, bound := d.set.Wait, d.set.Bound
 	d.mu.Unlock()
 	d.log.Info().Int64("wait_ms", wait.Milliseconds()).Int64("bound_ms", bound.Milliseconds()).Msg("stopping")
-	d.ctrl.Leave()
 	if bound > 0 {
+		end := began.Add(bound - shutdownMargin)
+		d.server.Stop.SetEnd(end)
 		var stop context.CancelFunc
-		ctx, stop = context.WithDeadline(ctx, began.Add(bound-shutdownMargin))
+		ctx, stop = context.WithDeadline(ctx, end)
 		defer stop()
 	}
+	d.ctrl.Leave()
 	sleep(ctx, wait)
 	cut := 0
 	if err := d.shutdownCallers(ctx); err != nil {
@@ -343,7 +345,8 @@
 	}
 	d.close()
 	d.ctrl.sent.log(d.log)
-	d.log.Info().Int("cut", cut).Int64("took_ms", time.Since(began).Milliseconds()).Msg("stopped")
+	refused := d.server.StopTotals().Refused
+	d.log.Info().Int("cut", cut).Int64("refused", refused).Int64("took_ms", time.Since(began).Milliseconds()).Msg("stopped")
 	return cut
 }
 
--- a/internal/request/forward/counters.go
+++ b/internal/request/forward/counters.go
@@ -15,7 +15,7 @@
 	reg                                                                                                                      metrics.Registry
 	arrived, answered, opened, resumed, repeated, broken, shed, unservable, memoryFull, quarantined, withdrawn, healthChecks metrics.Counter
 	leavingNotices, backoffNotices                                                                                           metrics.Counter
-	stopNotRun, stopInDoubt                                                                                                  metrics.Counter
+	stopRefused, stopNotRun, stopInDoubt                                                                                     metrics.Counter
 	silences, secondRefused, firstWentOn, secondWentOn                                                                       metrics.Counter
 	streamEvents, streamsLate, gapWarnings                                                                                   metrics.Counter
 	firstEvent, decision, longestGap                                                                                         metrics.Timer
@@ -29,7 +29,7 @@
 		reg:      reg, arrived: c("arrived"), answered: c("answered"), opened: c("connections"), resumed: c("resumed"),
 		repeated: c("repeated"), broken: c("broken"), shed: c("shed"), unservable: c("unservable"), memoryFull: c("memory.full"), quarantined: c("held"), withdrawn: c("withdrawn"), healthChecks: c("looked"),
 		leavingNotices: c("notices.leaving"), backoffNotices: c("notices.backoff"),
-		stopNotRun: c("stop.not.run"), stopInDoubt: c("stop.in.doubt"),
+		stopRefused: c("stop.refused"), stopNotRun: c("stop.not.run"), stopInDoubt: c("stop.in.doubt"),
 		silences: c("silences"), secondRefused: c("second.refused"), firstWentOn: c("second.lost"), secondWentOn: c("second.won"),
 		streamEvents: c("stream.events"), streamsLate: c("stream.late"), gapWarnings: c("stream.gap.warnings"),
 		longestGap: metrics.GetOrRegisterTimer("forward.stream.gap", reg),
--- a/internal/request/forward/rival.go
+++ b/internal/request/forward/rival.go
@@ -64,7 +64,7 @@
 func (r *run) fellSilent(at *attempt) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.ended || r.rival != nil || r.going != at || !r.mayRepeatLocked() {
+	if r.ended || r.rival != nil || r.going != at || !r.mayRepeatLocked() || r.endsTooLate() {
 		return
 	}
 	rv := &rival{request: r, first: at, since: time.Now().Add(-at.silence.limit()), begun: r.headersSent, position: r.lastPosition, body: r.body, done: make(chan struct{})}
--- a/internal/request/forward/run.go
+++ b/internal/request/forward/run.go
@@ -80,6 +80,9 @@
 			r.withdraw(d.Placement, UpstreamNotReady)
 			continue
 		}
+		if r.refusePlacement() {
+			return
+		}
 		if r.attempt(d.Placement) == stepDone {
 			return
 		}
@@ -215,6 +218,7 @@
 // logAnswered counts an answered request, and logs some of them.
 func (r *run) logAnswered(p *dispatch.Placement, status int, first time.Duration) {
 	r.s.count.answered.Inc(1)
+	r.learnDuration()
 	e := r.s.reqLog.answered(r.resumed)
 	if e == nil {
 		return
--- a/internal/request/forward/server.go
+++ b/internal/request/forward/server.go
@@ -38,16 +38,20 @@
 	key           *fingerprint.Key
 	clock         *clock.Clock
 	tracing       tracing
+	durations     *durations
 	stopAlone     []*Stop
 
 	// Stop is the planned stop of this router.
 	Stop *Stop
+	// Alone reports whether no other router could take this router's requests. It may be nil. It must be
+	// set before the first request.
+	Alone func() bool
 }
 
 // NewServer returns a Server. It identifies repeated requests by fingerprints made with
 // the key.
 func NewServer(ctrl Control, exchanges *conn.Exchanges, dialect Dialect, key *fingerprint.Key, limit Limits, reg metrics.Registry, log zerolog.Logger) *Server {
-	s := &Server{ctrl: ctrl, exchanges: exchanges, dialect: dialect, key: key, clock: clock.System, limit: limit.MaxRequests, memory: limit.Memory, loadShedder: newLoadShedder(), pulses: newPulses(), count: newCounters(reg), reqLog: newRequestLog(log), tracing: newTracing(), Stop: NewStop()}
+	s := &Server{ctrl: ctrl, exchanges: exchanges, dialect: dialect, key: key, clock: clock.System, limit: limit.MaxRequests, memory: limit.Memory, loadShedder: newLoadShedder(), pulses: newPulses(), count: newCounters(reg), reqLog: newRequestLog(log), tracing: newTracing(), durations: newDurations(), Stop: NewStop()}
 	s.stopAlone = []*Stop{s.Stop}
 	s.secondTries = newSecondTries(reg)
 	_ = reg.Register("forward.undecided", metrics.NewFunctionalGauge(s.Undecided)) // the name is new
@@ -121,6 +125,10 @@
 	}
 	s.ctrl.RequestArrived(req.route.TargetLatency)
 	req.followed = s.secondTries.arrived(&s.dialect, r.Header, req.org, req.arrived, s.reqLog)
+	if f := req.refuseTooLate(); f != nil {
+		req.refuse(*f)
+		return
+	}
 	if req.refuseUnservable() {
 		return
 	}
--- a/internal/request/forward/stopping.go
+++ b/internal/request/forward/stopping.go
@@ -4,11 +4,14 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 )
 
-// A planned stop leaves requests until the end of its grace. At its end everyone whose answer has not begun
-// is told: 503 if the request has certainly not run, 502 otherwise.
+// A planned stop leaves requests until the end of its grace. What is not expected to be answered by then
+// is refused before it reaches an upstream, so that its caller can ask another router. At the end of the
+// grace everyone whose answer has not begun is told: 503 if the request has certainly not run, 502
+// otherwise.
 //
 // Load pattern: requests that take seconds, in the last seconds of a planned stop.
 
@@ -19,20 +22,31 @@
 var errStopping = errors.New("the grace of a planned stop is over")
 
 // Stop is the planned stop of a router, as the requests of its callers see it. It is safe for concurrent
-// use.
+// use. One without an end refuses nothing.
 type Stop struct {
+	end  atomic.Pointer[time.Time]
 	over context.Context
 	tell context.CancelFunc
 }
 
-// NewStop returns a Stop.
+// NewStop returns a Stop without an end.
 func NewStop() *Stop {
 	s := &Stop{}
 	s.over, s.tell = context.WithCancel(context.Background())
 	return s
 }
 
-// EndUnanswered ends all requests whose answers have not begun. Their callers are told.
+// SetEnd sets the end of the grace, which may change. The zero time is none.
+func (s *Stop) SetEnd(t time.Time) {
+	if t.IsZero() {
+		s.end.Store(nil)
+		return
+	}
+	s.end.Store(&t)
+}
+
+// EndUnanswered ends all requests whose answers have not begun. Their callers are told. Requests that
+// come later are refused.
 func (s *Stop) EndUnanswered() { s.tell() }
 
 type stopKey struct{}
@@ -51,15 +65,16 @@
 	return req.s.stopAlone
 }
 
-// StopTotals are the numbers of requests whose callers were told at the end of a planned stop.
+// StopTotals are the numbers of requests that a planned stop has refused, or told at its end.
 type StopTotals struct {
+	Refused int64 // since they were not expected to end in time
 	NotRun  int64 // told at the end that they have not run
 	InDoubt int64 // told at the end, and may have run
 }
 
 // StopTotals returns the totals so far.
 func (s *Server) StopTotals() StopTotals {
-	return StopTotals{NotRun: s.count.stopNotRun.Count(), InDoubt: s.count.stopInDoubt.Count()}
+	return StopTotals{Refused: s.count.stopRefused.Count(), NotRun: s.count.stopNotRun.Count(), InDoubt: s.count.stopInDoubt.Count()}
 }
 
 // watchStop makes the end of a grace end the run, unless its answer has begun.
