Planned stops: a reload changes the times of a stop that has begun

What operators saw: settings-reloaded named Bound as changed, and the stop went by the bound before. The grace is now an object that a reload changes; the line stop-times-changed says so. Evidence: TestReloadChangesTheBoundOfAPlannedStop, whose two cases ended at the old bound before.

--- a/internal/process/routeddaemon.go
+++ b/internal/process/routeddaemon.go
@@ -27,7 +27,8 @@
 
 // RoutedDaemon is a router process that serves the routed interface.
 type RoutedDaemon struct {
-	mu              sync.Mutex // guards set.Wait and set.Bound
+	mu              sync.Mutex // guards set.Wait, set.Bound and grace
+	grace           *grace     // of a planned stop; nil before
 	set             Settings
 	log             zerolog.Logger
 	ctrl            *RoutedController
@@ -326,19 +327,11 @@
 // may have run and got no whole answer.
 func (d *RoutedDaemon) Shutdown(ctx context.Context) int {
 	began := time.Now()
-	d.mu.Lock()
-	wait, bound := d.set.Wait, d.set.Bound
-	d.mu.Unlock()
-	d.log.Info().Int64("wait_ms", wait.Milliseconds()).Int64("bound_ms", bound.Milliseconds()).Msg("stopping")
-	if bound > 0 {
-		end := began.Add(bound - shutdownMargin)
-		d.server.Stop.SetEnd(end)
-		var stop context.CancelFunc
-		ctx, stop = context.WithDeadline(ctx, end)
-		defer stop()
-	}
+	g := d.beginGrace(began)
 	d.ctrl.Leave()
-	sleep(ctx, wait)
+	ctx, stop := g.context(ctx)
+	defer stop()
+	g.waitForBalancer(ctx)
 	cut := 0
 	if err := d.shutdownCallers(ctx); err != nil {
 		cut = d.endRequests()
@@ -350,6 +343,16 @@
 	return cut
 }
 
+// beginGrace begins the grace of a planned stop.
+func (d *RoutedDaemon) beginGrace(now time.Time) *grace {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.grace = newGrace(now, d.set.Wait, d.set.Bound)
+	d.server.Stop.SetEnd(d.grace.end())
+	d.log.Info().Int64("wait_ms", d.set.Wait.Milliseconds()).Int64("bound_ms", d.set.Bound.Milliseconds()).Msg("stopping")
+	return d.grace
+}
+
 // endRequests ends all requests that are left at the end of the grace, and tells their callers. It
 // returns the number of those that may have run and got no whole answer.
 func (d *RoutedDaemon) endRequests() (cut int) {
@@ -377,10 +380,15 @@
 }
 
 // Reload applies settings that may change while the process runs: the seeds, the retry
-// budget and the cold-start rules take effect at once, the durations of a planned stop at
-// the next stop.
+// budget and the cold-start rules take effect at once, the durations of a planned stop for one that
+// has begun too.
 func (d *RoutedDaemon) Reload(set Settings) {
 	d.mu.Lock()
+	if d.grace != nil && (d.set.Wait != set.Wait || d.set.Bound != set.Bound) {
+		d.grace.set(set.Wait, set.Bound)
+		d.server.Stop.SetEnd(d.grace.end())
+		d.log.Info().Int64("wait_ms", set.Wait.Milliseconds()).Int64("bound_ms", set.Bound.Milliseconds()).Msg("stop-times-changed")
+	}
 	d.set.Wait, d.set.Bound = set.Wait, set.Bound
 	d.mu.Unlock()
 	d.ctrl.Step(dispatch.UpdateSettings{Seeds: set.Seeds, Retry: set.Retry, Cold: set.Cold})
