Planned stops: requests written at once on one connection are all answered

What callers saw: of three requests written at once on a kept connection the first was answered and the others dropped, in the wait for the balancer too. Cause: the first answer carries Connection: close, so that net/http closes a connection whose buffer holds the next requests. A connection now knows whether more than the present request has arrived; if so the answer goes without that header, and the connection ends after the answers to all that was read. The hint to close for lack of descriptors follows the same. Expected durations have steps of a tenth in place of a quarter.

--- a/internal/process/callerserver.go
+++ b/internal/process/callerserver.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/silverswitch/silverswitch/internal/request/forward"
 	"github.com/silverswitch/silverswitch/internal/routing"
 )
 
@@ -54,7 +55,7 @@
 // withCloseHint asks callers to close their connections while closeHint returns true.
 func withCloseHint(closeHint func() bool, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if closeHint() {
+		if closeHint() && !forward.HoldsMore(r) {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
--- a/internal/process/limitedconn.go
+++ b/internal/process/limitedconn.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -49,6 +50,10 @@
 	header int64 // bytes read in phaseHeader
 	begun  bool  // bytes of the next request were read, while the connection waits for one
 	stops  bool  // see stop
+
+	headerEnd headerEnd
+	past      int64 // bytes read after the end of the request's header
+	pipelines bool  // requests are sent before the answers to others
 }
 
 // SetReadDeadline sets the deadline of the limits in force where the server sets one of its marks.
@@ -62,9 +67,12 @@
 		return c.Conn.SetReadDeadline(t)
 	case d < (headerTimeoutMark+idleTimeoutMark)/2:
 		c.phase = phaseHeader
-		c.begun = c.begun || idle // the server waits for the first bytes before that
+		if idle && !c.begun { // the server waits for the first bytes before that, and had them
+			c.begun, c.pipelines = true, true
+		}
 	default:
 		c.phase, c.begun = phaseIdle, false
+		c.headerEnd, c.past = headerEnd{}, 0
 	}
 	c.since, c.header = now, 0
 	return c.applyDeadline(c.limits.get())
@@ -111,11 +119,51 @@
 			c.header += int64(n)
 		}
 		c.begun = c.begun || n > 0
+		c.past += int64(n - c.headerEnd.skip(p[:n]))
 		c.mu.Unlock()
 		return n, err
 	}
 }
 
+// HoldsMore implements forward.CallerConn. The length of a body in chunks is unknown.
+func (c *limitedConn) HoldsMore(bodyLength int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.pipelines && bodyLength >= 0 && c.headerEnd.found {
+		c.pipelines = c.past > bodyLength || c.past == bodyLength && c.HasUnread()
+	}
+	return c.pipelines
+}
+
+// headerEnd finds the end of a request's header in what is read.
+type headerEnd struct {
+	found bool
+	last  [len(endOfHeader) - 1]byte // read before
+}
+
+const endOfHeader = "\r\n\r\n"
+
+// skip returns how many of the bytes that were read belong to the header.
+func (e *headerEnd) skip(p []byte) int {
+	if e.found || len(p) == 0 {
+		return 0
+	}
+	var seam [2 * (len(endOfHeader) - 1)]byte
+	copy(seam[:], e.last[:])
+	n := copy(seam[len(e.last):], p)
+	if i := bytes.Index(seam[:len(e.last)+n], []byte(endOfHeader)); i >= 0 {
+		e.found = true
+		return i + len(endOfHeader) - len(e.last)
+	}
+	if i := bytes.Index(p, []byte(endOfHeader)); i >= 0 {
+		e.found = true
+		return i + len(endOfHeader)
+	}
+	all := append(seam[:len(e.last)], p[max(0, len(p)-len(e.last)):]...)
+	copy(e.last[:], all[len(all)-len(e.last):])
+	return len(p)
+}
+
 // stop ends the connection where it waits for a request of which nothing has arrived, now or later. The
 // goroutine that reads sees to it, so that nothing is read and then dropped.
 func (c *limitedConn) stop() {
--- a/internal/process/limitedserver.go
+++ b/internal/process/limitedserver.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"github.com/silverswitch/silverswitch/internal/request/forward"
 )
 
 // limitedServer serves connections that others have accepted, under the limits in force.
@@ -30,7 +32,10 @@
 			IdleTimeout:       idleTimeoutMark,
 			MaxHeaderBytes:    maxLibraryHeader,
 			ConnState:         connState,
-			ErrorLog:          discardLog(),
+			ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+				return forward.WithConn(ctx, c.(*limitedConn))
+			},
+			ErrorLog: discardLog(),
 		},
 		limits: limits, chanListener: newChanListener(addr), conns: map[*limitedConn]struct{}{},
 	}
--- a/internal/request/forward/answer.go
+++ b/internal/request/forward/answer.go
@@ -420,7 +420,7 @@
 func (a *answer) copyHeaders(res *http.Response) {
 	h := a.w.Header()
 	copyEndToEnd(h, res.Header)
-	if a.s.ctrl.Leaving() {
+	if a.closesConn() {
 		h.Set("Connection", "close")
 	}
 }
--- a/internal/request/forward/expected.go
+++ b/internal/request/forward/expected.go
@@ -81,8 +81,8 @@
 	minDurations = 4
 	// durationMemory is the number of answers after which the weight of earlier ones halves.
 	durationMemory  = 256
-	durationBuckets = 64
-	durationGrowth  = 1.25 // of each bucket's bound over the one before, from 1 ms on
+	durationBuckets = 152
+	durationGrowth  = 1.1 // of each bucket's bound over the one before, from 1 ms on
 	maxTimedRoutes  = 4096
 )
 
--- a/internal/request/forward/failure.go
+++ b/internal/request/forward/failure.go
@@ -39,7 +39,7 @@
 		values[1] = strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 3, 64)
 		h[headerRetryAfter] = values[1:2:2]
 	}
-	if req.s.ctrl.Leaving() {
+	if req.closesConn() {
 		h.Set("Connection", "close")
 	}
 	req.w.WriteHeader(f.status)
--- a/internal/request/forward/stopping.go
+++ b/internal/request/forward/stopping.go
@@ -65,6 +65,30 @@
 	return req.s.stopAlone
 }
 
+// CallerConn is a caller's connection.
+type CallerConn interface {
+	// HoldsMore reports whether more than a request with a body of this length has arrived, so that
+	// further requests would be dropped if the connection closed after its answer.
+	HoldsMore(bodyLength int64) bool
+}
+
+type connKey struct{}
+
+// WithConn returns a context for the requests of a connection.
+func WithConn(ctx context.Context, c CallerConn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// HoldsMore reports whether further requests have arrived on the request's connection.
+func HoldsMore(r *http.Request) bool {
+	c, ok := r.Context().Value(connKey{}).(CallerConn)
+	return ok && c.HoldsMore(r.ContentLength)
+}
+
+// closesConn reports whether the answer asks the caller to close its connection, since this router stops.
+// One on which further requests have arrived closes after their answers.
+func (req *callerRequest) closesConn() bool { return req.s.ctrl.Leaving() && !HoldsMore(req.r) }
+
 // StopTotals are the numbers of requests that a planned stop has refused, or told at its end.
 type StopTotals struct {
 	Refused int64 // since they were not expected to end in time
