Planned stops: callers of relayed connections are told at the end of the grace

What callers saw: where a router stopped that relayed their kept connections, requests that ran elsewhere were cut with no answer at the end of its grace, and bodies that were still awaited got 502 though they had never run. Cause: the router that serves them knew that the other one stops, and not when. Evidence: TestCallersOfRelayedConnectionsAreToldAtTheEndOfAPlannedStop, whose kept caller got no answer before.

--- a/cmd/silverswitchd/relay_test.go
+++ b/cmd/silverswitchd/relay_test.go
@@ -101,6 +101,7 @@
 	busyNoRelay   bool   // it has no relay address
 	goMaxProcsOne bool   // as deployed
 	address       string // of the upstream; a relayUpstream's if empty
+	bound         string // of a planned stop; 15s if empty
 }
 
 func newRelayFleet(t testing.TB, opt relayFleetOptions) *relayFleet {
@@ -137,8 +138,8 @@
 		relay = ""
 	}
 	r.settings = filepath.Join(t.TempDir(), "r.ini")
-	text := fmt.Sprintf("[router]\npeer_address = %s\nplace = z1\ncaller_address = %s\ncaller_url = http://%s\noperator_address = %s\n[fleet]\nseeds = %s\nsecret = a-secret-for-tests-only\n[platform]\nurl = %s\nkind = store\n[tls]\nplain_text_allowed = true\n[relay]\naddress = %s\n[machine]\ncores = %s\n[stop]\nbalancer_wait = 300ms\nbound = 15s\n[log]\nlevel = error\n",
-		r.peer, r.callers, r.callers, r.operator, seed, store, relay, cores)
+	text := fmt.Sprintf("[router]\npeer_address = %s\nplace = z1\ncaller_address = %s\ncaller_url = http://%s\noperator_address = %s\n[fleet]\nseeds = %s\nsecret = a-secret-for-tests-only\n[platform]\nurl = %s\nkind = store\n[tls]\nplain_text_allowed = true\n[relay]\naddress = %s\n[machine]\ncores = %s\n[stop]\nbalancer_wait = 300ms\nbound = %s\n[log]\nlevel = error\n",
+		r.peer, r.callers, r.callers, r.operator, seed, store, relay, cores, cmp.Or(opt.bound, "15s"))
 	require.NoError(t, os.WriteFile(r.settings, []byte(text), 0o600))
 	r.cmd = exec.Command(daemonPath, "-settings", r.settings)
 	r.cmd.Stderr = os.Stderr
@@ -299,6 +300,29 @@
 	}
 }
 
+// When a router stopped, callers whose kept connections it relayed were cut at the end of its grace with
+// no answer, and those that still sent their bodies were told that their requests may have run.
+func TestCallersOfRelayedConnectionsAreToldAtTheEndOfAPlannedStop(t *testing.T) {
+	f := newRelayFleet(t, relayFleetOptions{bound: "2s"})
+	f.waitRelaying(t)
+	running, body := f.busy.open(t, "/a/x", "k1"), f.busy.open(t, "/a/x", "k1")
+	for _, c := range []*relayCall{running, body} {
+		_, err := io.Copy(io.Discard, c.answer(t).Body)
+		require.NoError(t, err)
+	}
+	before := f.upstream.executed.Load()
+	running.send(t, "/a/wait", "k1")
+	require.Eventually(t, func() bool { return f.upstream.executed.Load() == before+1 }, 20*time.Second, 5*time.Millisecond)
+	_, err := io.WriteString(body, "POST /a/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r2\r\nAuthorization: Bearer k1\r\nContent-Length: 4\r\n\r\nbo")
+	require.NoError(t, err)
+	f.busy.signal(t, syscall.SIGTERM)
+	assert.Equal(t, http.StatusServiceUnavailable, body.answer(t).StatusCode, "it has not run")
+	assert.Equal(t, http.StatusBadGateway, running.answer(t).StatusCode)
+	f.busy.exitCode(t)
+	assert.Equal(t, before+1, f.upstream.executed.Load())
+	assert.Equal(t, http.StatusOK, f.helper.status(t, "/a/x", "k1"), "the other router goes on")
+}
+
 // Guards against lost connections and repeated attempts where the other router is of a release
 // without relaying, or of another fleet.
 func TestRouterWithoutAUsableHelperServesItself(t *testing.T) {
--- a/internal/conn/relay/harness_test.go
+++ b/internal/conn/relay/harness_test.go
@@ -66,6 +66,8 @@
 
 func (s relayServer) Close() { s.Server.Close() }
 
+func (s relayServer) SetGrace(time.Duration) {}
+
 // linkFake passes bytes on between an origin and a helper. It can swallow them without a
 // reset, and close both sides.
 type linkFake struct {
--- a/internal/conn/relay/helper.go
+++ b/internal/conn/relay/helper.go
@@ -25,6 +25,9 @@
 	Shutdown(ctx context.Context) error
 	// Close closes all connections.
 	Close()
+	// SetGrace states what the planned stop of the origin leaves to requests. When nothing is left,
+	// callers without an answer are told.
+	SetGrace(left time.Duration)
 }
 
 // HelperSettings are the settings of the side that serves relayed connections.
@@ -262,6 +265,9 @@
 	if m.Reset != 0 {
 		s.reset(m.Reset)
 	}
+	if m.GraceMS > 0 || m.GraceOver {
+		s.server.SetGrace(time.Duration(m.GraceMS) * time.Millisecond)
+	}
 	if m.Stopping {
 		s.stopOnce.Do(func() { go func() { _ = s.server.Shutdown(context.Background()) }() }) // ends with the session at the latest
 	}
--- a/internal/conn/relay/origin.go
+++ b/internal/conn/relay/origin.go
@@ -32,8 +32,11 @@
 	ConnState func(net.Conn, http.ConnState)
 	// CloseHint reports whether callers should be asked to close their connections.
 	CloseHint func() bool
-	Log       zerolog.Logger
-	Registry  metrics.Registry
+	// Grace returns what a planned stop of this router leaves to requests, and false if there is
+	// none or it has no bound. It may be nil.
+	Grace    func() (left time.Duration, bounded bool)
+	Log      zerolog.Logger
+	Registry metrics.Registry
 }
 
 // Origin relays connections of callers to helpers. Its methods may be called by any goroutine.
@@ -157,7 +160,15 @@
 func (o *Origin) status() Message {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return Message{Stopping: o.stopping, CloseHint: o.set.CloseHint()}
+	m := Message{Stopping: o.stopping, CloseHint: o.set.CloseHint()}
+	if o.set.Grace == nil {
+		return m
+	}
+	if left, bounded := o.set.Grace(); bounded {
+		m.GraceOver = left <= 0
+		m.GraceMS = uint32(max(0, left.Milliseconds()))
+	}
+	return m
 }
 
 func (o *Origin) stated(id string, m Message) {
--- a/internal/process/callerserver.go
+++ b/internal/process/callerserver.go
@@ -46,7 +46,7 @@
 		return nil, ErrSettings.Wrap(err, "pipe")
 	}
 	cs := &callerServer{listener: polled, connLimiter: newConnLimiter(descriptors), controlBehind: controlBehind, log: log, handler: handler, relayed: map[*limitedServer]struct{}{}, limits: newLimitsInForce()}
-	cs.own = newLimitedServer(withCloseHint(cs.connLimiter.closeHint, handler), l.Addr(), cs.connState, cs.limits, log)
+	cs.own = newLimitedServer(withCloseHint(cs.connLimiter.closeHint, handler), l.Addr(), cs.connState, cs.limits, nil, log)
 	cs.limits.onChange(cs.limitsChanged)
 	go cs.accept()
 	return cs, nil
--- a/internal/process/limitedconn.go
+++ b/internal/process/limitedconn.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net"
-	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -111,7 +110,7 @@
 			return 0, io.EOF
 		}
 		n, err := c.Conn.Read(p)
-		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.stopped() {
+		if n == 0 && isTimeout(err) && c.stopped() {
 			continue
 		}
 		c.mu.Lock()
@@ -125,6 +124,11 @@
 	}
 }
 
+func isTimeout(err error) bool {
+	var e net.Error
+	return errors.As(err, &e) && e.Timeout()
+}
+
 // HoldsMore implements forward.CallerConn. The length of a body in chunks is unknown.
 func (c *limitedConn) HoldsMore(bodyLength int64) bool {
 	c.mu.Lock()
--- a/internal/process/limitedserver.go
+++ b/internal/process/limitedserver.go
@@ -23,8 +23,9 @@
 	stopping     bool // no request begins on a connection on which nothing has arrived
 }
 
-// newLimitedServer returns a server. connState may be nil.
-func newLimitedServer(handler http.Handler, addr net.Addr, connState func(net.Conn, http.ConnState), limits *limitsInForce, log zerolog.Logger) *limitedServer {
+// newLimitedServer returns a server. connState may be nil, and so may stop: a planned stop, other than this
+// router's, that ends its requests.
+func newLimitedServer(handler http.Handler, addr net.Addr, connState func(net.Conn, http.ConnState), limits *limitsInForce, stop *forward.Stop, log zerolog.Logger) *limitedServer {
 	s := &limitedServer{
 		server: &http.Server{
 			Handler:           handler,
@@ -33,6 +34,9 @@
 			MaxHeaderBytes:    maxLibraryHeader,
 			ConnState:         connState,
 			ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+				if stop != nil {
+					ctx = forward.WithStop(ctx, stop)
+				}
 				return forward.WithConn(ctx, c.(*limitedConn))
 			},
 			ErrorLog: discardLog(),
--- a/internal/process/relaying.go
+++ b/internal/process/relaying.go
@@ -14,6 +14,7 @@
 
 	"github.com/silverswitch/silverswitch/internal/conn/relay"
 	"github.com/silverswitch/silverswitch/internal/core/wire"
+	"github.com/silverswitch/silverswitch/internal/request/forward"
 )
 
 const (
@@ -63,6 +64,7 @@
 	Secret   string
 	Power    uint32 // thousandths of a core, 0 when unknown
 	MemoryMB int
+	Stop     *forward.Stop // of this router; may be nil
 	Registry metrics.Registry
 	Log      zerolog.Logger
 }
@@ -91,7 +93,7 @@
 	r.origin = relay.NewOrigin(relay.OriginSettings{
 		Sealer: sealer, Address: func(id string) string { return relayAddress(id, port) }, Seed: uint64(wire.IncarnationAt(time.Now())),
 		MaxBlocked: int(blockedConnsPerMB * float64(memory)), ServeHere: callers.own.Serve, ConnState: callers.connLimiter.connState,
-		CloseHint: callers.connLimiter.closeHint, Log: set.Log, Registry: set.Registry,
+		CloseHint: callers.connLimiter.closeHint, Grace: graceOf(set.Stop), Log: set.Log, Registry: set.Registry,
 	})
 	take := r.relay(callers.connLimiter)
 	callers.relay.Store(&take)
@@ -99,6 +101,14 @@
 	return r, nil
 }
 
+// graceOf returns what a planned stop leaves to requests, as sessions state it.
+func graceOf(s *forward.Stop) func() (time.Duration, bool) {
+	if s == nil {
+		return nil
+	}
+	return func() (time.Duration, bool) { return s.Left(time.Now()) }
+}
+
 // relay returns the function that decides on new connections. Near the limit on descriptors
 // this router serves new connections itself, because it can close its own idle ones only.
 func (r *relaying) relay(l *connLimiter) func(net.Conn) bool {
@@ -156,20 +166,30 @@
 // descriptors here, but memory: they have a limiter of their own. The router that accepted them
 // counts their descriptors, and states its close hint.
 func (cs *callerServer) newRelayedServer(closeHint func() bool) relay.Server {
+	stop := forward.NewStop()
 	hint := func() bool { return closeHint() || cs.relayedLimiter.closeHint() }
-	s := newLimitedServer(withCloseHint(hint, cs.handler), cs.listener.Addr(), cs.relayedLimiter.connState, cs.limits, cs.log)
+	s := newLimitedServer(withCloseHint(hint, cs.handler), cs.listener.Addr(), cs.relayedLimiter.connState, cs.limits, stop, cs.log)
 	cs.relayedMu.Lock()
 	defer cs.relayedMu.Unlock()
 	cs.relayed[s] = struct{}{}
-	return &relayedServer{limitedServer: s, callers: cs}
+	return &relayedServer{limitedServer: s, stop: stop, callers: cs}
 }
 
 // relayedServer is the server of one session.
 type relayedServer struct {
 	*limitedServer
+	stop    *forward.Stop // of the router that relays the connections
 	callers *callerServer
 }
 
+// SetGrace implements relay.Server.
+func (s *relayedServer) SetGrace(left time.Duration) {
+	s.stop.SetEnd(time.Now().Add(left))
+	if left <= 0 {
+		s.stop.EndUnanswered()
+	}
+}
+
 // Close implements relay.Server.
 func (s *relayedServer) Close() {
 	s.limitedServer.Close()
--- a/internal/process/routeddaemon.go
+++ b/internal/process/routeddaemon.go
@@ -126,7 +126,7 @@
 		return
 	}
 	r, err := startRelaying(ctx, relayingSettings{
-		Address: d.set.Relay, Secret: d.set.Secret, Power: uint32(1000 * d.set.Cores), MemoryMB: d.set.MemoryMB, Registry: reg, Log: d.log,
+		Address: d.set.Relay, Secret: d.set.Secret, Power: uint32(1000 * d.set.Cores), MemoryMB: d.set.MemoryMB, Stop: d.server.Stop, Registry: reg, Log: d.log,
 	}, d.ctrl, d.callerServer)
 	if err != nil {
 		d.log.Error().Err(err).Msg("relay-off")
--- a/internal/request/forward/expected.go
+++ b/internal/request/forward/expected.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// left returns the time until the end of the grace, and false if there is none.
-func (s *Stop) left(now time.Time) (time.Duration, bool) {
+// Left returns the time until the end of the grace, and false if there is none.
+func (s *Stop) Left(now time.Time) (time.Duration, bool) {
 	if s.over.Err() != nil {
 		return 0, true
 	}
@@ -24,7 +24,7 @@
 func (req *callerRequest) endsTooLate() bool {
 	now := req.s.clock.Now()
 	for _, s := range req.stops() {
-		left, stopping := s.left(now)
+		left, stopping := s.Left(now)
 		if !stopping {
 			continue
 		}
