Planned stops: a route with few answers so far is not taken for unknown

Requests of a route with one to three answers were refused from the first moment of a stop, as for a route never seen. They are now expected to take up to four times as long as those answers.

--- a/internal/request/forward/expected.go
+++ b/internal/request/forward/expected.go
@@ -77,7 +77,8 @@
 const (
 	// durationQuantile is the part of a route's requests that take no longer than expected.
 	durationQuantile = 0.95
-	// minDurations is the number of answers from which on a route's durations are known.
+	// minDurations is the number of answers that are enough to go by. With fewer, requests are expected to
+	// take longer in proportion.
 	minDurations = 4
 	// durationMemory is the number of answers after which the weight of earlier ones halves.
 	durationMemory  = 256
@@ -121,20 +122,21 @@
 	h.total++
 }
 
-// expected returns the time within which requests of a route are usually answered, and false if too few
-// were.
+// expected returns the time within which requests of a route are usually answered, and false if none
+// was.
 func (d *durations) expected(route string) (time.Duration, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	h := d.byRoute[route]
-	if h == nil || h.total < minDurations {
+	if h == nil {
 		return 0, false
 	}
-	sum := float32(0)
-	for i, w := range h.weights {
-		if sum += w; sum >= durationQuantile*h.total {
-			return time.Duration(math.Pow(durationGrowth, float64(i)) * float64(time.Millisecond)), true
+	last := 0
+	for sum := float32(0); last < durationBuckets-1; last++ {
+		if sum += h.weights[last]; sum >= durationQuantile*h.total {
+			break
 		}
 	}
-	return time.Duration(math.Pow(durationGrowth, durationBuckets) * float64(time.Millisecond)), true
+	few := max(1, minDurations/float64(h.total))
+	return time.Duration(few * math.Pow(durationGrowth, float64(last)) * float64(time.Millisecond)), true
 }
