Planned stops: callers of applications are told at the end of the bound

What callers saw: at the end of the bound, or at a second signal, connections of the application interface were closed under requests that ran or waited for a slot. Cause: the same as on the routed interface, AppDaemon.Shutdown closes connections and nobody who could answer learns of it. The end now ends every run whose answer has not begun: not-run with 503, unknown with 502; bodies still awaited are refused. Evidence: TestCallersOfApplicationsAreToldAtTheEndOfAPlannedStop, whose callers got EOF before.

--- a/internal/process/app_e2e_test.go
+++ b/internal/process/app_e2e_test.go
@@ -479,6 +479,34 @@
 	wg.Wait()
 }
 
+// At the end of the bound, connections were closed under callers that waited for an answer or a slot.
+func TestCallersOfApplicationsAreToldAtTheEndOfAPlannedStop(t *testing.T) {
+	f := newTestFleet(t)
+	f.plain.Delay = 4 * time.Second
+	ends := make(chan response, 12)
+	for range cap(ends) {
+		go func() { ends <- f.order(0, "/orders", nil) }()
+	}
+	d := f.daemons[0]
+	require.Eventually(t, func() bool { return d.OpenRequests(time.Second) == cap(ends) }, 20*time.Second, 10*time.Millisecond)
+	time.Sleep(time.Second)
+	ran := len(f.plain.Journal.Entries())
+	require.Positive(t, ran)
+	require.Less(t, ran, cap(ends), "some wait for a slot")
+	d.set.Bound = 500 * time.Millisecond
+	assert.Positive(t, d.Shutdown(context.Background()))
+	got := map[outcome.Kind]int{}
+	for range cap(ends) {
+		end := <-ends
+		require.NoError(t, end.err)
+		got[end.kind]++
+		if end.kind == outcome.NotRun {
+			assert.Equal(t, http.StatusServiceUnavailable, end.status)
+		}
+	}
+	assert.Equal(t, map[outcome.Kind]int{outcome.Unknown: ran, outcome.NotRun: cap(ends) - ran}, got)
+}
+
 func TestDisconnectedCallerFreesItsSlot(t *testing.T) {
 	f := newTestFleet(t)
 	for _, e := range f.engines {
--- a/internal/process/appdaemon.go
+++ b/internal/process/appdaemon.go
@@ -31,6 +31,7 @@
 	peerSocket      *conn.PeerSocket
 	fetchServer     *conn.FetchServer
 	upstreams       *conn.Upstreams
+	server          *request.Server
 	callers         *http.Server
 	operator        *http.Server
 	memory          *memory.Account
@@ -111,9 +112,9 @@
 		polled.Close()
 		return ErrSettings.Wrap(err, "[router] operator_address = %q", d.set.Operator)
 	}
-	server := request.NewServer(d.ctrl, d.upstreams, fingerprintKey, d.set.Limits, d.memory, reg)
+	d.server = request.NewServer(d.ctrl, d.upstreams, fingerprintKey, d.set.Limits, d.memory, reg)
 	d.callers = &http.Server{
-		Handler:           d.withCloseHint(server.Handler()),
+		Handler:           d.withCloseHint(d.server.Handler()),
 		ReadHeaderTimeout: d.set.HeadTime,
 		IdleTimeout:       d.set.IdleTime,
 		MaxHeaderBytes:    d.set.Header,
@@ -177,8 +178,9 @@
 }
 
 // Shutdown performs the planned stop: it becomes unready for the load balancer, hands its
-// scheduler roles over, serves every request that has arrived to its end, and closes. It
-// returns the number of requests cut by the bound, which is 0 without a bound.
+// scheduler roles over, serves every request that has arrived to its end, and closes. At the end of the
+// bound or the context, callers without an answer are told, which takes tellTimeout at most. It returns
+// the number of requests cut or in doubt.
 func (d *AppDaemon) Shutdown(ctx context.Context) int {
 	d.leaving.Store(true)
 	d.ctrl.Step(core.Leave{})
@@ -188,16 +190,26 @@
 		ctx, stop = context.WithTimeout(ctx, d.set.Bound)
 		defer stop()
 	}
+	cut := 0
 	if err := d.callers.Shutdown(ctx); err != nil {
-		d.log.Warn().Int("requests", d.openRequests()).Msg("requests-cut")
+		cut = d.openRequests()
+		d.endRequests()
+		d.log.Warn().Int("requests", cut).Msg("requests-cut")
 	}
-	cut := d.openRequests()
 	sleep(ctx, shutdownLingerDuration)
 	d.close()
 	d.log.Info().Int("cut", cut).Msg("stopped")
 	return cut
 }
 
+// endRequests tells callers whose answers have not begun that their requests have ended.
+func (d *AppDaemon) endRequests() {
+	d.server.EndUnanswered()
+	ctx, stop := context.WithTimeout(context.Background(), tellTimeout)
+	defer stop()
+	_ = d.callers.Shutdown(ctx) // what is left is cut
+}
+
 // Reload does nothing: except for the log level, which WatchSettings sets, the application
 // interface applies changed settings only after a restart.
 func (d *AppDaemon) Reload(Settings) {}
--- a/internal/request/answer.go
+++ b/internal/request/answer.go
@@ -301,7 +301,7 @@
 // failStream ends a stream that cannot be completed.
 func (a *answer) failStream() bool {
 	a.stop()
-	relay.Cancel(a.s.upstreams, a.upstream, a.attempt, a.call.Organisation)
+	a.cancelUpstream(a.upstream, a.attempt)
 	if !a.headerSent {
 		return a.failed(a.upstream, a.attempt, relay.Result{State: relay.InDoubt})
 	}
--- a/internal/request/outcome/outcome.go
+++ b/internal/request/outcome/outcome.go
@@ -43,6 +43,7 @@
 	ReasonUpstream    = "upstream-failed"
 	ReasonBroken      = "answer-broken"
 	ReasonForeign     = "answer-of-another-request"
+	ReasonStopping    = "router-stopping"
 )
 
 // Failure is an outcome without an answer.
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -37,7 +38,9 @@
 	streams    bool
 	ticket     *Ticket
 	ctx        context.Context
+	waitCtx    context.Context // without the deadline, by which the control state refuses
 	deadline   time.Time
+	begun      atomic.Bool // the answer's headers are sent
 	attempts   int
 	mayHaveRun bool                     // an attempt so far may have run the request
 	sentAt     time.Time                // of the latest attempt, by the server's clock
@@ -71,7 +74,7 @@
 func (r *run) wait() (Decision, bool) {
 	_, span := r.s.tracer.Start(r.ctx, "queue")
 	defer span.End()
-	d, ok := r.ticket.Wait(r.v.r.Context())
+	d, ok := r.ticket.Wait(r.waitCtx)
 	if !ok {
 		r.abandon()
 		return d, false
@@ -86,10 +89,14 @@
 	return d, true
 }
 
-// abandon ends a request whose caller went away while it waited. A slot that was granted at
+// abandon ends a request whose caller went away while it waited, or that a planned stop has ended. A slot that was granted at
 // the same moment is returned unused.
 func (r *run) abandon() {
 	r.s.ctrl.Cancel(r.ticket)
+	if r.stopped() {
+		r.s.failRequest(r.v, stopping(r.mayHaveRun))
+		return
+	}
 	r.s.count.outcome(outcome.NotRun, outcome.ReasonCanceled)
 }
 
@@ -142,7 +149,7 @@
 	r.reportBrokenAttempt(u, true)
 	gone := r.v.r.Context().Err() != nil
 	if gone || r.ctx.Err() != nil {
-		relay.Cancel(r.s.upstreams, u, id, r.call.Organisation)
+		r.cancelUpstream(u, id)
 	}
 	if !gone && r.app.Idempotent && r.attempts < maxAttempts && r.ctx.Err() == nil && r.s.budget.take() {
 		r.s.count.retried.Inc(1)
@@ -150,6 +157,10 @@
 		return false
 	}
 	r.finish(wire.Sample{Failed: 1}, false)
+	if r.stopped() {
+		r.s.failRequest(r.v, stopping(true))
+		return true
+	}
 	reason := outcome.ReasonUpstream
 	if res.State == relay.Foreign {
 		reason = outcome.ReasonForeign
@@ -162,6 +173,15 @@
 	return true
 }
 
+// cancelUpstream ends an attempt at its upstream. At the end of a planned stop the caller is told first.
+func (r *run) cancelUpstream(u *version.Upstream, id string) {
+	if r.stopped() {
+		go relay.Cancel(r.s.upstreams, u, id, r.call.Organisation)
+		return
+	}
+	relay.Cancel(r.s.upstreams, u, id, r.call.Organisation)
+}
+
 // finish releases the slot. An answered request adds to the retry budget.
 func (r *run) finish(s wire.Sample, answered bool) {
 	r.s.ctrl.Finish(r.ticket, s, answered)
@@ -176,6 +196,7 @@
 // writeHeader sends the answer's headers. The outcome header is left out if kind is empty,
 // and the length if it is negative.
 func (r *run) writeHeader(res *http.Response, kind outcome.Kind, length int) {
+	r.begun.Store(true)
 	h := r.v.w.Header()
 	for _, name := range forwardedHeaders {
 		if v, ok := res.Header[name]; ok {
--- a/internal/request/server.go
+++ b/internal/request/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -56,12 +57,14 @@
 	clock          *clock.Clock
 	fingerprintKey *fingerprint.Key
 	tracer         trace.Tracer
+	over           context.Context // ends with the grace of a planned stop
+	tell           context.CancelFunc
 }
 
 // NewServer returns a Server. It identifies repeated requests by fingerprints made with the
 // key, and keeps what they hold within the memory account.
 func NewServer(ctrl Control, upstreams *conn.Upstreams, fingerprints *fingerprint.Key, limits Limits, account *memory.Account, reg metrics.Registry) *Server {
-	return &Server{
+	s := &Server{
 		ctrl:           ctrl,
 		upstreams:      upstreams,
 		limits:         limits,
@@ -72,6 +75,8 @@
 		fingerprintKey: fingerprints,
 		tracer:         otel.Tracer("silverswitch"),
 	}
+	s.over, s.tell = context.WithCancel(context.Background())
+	return s
 }
 
 // Handler returns the HTTP routes for callers.
@@ -285,10 +290,16 @@
 		return nil, s.memoryFull(v, n)
 	}
 	rc := http.NewResponseController(v.w)
-	_ = rc.SetReadDeadline(time.Now().Add(s.limits.BodyTimeout)) // not supported by test recorders
+	_ = rc.SetReadDeadline(time.Now().Add(s.limits.BodyTimeout))                          // not supported by test recorders
+	undo := context.AfterFunc(s.over, func() { _ = rc.SetReadDeadline(time.Unix(1, 0)) }) // likewise
 	body := v.hold.Buffer(size)
 	defer body.Release()
 	err := body.ReadAll(http.MaxBytesReader(v.w, v.r.Body, s.limits.Body))
+	undo()
+	if s.over.Err() != nil {
+		v.w.Header().Set("Connection", "close")
+		return nil, stopping(false)
+	}
 	if err == nil {
 		_ = rc.SetReadDeadline(time.Time{})
 	}
@@ -329,12 +340,15 @@
 		timeout = min(timeout, v.terms.Timeout)
 	}
 	deadline := s.clock.Now().Add(timeout)
-	ctx, stop := s.clock.WithDeadline(v.r.Context(), deadline)
+	waitCtx, end := context.WithCancelCause(v.r.Context())
+	defer end(nil)
+	ctx, stop := s.clock.WithDeadline(waitCtx, deadline)
 	defer stop()
 	call.Header = v.r.Header
 	call.Organisation = v.org.Name
 	call.Repeatable = app.Idempotent
-	run := &run{s: s, v: v, app: app, call: call, streams: streams, ctx: ctx, deadline: deadline}
+	run := &run{s: s, v: v, app: app, call: call, streams: streams, ctx: ctx, waitCtx: waitCtx, deadline: deadline}
+	defer run.watchStop(end)()
 	if left := run.quarantinedFor(); left > 0 {
 		run.refuseQuarantined(left, idempotencyKey != nil)
 		return
