--- a/internal/request/forward/rival.go
+++ b/internal/request/forward/rival.go
@@ -71,7 +71,7 @@
 func (r *run) fellSilent(at *attempt) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.ended || !r.mayRepeatLocked() {
+	if r.ended || !r.mayRepeatLocked() || r.endsTooLate() {
 		return
 	}
 	if r.rival != nil && r.rival.attempt == at {
