--- a/internal/process/callerserver.go
+++ b/internal/process/callerserver.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/silverswitch/silverswitch/internal/request/forward"
 	"github.com/silverswitch/silverswitch/internal/routing"
 )
 
@@ -45,7 +46,7 @@
 		return nil, ErrSettings.Wrap(err, "pipe")
 	}
 	cs := &callerServer{listener: polled, connLimiter: newConnLimiter(descriptors), controlBehind: controlBehind, log: log, handler: handler, relayed: map[*limitedServer]struct{}{}, limits: newLimitsInForce()}
-	cs.own = newLimitedServer(withCloseHint(cs.connLimiter.closeHint, handler), l.Addr(), cs.connState, cs.limits, log)
+	cs.own = newLimitedServer(withCloseHint(cs.connLimiter.closeHint, handler), l.Addr(), cs.connState, cs.limits, nil, log)
 	cs.limits.onChange(cs.limitsChanged)
 	go cs.accept()
 	return cs, nil
@@ -54,7 +55,7 @@
 // withCloseHint asks callers to close their connections while closeHint returns true.
 func withCloseHint(closeHint func() bool, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if closeHint() {
+		if closeHint() && !forward.HoldsMore(r) {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
@@ -142,8 +143,8 @@
 // stopAccepting closes the listener. Open connections stay open.
 func (cs *callerServer) stopAccepting() { cs.listener.Close() }
 
-// shutdown stops accepting, closes idle connections at once and others after their current
-// request.
+// shutdown stops accepting, closes the connections on which no request has arrived at once, and others
+// after their current request.
 func (cs *callerServer) shutdown(ctx context.Context) error {
 	cs.stopAccepting()
 	return cs.own.Shutdown(ctx)
