Controllers of tests have a source, which fails

On a busy machine internal/process ended now and then with a nil pointer in confirmSource: a router whose ticks are late takes itself for paused and reads its source, and the controllers of tests had none. They have one that fails, so that a reading confirms nothing, as at a router whose store is away.

--- a/internal/process/peercontent_test.go
+++ b/internal/process/peercontent_test.go
@@ -21,10 +21,10 @@
 	"github.com/silverswitch/silverswitch/internal/standin"
 )
 
-// newTestController returns a controller without a network and a source.
+// newTestController returns a controller without a network, whose source fails.
 func newTestController(t *testing.T) *RoutedController {
 	t.Helper()
-	return NewRoutedController(dispatch.Settings{ID: "10.0.0.1:1", Inc: 1, Place: "p"}, nil, nil, nil, conn.NewExchanges(), zerolog.Nop())
+	return NewRoutedController(dispatch.Settings{ID: "10.0.0.1:1", Inc: 1, Place: "p"}, failingSource{}, nil, nil, conn.NewExchanges(), zerolog.Nop())
 }
 
 func manyInstances(n int) (out []routing.Instance) {
--- a/internal/process/storeoutage_test.go
+++ b/internal/process/storeoutage_test.go
@@ -107,7 +107,7 @@
 	i := len(f.routers)
 	address := func(i int) wire.NodeID { return wire.NodeID(fmt.Sprintf("10.1.%d.%d:1", i/200, i%200)) }
 	set := dispatch.Settings{ID: address(i), Inc: 1, Place: []string{"p", "q", "r"}[i%3], Seeds: []wire.NodeID{address(0), address(1), address(2)}, Retry: dispatch.DefaultRetryRules, Seed: uint64(i)}
-	rc := NewRoutedController(set, nil, nil, nil, conn.NewExchanges(), zerolog.Nop())
+	rc := NewRoutedController(set, failingSource{}, nil, nil, conn.NewExchanges(), zerolog.Nop())
 	rc.node = dispatch.New(set, f.now)
 	r := &emulatedRouter{RoutedController: rc, askAt: f.now, pause: minSourceRetryPause}
 	f.routers = append(f.routers, r)
--- a/internal/process/suspension_test.go
+++ b/internal/process/suspension_test.go
@@ -25,7 +25,7 @@
 // routers for current.
 func TestSuspensionCountsAsPause(t *testing.T) {
 	c, total := newSuspendableClock()
-	rc := NewRoutedController(dispatch.Settings{ID: "10.0.0.1:1", Inc: 1, Place: "p", Retry: dispatch.DefaultRetryRules}, nil, nil, nil, conn.NewExchanges(), zerolog.Nop())
+	rc := NewRoutedController(dispatch.Settings{ID: "10.0.0.1:1", Inc: 1, Place: "p", Retry: dispatch.DefaultRetryRules}, failingSource{}, nil, nil, conn.NewExchanges(), zerolog.Nop())
 	rc.clock = c
 	ac := NewAppController(core.Settings{ID: "10.0.0.1:1", Inc: 1, Place: "p"}, nil, nil, zerolog.Nop())
 	ac.clock = c
--- a/internal/process/unservable_test.go
+++ b/internal/process/unservable_test.go
@@ -16,7 +16,7 @@
 // decides. Guards against a router that refuses all requests just after its start.
 func TestUnknownServicesAreNotUnservable(t *testing.T) {
 	now := time.Unix(1_800_000_000, 0)
-	rc := NewRoutedController(dispatch.Settings{ID: "10.0.0.1:1"}, nil, nil, nil, nil, zerolog.Nop())
+	rc := NewRoutedController(dispatch.Settings{ID: "10.0.0.1:1"}, failingSource{}, nil, nil, nil, zerolog.Nop())
 	_, unservable := rc.Unservable("s", nil)
 	assert.False(t, unservable)
 	rc.publishServiceStates(now)
@@ -27,7 +27,7 @@
 // A service is unservable from the publication of the store's content that says so, and
 // servable again from the one that takes it back.
 func TestServiceStatesArePublishedWithTheStoresContent(t *testing.T) {
-	rc := NewRoutedController(dispatch.Settings{ID: "10.0.0.1:1"}, nil, nil, nil, nil, zerolog.Nop())
+	rc := NewRoutedController(dispatch.Settings{ID: "10.0.0.1:1"}, failingSource{}, nil, nil, nil, zerolog.Nop())
 	rc.view.Table = costTable(t)
 	rc.publish(rc.now())
 	refusal, unservable := rc.Unservable("s", nil)
