A caller that closed its direction is cut, not answered with 200

What callers of the own interface saw: a caller that ended its input after the request and still read got an empty answer with status 200 while its request waited for a slot, and the proper end of a stream that was broken off.

Cause: the end of the input cancels the request's context, and the handler then returned without a word, for which net/http sends 200 without a body, or the last chunk. The request is cancelled as before, and its connection is cut.

--- a/internal/request/answer.go
+++ b/internal/request/answer.go
@@ -288,13 +288,15 @@
 }
 
 // callerGone cancels the request at the upstream. The slot is released once the upstream
-// has confirmed that, or relay.Cancel has timed out.
+// has confirmed that, or relay.Cancel has timed out. The answer is cut, as the caller may have closed
+// only its direction.
 func (a *answer) callerGone() bool {
 	a.stop()
 	a.reportBrokenAttempt(a.upstream, a.events == 0)
 	relay.Cancel(a.s.upstreams, a.upstream, a.attempt, a.call.Organisation)
 	a.finishWithUsage(false)
 	a.s.count.outcome(outcome.Unknown, outcome.ReasonCanceled)
+	conn.CutCaller(a.v.w, a.v.r)
 	return true
 }
 
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -11,6 +11,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/silverswitch/silverswitch/internal/conn"
 	"github.com/silverswitch/silverswitch/internal/core/entry"
 	"github.com/silverswitch/silverswitch/internal/core/wire"
 	"github.com/silverswitch/silverswitch/internal/fingerprint"
@@ -87,10 +88,12 @@
 }
 
 // abandon ends a request whose caller went away while it waited. A slot that was granted at
-// the same moment is returned unused.
+// the same moment is returned unused. A caller that only closed its direction still reads: without a
+// cut, net/http would send it an empty answer.
 func (r *run) abandon() {
 	r.s.ctrl.Cancel(r.ticket)
 	r.s.count.outcome(outcome.NotRun, outcome.ReasonCanceled)
+	conn.CutCaller(r.v.w, r.v.r)
 }
 
 // attempt sends the request to an upstream once. It returns true if the outcome has been
