A refusal after an attempt in doubt promises nothing

What callers of the own interface saw: a request that may be repeated was cut at its first upstream, where it may have run, and the others did not take it or no slot was free: it ended with 503 and "not-run".

Cause: refusals by the control state, and the end of the attempts, left out that an attempt had been in doubt; only quarantines counted it, with a status that promises. One function ends such requests now: "unknown" and 502.

TestRefusalAfterAnAttemptInDoubtPromisesNothing failed before (503, "not-run").

--- a/internal/request/quarantine.go
+++ b/internal/request/quarantine.go
@@ -8,7 +8,6 @@
 	"github.com/silverswitch/silverswitch/internal/core/entry"
 	"github.com/silverswitch/silverswitch/internal/core/quarantine"
 	"github.com/silverswitch/silverswitch/internal/fingerprint"
-	"github.com/silverswitch/silverswitch/internal/request/outcome"
 	"github.com/silverswitch/silverswitch/internal/version"
 )
 
@@ -43,10 +42,10 @@
 // without quarantine, 30 tries crashed 60 upstreams.
 func (r *run) quarantinedFor() time.Duration { return r.crashes().Held(r.s.clock.Now()) }
 
-// refuseQuarantined ends a quarantined request. If mayHaveRun is true, the outcome is
-// unknown: an earlier attempt may have run, or an earlier request with the same key.
-func (r *run) refuseQuarantined(left time.Duration, mayHaveRun bool) {
-	r.s.failRequest(r.v, outcome.Refused(entry.ReasonCrashes, left, mayHaveRun))
+// refuseQuarantined ends a quarantined request. earlier is true if an earlier request with its key may
+// have run.
+func (r *run) refuseQuarantined(left time.Duration, earlier bool) {
+	r.refuse(entry.ReasonCrashes, left, earlier)
 }
 
 // reportBrokenAttempt reports to the control state that the upstream may have run the
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -59,7 +59,7 @@
 		}
 		if left := r.quarantinedFor(); left > 0 {
 			r.s.ctrl.Cancel(r.ticket)
-			r.refuseQuarantined(left, r.mayHaveRun)
+			r.refuseQuarantined(left, false)
 			return
 		}
 		if r.attempt(d.Upstream) {
@@ -79,7 +79,7 @@
 	}
 	if d.Upstream == nil {
 		span.SetAttributes(attribute.String("refused", string(d.Refusal.Reason)))
-		r.s.failRequest(r.v, outcome.Refused(d.Refusal.Reason, d.Refusal.RetryAfter, d.Refusal.MayHaveRun))
+		r.refuse(d.Refusal.Reason, d.Refusal.RetryAfter, d.Refusal.MayHaveRun)
 		return d, false
 	}
 	_, grant := r.s.tracer.Start(r.ctx, "grant", trace.WithTimestamp(d.At), trace.WithAttributes(attribute.String("upstream", d.Upstream.Name)))
@@ -134,10 +134,20 @@
 		return false
 	}
 	r.finish(wire.Sample{Failed: 1}, false)
-	r.s.failRequest(r.v, outcome.Refused(entry.ReasonNoUpstream, time.Second, false))
+	r.refuse(entry.ReasonNoUpstream, time.Second, false)
 	return true
 }
 
+// refuse ends a request that is not sent to a further upstream. earlier is true if an earlier request
+// with its key may have run. After an attempt that may have run the status promises nothing either.
+func (r *run) refuse(reason entry.Reason, retryAfter time.Duration, earlier bool) {
+	f := outcome.Refused(reason, retryAfter, earlier || r.mayHaveRun)
+	if r.mayHaveRun {
+		f.Status = http.StatusBadGateway
+	}
+	r.s.failRequest(r.v, f)
+}
+
 // failed ends an attempt that may have run. Only idempotent requests are tried again,
 // within the retry budget.
 func (r *run) failed(u *version.Upstream, id string, res relay.Result) bool {
