A connection whose next request was read is not closed as idle

What callers saw: at a router with more connections than its descriptors allow, a caller that sends its next request before the answer to the last one lost its connection with that request unanswered, though the router had read it.

Cause: the limiter closed the longest idle connection on which nothing lies unread in the socket. The server states that a connection is active only once it has parsed a header, so a request that it had read, with the one before it or just now, did not count. A connection is closed as idle only while the server waits for bytes and none have come; what arrives after that is not read.

--- a/internal/process/connlimiter.go
+++ b/internal/process/connlimiter.go
@@ -77,7 +77,7 @@
 		l.arrivals.sample(caller)
 	}
 	if drop != nil {
-		drop.Close() // idle, so no request is lost that the router has read
+		drop.Close()
 	}
 }
 
@@ -85,15 +85,15 @@
 const maxIdleTries = 8
 
 // removeLongestIdle removes the longest idle connection from the list and returns it, or
-// returns nil unless too many connections are open. It skips connections on which an unread
-// request has arrived.
+// returns nil unless too many connections are open. It skips connections on which a request has
+// arrived, read or not: the server states that a connection is active only once it has the header.
 func (l *connLimiter) removeLongestIdle() net.Conn {
 	if l.maxOpen == 0 || l.open <= l.maxOpen {
 		return nil
 	}
 	e := l.idle.Front()
 	for i := 0; e != nil && i < maxIdleTries; i++ {
-		if idle := e.Value.(net.Conn); conn.NoUnread(idle) {
+		if idle := e.Value.(net.Conn); mayRetire(idle) {
 			l.removeIdle(idle)
 			return idle
 		}
@@ -102,6 +102,14 @@
 	return nil
 }
 
+// mayRetire reports whether an idle connection may be closed.
+func mayRetire(idle net.Conn) bool {
+	if c, ok := idle.(interface{ retire() bool }); ok {
+		return c.retire()
+	}
+	return conn.NoUnread(idle)
+}
+
 func (l *connLimiter) removeIdle(caller net.Conn) {
 	if e := l.idleElements[caller]; e != nil {
 		l.idle.Remove(e)
