A refused body has a moment of its own to end, and no more

What callers of the own interface saw: one that was refused by its headers and did not finish its body was never told, and kept its connection for ever. One whose body came too slowly was refused with 408 and reset at once by what came after that: its writes failed before it had read the answer.

Cause: net/http reads what is left of a body, before the answer or after it, up to the read deadline. There was none in the first case, and it had passed in the second. Refusals of requests whose body may not have been read set one of 3 s, as the routed interface does.

--- a/internal/request/server.go
+++ b/internal/request/server.go
@@ -86,6 +86,7 @@
 }
 
 func (s *Server) notFound(w http.ResponseWriter, r *http.Request) {
+	boundRestOfBody(w, r)
 	s.writeFailure(w, caller.RequestID(r), outcome.BadRequest(http.StatusNotFound, outcome.ReasonPath,
 		"allowed: POST /v1/chat/completions, GET /v1/models, /v1/apps/{application}/{path}"))
 }
@@ -113,7 +114,7 @@
 		defer span.End()
 		v := &callerRequest{w: w, r: r.WithContext(ctx), span: span, keyUndecided: r.Header.Get(caller.HeaderKey) != ""}
 		if err := s.admit(v); err != nil {
-			s.failRequest(v, err)
+			s.refuse(v, err)
 			return
 		}
 		span.SetAttributes(attribute.String("organisation", v.org.Name), attribute.String("request_id", v.terms.ID))
@@ -181,7 +182,7 @@
 func (s *Server) completion(v *callerRequest) {
 	raw, err := s.readBody(v, completionCopies)
 	if err != nil {
-		s.failRequest(v, err)
+		s.refuse(v, err)
 		return
 	}
 	var fields map[string]json.RawMessage
@@ -232,17 +233,17 @@
 func (s *Server) plain(v *callerRequest) {
 	name, err := url.PathUnescape(mux.Vars(v.r)["app"])
 	if err != nil {
-		s.failRequest(v, outcome.BadRequest(http.StatusNotFound, outcome.ReasonPath, "application name is not a valid path segment"))
+		s.refuse(v, outcome.BadRequest(http.StatusNotFound, outcome.ReasonPath, "application name is not a valid path segment"))
 		return
 	}
 	app, err := s.application(v, name, version.KindPlain)
 	if err != nil {
-		s.failRequest(v, err)
+		s.refuse(v, err)
 		return
 	}
 	raw, err := s.readBody(v, plainCopies)
 	if err != nil {
-		s.failRequest(v, err)
+		s.refuse(v, err)
 		return
 	}
 	path := strings.TrimPrefix(v.r.URL.EscapedPath(), "/v1/apps/"+mux.Vars(v.r)["app"])
@@ -270,6 +271,9 @@
 	// requestOverhead is what a request holds beside its body and its answer: the stacks of its
 	// goroutines, the buffers of its connections, and the control state's entry.
 	requestOverhead = 24 << 10
+	// refusalReadTimeout bounds the time in which the rest of a refused request's body must
+	// arrive. net/http reads up to 256 KB of it, before the answer unless that closes the connection.
+	refusalReadTimeout = 3 * time.Second
 )
 
 // readBody reads the body within the limits of size, time and memory. Its memory, of which a
@@ -298,8 +302,6 @@
 	if err == nil {
 		return bytes.Join(body.Pieces(), nil), nil
 	}
-	// The read deadline is kept: otherwise net/http would wait for the rest of the body
-	// before it sends the answer.
 	v.w.Header().Set("Connection", "close")
 	if errors.Is(err, memory.ErrFull) {
 		return nil, s.memoryFull(v, copies*int64(body.Len()))
@@ -361,6 +363,19 @@
 	return &k, nil
 }
 
+// refuse sends a failure to a caller that may still send its body. If the connection is to be closed,
+// what comes of the body is read for a while, so that the answer is not lost in a reset.
+func (s *Server) refuse(v *callerRequest, err error) {
+	boundRestOfBody(v.w, v.r)
+	s.failRequest(v, err)
+}
+
+func boundRestOfBody(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(refusalReadTimeout)) // not supported by test recorders
+	}
+}
+
 // failRequest sends a failure to the caller and records it on the request's span.
 func (s *Server) failRequest(v *callerRequest, err error) {
 	var f outcome.Failure
