A request that came in time is read late rather than not at all

What callers saw: a router that was suspended, or short of CPU, until the time of an idle connection or of a header was over, or for which the limit was lowered meanwhile, reset the connection although the request lay in its buffer.

Cause: a read whose deadline has passed returns without looking for bytes, and the connection is closed with them unread. Once for each wait the server now gets a moment to read what has come.

--- a/internal/process/limitedconn.go
+++ b/internal/process/limitedconn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -25,6 +26,9 @@
 	// refusalLinger is how long a connection stays open after its request was refused while the
 	// caller still sends, so that the answer is not lost in a reset.
 	refusalLinger = 500 * time.Millisecond
+	// lateReadTimeout is for what had arrived when a deadline passed: a process that was suspended or
+	// short of CPU finds both at once.
+	lateReadTimeout = 50 * time.Millisecond
 )
 
 // connPhase is what a connection waits for.
@@ -42,10 +46,13 @@
 	limits *limitsInForce
 	closed func(*limitedConn)
 
-	mu     sync.Mutex
-	phase  connPhase
-	since  time.Time
-	header int64 // bytes read in phaseHeader
+	mu      sync.Mutex
+	phase   connPhase
+	since   time.Time
+	header  int64 // bytes read in phaseHeader
+	reading bool  // a Read has begun and has not returned
+	retired bool  // see retire
+	late    bool  // the deadline has passed, and what had arrived is read
 }
 
 // SetReadDeadline sets the deadline of the limits in force where the server sets one of its marks.
@@ -62,7 +69,7 @@
 	default:
 		c.phase = phaseIdle
 	}
-	c.since, c.header = now, 0
+	c.since, c.header, c.late = now, 0, false
 	return c.applyDeadline(c.limits.get())
 }
 
@@ -82,7 +89,7 @@
 func (c *limitedConn) limitsChanged(l routing.Limits) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase != phaseOther {
+	if c.phase != phaseOther && !c.late {
 		_ = c.applyDeadline(l) // fails only on a closed connection
 	}
 }
@@ -94,15 +101,47 @@
 		c.refuseHeader()
 		return 0, io.EOF
 	}
+	c.mu.Lock()
+	c.reading = true
+	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
+	if n == 0 && os.IsTimeout(err) && c.allowLate() {
+		n, err = c.Conn.Read(p)
+	}
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = false
+	if c.retired {
+		return 0, net.ErrClosed
+	}
 	if c.phase == phaseHeader {
 		c.header += int64(n)
 	}
-	c.mu.Unlock()
 	return n, err
 }
 
+// allowLate reports whether bytes had arrived when the deadline passed, and gives the server a moment
+// to read them. A request that came in time must not end with a closed connection because it is read
+// late, or because the limit was lowered meanwhile.
+func (c *limitedConn) allowLate() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseOther || c.late || conn.NoUnread(c.Conn) {
+		return false
+	}
+	c.late = true
+	return c.Conn.SetReadDeadline(time.Now().Add(lateReadTimeout)) == nil
+}
+
+// retire reports whether the connection may be closed because it is idle. It may be while the server
+// waits for a request of which nothing has arrived; from then on none is read.
+func (c *limitedConn) retire() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.retired = c.retired || c.phase == phaseIdle && c.reading && conn.NoUnread(c.Conn)
+	return c.retired
+}
+
 func (c *limitedConn) headerExceeds() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
