A withdrawn request does not prolong an idle connection

What callers could see: a request that may not be repeated ended with 502 as one that may have run, since it was sent on a kept connection while the upstream closed it.

Cause: a connection that was taken for a request and returned because that was no longer wanted counted as idle from then on, though the upstream had heard nothing. With a withdrawal now and then it was used past the time that the upstream states. It keeps the time since when it is idle.

TestWithdrawnRequestDoesNotProlongAnIdleConnection failed before (no connection was opened).

--- a/internal/conn/exchange.go
+++ b/internal/conn/exchange.go
@@ -90,7 +90,7 @@
 		return nil, ErrNotSent.Wrap(err, "connect to %s", addr)
 	}
 	if m.StillWanted != nil && !m.StillWanted() {
-		p.addIdle(c)
+		p.putUnused(c)
 		return nil, ErrWithdrawn.New("send to %s", addr)
 	}
 	x := &Exchange{pool: p, c: c, upstreamStart: m.UpstreamStart, written: make(chan error, 1)}
--- a/internal/conn/exchange_test.go
+++ b/internal/conn/exchange_test.go
@@ -327,6 +327,27 @@
 	assert.False(t, c.reused)
 }
 
+// A request was withdrawn before it was sent, and its connection counted as idle from then on: the next
+// one was sent on it while the upstream closed it.
+func TestWithdrawnRequestDoesNotProlongAnIdleConnection(t *testing.T) {
+	addr := serveRaw(t, func(c net.Conn) { _, _ = c.Read(make([]byte, 1)) })
+	var total atomic.Int64
+	p := NewExchanges()
+	p.clock = clock.New(func() (time.Duration, bool) { return time.Duration(total.Load()), true })
+	defer p.Close()
+	require.False(t, p.Refuses(context.Background(), addr))
+	withdrawn := &Message{Method: "GET", Target: "/", Host: "h", Header: http.Header{}, StillWanted: func() bool { return false }}
+	opened := 0
+	p.OnOpen = func() { opened++ }
+	for range 2 {
+		total.Add(int64(defaultIdleTimeout * 3 / 5))
+		p.clock.Refresh()
+		_, err := p.Send(context.Background(), addr, withdrawn, anyAnswer)
+		require.True(t, IsWithdrawn(err))
+	}
+	assert.Equal(t, 1, opened, "it was idle for longer than its upstream keeps it")
+}
+
 // A response header without an end would fill a router's memory until its process is killed,
 // and the caller's retry would do the same to the next router.
 func TestEndlessHeaderIsRejected(t *testing.T) {
--- a/internal/conn/pool.go
+++ b/internal/conn/pool.go
@@ -177,9 +177,24 @@
 	p.addIdle(c)
 }
 
-// addIdle adds a connection to the pool. The oldest ones past their idle timeout are closed.
+// addIdle adds a connection to the pool that is idle from now on.
 func (p *Exchanges) addIdle(c *upstreamConn) {
 	c.idleSince, c.reused = p.clock.Now(), true
+	p.putBack(c)
+}
+
+// putUnused returns a connection to the pool on which nothing was sent: for its upstream it is idle
+// since before.
+func (p *Exchanges) putUnused(c *upstreamConn) {
+	if c.reused {
+		p.putBack(c)
+		return
+	}
+	p.addIdle(c)
+}
+
+// putBack adds a connection to the pool. The oldest ones past their idle timeout are closed.
+func (p *Exchanges) putBack(c *upstreamConn) {
 	p.mu.Lock()
 	list := p.idle[c.addr]
 	var old []*upstreamConn
