A request that comes back to its queue is told what a new version forbids

What callers of the own interface saw: a version came while a request was at an upstream, which did not take it. Where that version had no upstream for it, it waited for its whole time and was told that it is over; where its application had been taken away, it was told the same at once, as if a retry were of use.

Cause: waiting requests are checked against a new version, running ones are not, and one that came back was checked for its application alone and refused by the wrong reason. Both places ask one function now.

TestReturnedRequestThatCannotStartIsToldWhy failed before in both cases ("deadline"; not refused).

--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -144,10 +144,8 @@
 		if f.running {
 			continue
 		}
-		if e.app(f.Request) == nil {
-			e.refuse(f, ReasonWithdrawn, 0)
-		} else if len(f.queue.pools) == 0 {
-			e.refuse(f, ReasonNoUpstream, minRetryAfter)
+		if reason, after := e.unstartable(f); reason != "" {
+			e.refuse(f, reason, after)
 		}
 	}
 	for _, p := range e.pools {
@@ -155,6 +153,18 @@
 	}
 }
 
+// unstartable returns why the version in force lets a tracked request start nowhere, "" if it does not,
+// and when its caller should retry.
+func (e *Entry) unstartable(f *trackedRequest) (Reason, time.Duration) {
+	switch {
+	case e.app(f.Request) == nil:
+		return ReasonWithdrawn, 0
+	case len(f.queue.pools) == 0:
+		return ReasonNoUpstream, minRetryAfter
+	}
+	return "", 0
+}
+
 // app returns the application if the organisation may call it at this router now, or nil.
 func (e *Entry) app(r Request) *version.Application {
 	o := e.ver.Organisations[r.Org]
@@ -254,9 +264,13 @@
 		p.addSample(wire.Sample{Upstream: f.upstream, Failed: 1})
 	}
 	f.running = false
-	if !now.Before(f.Deadline) || e.app(f.Request) == nil {
+	reason, after := e.unstartable(f) // the version may have changed while it ran
+	if !now.Before(f.Deadline) {
+		reason, after = ReasonDeadline, minRetryAfter
+	}
+	if reason != "" {
 		f.queue = nil
-		e.refuse(f, ReasonDeadline, minRetryAfter)
+		e.refuse(f, reason, after)
 		return
 	}
 	e.updateNextDeadline(f)
--- a/internal/core/entry/entry_test.go
+++ b/internal/core/entry/entry_test.go
@@ -209,6 +209,24 @@
 	assert.Equal(t, []Start{{1, f.u1}, {1, f.u2}}, starts)
 }
 
+// A version came while a request was at an upstream, which did not take it. Without any upstream in that
+// version the request waited for its whole time; without the application it was told that its time is over.
+func TestReturnedRequestThatCannotStartIsToldWhy(t *testing.T) {
+	for reason, change := range map[Reason]func(f *fixture){
+		ReasonWithdrawn:  func(f *fixture) { f.SetVersion(testVersion(t, 2, "b")) },
+		ReasonNoUpstream: func(f *fixture) { f.queues[queueKey{f.x, "s"}].pools = nil },
+	} {
+		f := newFixture(t, "a,b", 1)
+		f.grants(wire.Grant{No: 1, Org: f.x, Upstream: f.u1, N: 1})
+		change(f)
+		f.Return(1, false, f.now)
+		_, refused := f.Take()
+		if assert.Len(t, refused, 1, reason) {
+			assert.Equal(t, reason, refused[0].Reason)
+		}
+	}
+}
+
 func TestCreditStartsRequestAtOnce(t *testing.T) {
 	f := newFixture(t, "a,b", 1)
 	f.grants(wire.Grant{No: 1, Org: f.x, Upstream: f.u1, N: 1}, wire.Grant{No: 2, Upstream: f.u2, N: 1})
