A refusal is not lost in the reset of its connection

What callers saw: one that asks to close its connection, or speaks HTTP/1.0, and is refused before it has sent its body had its connection reset with the answer: its writes failed.

Cause: net/http reads no further body of such a request, and closing a connection with unread bytes resets it. A connection that is closed after a request and has unread bytes now first ends its own direction and drops what comes for up to half a second, 256 of them at a time.

--- a/internal/process/callerserver_test.go
+++ b/internal/process/callerserver_test.go
@@ -96,3 +96,25 @@
 	_, err := br.ReadByte()
 	assert.ErrorIs(t, err, io.EOF)
 }
+
+// A caller that asked to close the connection was refused by its headers, and the connection reset
+// under the rest of its body: net/http does not read that of such a request.
+func TestRefusalIsNotLostInAReset(t *testing.T) {
+	t.Parallel()
+	refuse := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
+	cs, err := newCallerServer("127.0.0.1:0", 0, refuse, 0, nil, zerolog.Nop())
+	require.NoError(t, err)
+	t.Cleanup(cs.close)
+	c, br := dialCallerServer(t, cs.listener.Addr().String())
+	piece := strings.Repeat("x", 20_000)
+	_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 200000\r\n\r\n"+piece)
+	require.NoError(t, err)
+	for range 9 {
+		time.Sleep(20 * time.Millisecond)
+		_, err = io.WriteString(c, piece)
+		require.NoError(t, err)
+	}
+	res, err := http.ReadResponse(br, nil)
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusServiceUnavailable, res.StatusCode)
+}
--- a/internal/process/limitedconn.go
+++ b/internal/process/limitedconn.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -26,6 +27,8 @@
 	// refusalLinger is how long a connection stays open after its request was refused while the
 	// caller still sends, so that the answer is not lost in a reset.
 	refusalLinger = 500 * time.Millisecond
+	// maxLingering bounds the closed connections of a server that still read, each for refusalLinger.
+	maxLingering = 256
 	// lateReadTimeout is for what had arrived when a deadline passed: a process that was suspended or
 	// short of CPU finds both at once.
 	lateReadTimeout = 50 * time.Millisecond
@@ -43,8 +46,9 @@
 // limitedConn is a caller's connection under the limits in force.
 type limitedConn struct {
 	net.Conn
-	limits *limitsInForce
-	closed func(*limitedConn)
+	limits    *limitsInForce
+	closed    func(*limitedConn)
+	lingering *atomic.Int64 // of the server: connections that are closed and still read
 
 	mu      sync.Mutex
 	phase   connPhase
@@ -53,6 +57,7 @@
 	reading bool  // a Read has begun and has not returned
 	retired bool  // see retire
 	late    bool  // the deadline has passed, and what had arrived is read
+	reset   bool  // Close is to reset the connection
 }
 
 // SetReadDeadline sets the deadline of the limits in force where the server sets one of its marks.
@@ -158,10 +163,33 @@
 	}
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. Closing a connection with unread bytes resets it, and the answer may be
+// lost: net/http reads no body of a request that asks to close the connection. What the caller still
+// sends is dropped for a while first.
 func (c *limitedConn) Close() error {
 	c.closed(c)
-	return c.Conn.Close()
+	if !c.mayLinger() {
+		return c.Conn.Close()
+	}
+	go func() {
+		defer c.Conn.Close()
+		if c.lingering.Add(1) <= maxLingering && c.CloseWrite() == nil && c.Conn.SetReadDeadline(time.Now().Add(refusalLinger)) == nil {
+			_, _ = io.Copy(io.Discard, c.Conn)
+		}
+		c.lingering.Add(-1)
+	}()
+	return nil
+}
+
+// mayLinger reports whether the caller may still read an answer and has sent what is not read yet.
+func (c *limitedConn) mayLinger() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseIdle || c.reset || conn.NoUnread(c.Conn) {
+		return false
+	}
+	c.reset = true // a further Close closes at once
+	return true
 }
 
 var errNoHalfClose = errors.New("the connection cannot be closed in one direction")
@@ -178,6 +206,9 @@
 
 // SetLinger lets conn.CutCaller reset the connection.
 func (c *limitedConn) SetLinger(sec int) error {
+	c.mu.Lock()
+	c.reset = c.reset || sec == 0
+	c.mu.Unlock()
 	if l, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
 		return l.SetLinger(sec)
 	}
--- a/internal/process/limitedserver.go
+++ b/internal/process/limitedserver.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 
 	"github.com/rs/zerolog"
 )
@@ -17,6 +18,7 @@
 	chanListener *chanListener
 	mu           sync.Mutex
 	conns        map[*limitedConn]struct{}
+	lingering    atomic.Int64 // see limitedConn.Close
 }
 
 // newLimitedServer returns a server. connState may be nil.
@@ -42,7 +44,7 @@
 
 // Serve serves one connection. It returns before the connection ends.
 func (s *limitedServer) Serve(c net.Conn) {
-	limited := &limitedConn{Conn: c, limits: s.limits, closed: s.forget}
+	limited := &limitedConn{Conn: c, limits: s.limits, closed: s.forget, lingering: &s.lingering}
 	s.mu.Lock()
 	s.conns[limited] = struct{}{}
 	s.mu.Unlock()
