--- a/internal/process/limitedconn.go
+++ b/internal/process/limitedconn.go
@@ -167,11 +167,12 @@
 // lost: net/http reads no body of a request that asks to close the connection. What the caller still
 // sends is dropped for a while first.
 func (c *limitedConn) Close() error {
-	c.closed(c)
 	if !c.mayLinger() {
+		c.closed(c)
 		return c.Conn.Close()
 	}
 	go func() {
+		defer c.closed(c)
 		defer c.Conn.Close()
 		if c.lingering.Add(1) <= maxLingering && c.CloseWrite() == nil && c.Conn.SetReadDeadline(time.Now().Add(refusalLinger)) == nil {
 			_, _ = io.Copy(io.Discard, c.Conn)
