Refusals of the application interface are not lost in a reset either

The same as on the routed interface (a caller that asks to close its connection is refused before it has sent its body, and the connection is reset): its listener's connections are closed in the same way now, by one type for both.

TestRefusalIsNotLostInAReset failed for it before (write: connection reset by peer).

--- a/internal/process/appdaemon.go
+++ b/internal/process/appdaemon.go
@@ -120,7 +120,7 @@
 		Protocols:         protocols(),
 	}
 	d.operator = &http.Server{Handler: operatorHandler(d.ctrl, reg), ReadHeaderTimeout: d.set.HeadTime}
-	go d.serve(d.callers, polled)
+	go d.serve(d.callers, &lingeringListener{Listener: polled})
 	go func() { _ = d.operator.Serve(operator) }()
 	return nil
 }
--- a/internal/process/callerserver_test.go
+++ b/internal/process/callerserver_test.go
@@ -102,19 +102,26 @@
 func TestRefusalIsNotLostInAReset(t *testing.T) {
 	t.Parallel()
 	refuse := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
-	cs, err := newCallerServer("127.0.0.1:0", 0, refuse, 0, nil, zerolog.Nop())
+	routed, err := newCallerServer("127.0.0.1:0", 0, refuse, 0, nil, zerolog.Nop())
 	require.NoError(t, err)
-	t.Cleanup(cs.close)
-	c, br := dialCallerServer(t, cs.listener.Addr().String())
-	piece := strings.Repeat("x", 20_000)
-	_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 200000\r\n\r\n"+piece)
+	t.Cleanup(routed.close)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	for range 9 {
-		time.Sleep(20 * time.Millisecond)
-		_, err = io.WriteString(c, piece)
+	app := &http.Server{Handler: refuse}
+	t.Cleanup(func() { app.Close() })
+	go func() { _ = app.Serve(&lingeringListener{Listener: l}) }()
+	piece := strings.Repeat("x", 20_000)
+	for server, addr := range map[string]net.Addr{"routed interface": routed.listener.Addr(), "application interface": l.Addr()} {
+		c, br := dialCallerServer(t, addr.String())
+		_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 200000\r\n\r\n"+piece)
 		require.NoError(t, err)
+		for range 9 {
+			time.Sleep(20 * time.Millisecond)
+			_, err = io.WriteString(c, piece)
+			require.NoError(t, err, server)
+		}
+		res, err := http.ReadResponse(br, nil)
+		require.NoError(t, err, server)
+		assert.Equal(t, http.StatusServiceUnavailable, res.StatusCode, server)
 	}
-	res, err := http.ReadResponse(br, nil)
-	require.NoError(t, err)
-	assert.Equal(t, http.StatusServiceUnavailable, res.StatusCode)
 }
--- a/internal/process/limitedconn.go
+++ b/internal/process/limitedconn.go
@@ -6,7 +6,6 @@
 	"net"
 	"os"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -24,11 +23,6 @@
 	// headerSlop is what may be read beyond the limit on headers, because a buffer of this size
 	// is read at once.
 	headerSlop = 4 << 10
-	// refusalLinger is how long a connection stays open after its request was refused while the
-	// caller still sends, so that the answer is not lost in a reset.
-	refusalLinger = 500 * time.Millisecond
-	// maxLingering bounds the closed connections of a server that still read, each for refusalLinger.
-	maxLingering = 256
 	// lateReadTimeout is for what had arrived when a deadline passed: a process that was suspended or
 	// short of CPU finds both at once.
 	lateReadTimeout = 50 * time.Millisecond
@@ -48,7 +42,7 @@
 	net.Conn
 	limits    *limitsInForce
 	closed    func(*limitedConn)
-	lingering *atomic.Int64 // of the server: connections that are closed and still read
+	lingering *lingering
 
 	mu      sync.Mutex
 	phase   connPhase
@@ -163,22 +157,13 @@
 	}
 }
 
-// Close implements net.Conn. Closing a connection with unread bytes resets it, and the answer may be
-// lost: net/http reads no body of a request that asks to close the connection. What the caller still
-// sends is dropped for a while first.
+// Close implements net.Conn.
 func (c *limitedConn) Close() error {
 	if !c.mayLinger() {
 		c.closed(c)
 		return c.Conn.Close()
 	}
-	go func() {
-		defer c.closed(c)
-		defer c.Conn.Close()
-		if c.lingering.Add(1) <= maxLingering && c.CloseWrite() == nil && c.Conn.SetReadDeadline(time.Now().Add(refusalLinger)) == nil {
-			_, _ = io.Copy(io.Discard, c.Conn)
-		}
-		c.lingering.Add(-1)
-	}()
+	go c.lingering.close(c)
 	return nil
 }
 
--- a/internal/process/limitedserver.go
+++ b/internal/process/limitedserver.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 
 	"github.com/rs/zerolog"
 )
@@ -18,7 +17,7 @@
 	chanListener *chanListener
 	mu           sync.Mutex
 	conns        map[*limitedConn]struct{}
-	lingering    atomic.Int64 // see limitedConn.Close
+	lingering    lingering
 }
 
 // newLimitedServer returns a server. connState may be nil.
