--- a/internal/memory/account_test.go
+++ b/internal/memory/account_test.go
@@ -57,6 +57,24 @@
 	assert.Equal(t, map[string]int64{"flood": largestBody, "other": 6 * mb}, a.Usage().Organisations)
 }
 
+// Answers of one service filled all that its organisation may hold, and the requests for the others were
+// refused.
+func TestServiceThatFillsMemoryLeavesRoomForOthersOfItsOrganisation(t *testing.T) {
+	a := NewAccount(limitFor(smallestVM, 15*mb))
+	for bad := a.HoldFor("alpha", "bad"); bad.Reserve(chunkBytes); {
+	}
+	assert.GreaterOrEqual(t, a.Used(), a.limit*7/10, "memory that is free is used")
+	other := a.Hold("beta")
+	require.True(t, other.Reserve(mb))
+	for range 16 {
+		h := a.Hold("alpha")
+		require.True(t, h.Reserve(64<<10))
+		h.Assign("sound")
+		require.True(t, h.Reserve(16<<10), "and its answer")
+	}
+	assert.Equal(t, int64(16*80<<10), a.orgs["alpha"].services["sound"])
+}
+
 // A bound that follows what else the process holds must not refuse the largest body for good.
 func TestLargestBodyFitsSmallestVM(t *testing.T) {
 	for _, base := range []int64{0, 20 * mb, 60 * mb} {
@@ -100,6 +118,39 @@
 	assert.Zero(t, a.Used())
 }
 
+// Events of any size follow one another. Each is reserved as it grows, and leaves no garbage.
+func TestGrowingBlockIsReservedAndUsedAgain(t *testing.T) {
+	defer debug.SetGCPercent(debug.SetGCPercent(-1))
+	a := NewAccount(4 * mb)
+	h := a.Hold("alpha")
+	b := h.Block()
+	line := bytes.Repeat([]byte("x"), 3000)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range 30 {
+		for n := len(line); n <= MaxBlockBytes; n += len(line) {
+			require.True(t, b.Append(line))
+			require.Len(t, b.Bytes(), n)
+			if n > FreeBlockBytes {
+				require.GreaterOrEqual(t, a.Used(), int64(n), "the size at each moment")
+			}
+		}
+		assert.False(t, b.Append(line), "no larger than MaxBlockBytes")
+		b.Reset()
+		require.Zero(t, a.Used())
+	}
+	runtime.ReadMemStats(&after)
+	assert.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(30*MaxBlockBytes/4), "30 events take the memory of a few")
+
+	others := fill(a, "alpha", mb/4)
+	require.True(t, b.Append(line))
+	assert.False(t, b.Append(bytes.Repeat(line, 100)), "others hold the memory")
+	assert.Len(t, b.Bytes(), len(line), "nothing is appended")
+	others[0].Release()
+	others[1].Release()
+	assert.True(t, b.Append(bytes.Repeat(line, 20)))
+}
+
 // Idle chunks are no longer counted for a request, so they must make room for those that are.
 func TestIdleChunksMakeRoom(t *testing.T) {
 	a := NewAccount(10 * mb)
@@ -108,11 +159,11 @@
 	b := h.Buffer(largestBody)
 	require.NoError(t, b.ReadAll(bytes.NewReader(make([]byte, largestBody))))
 	b.Release()
-	require.Equal(t, int64(largestBody), a.idleBytes())
+	require.Equal(t, int64(largestBody), a.idle.bytes())
 	require.True(t, h.Reserve(8*mb))
-	assert.LessOrEqual(t, a.Used()+a.idleBytes(), a.limit)
+	assert.LessOrEqual(t, a.Used()+a.idle.bytes(), a.limit)
 	a.collected(0, func(int64) int64 { return a.limit })
-	assert.LessOrEqual(t, a.idleBytes(), int64(mb), "each collection frees half of them")
+	assert.LessOrEqual(t, a.idle.bytes(), int64(mb), "each collection frees half of them")
 }
 
 // A body that is being written to an upstream is still in memory when its request has ended.
@@ -194,6 +245,7 @@
 func TestAccountAddsUp(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		a := NewAccount(int64(rapid.IntRange(1, 100).Draw(t, "limit")) * 1000)
+		services := rapid.SampledFrom([]string{"", "x", "y"})
 		var holds []*Hold
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			if n := len(holds); n > 0 && rapid.Bool().Draw(t, "release") {
@@ -206,13 +258,23 @@
 				holds[i].Release()
 				continue
 			}
-			h := a.Hold(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "organisation"))
+			h := a.HoldFor(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "organisation"), services.Draw(t, "service"))
 			h.Reserve(int64(rapid.IntRange(0, 20_000).Draw(t, "bytes")))
+			if rapid.Bool().Draw(t, "assign") {
+				h.Assign(services.Draw(t, "service"))
+			}
 			holds = append(holds, &h)
 			sum := int64(0)
 			for _, n := range a.Usage().Organisations {
 				sum += n
 			}
+			for _, o := range a.orgs {
+				ofServices := int64(0)
+				for _, n := range o.services {
+					ofServices += n
+				}
+				assert.LessOrEqual(t, ofServices, o.used)
+			}
 			assert.Equal(t, a.Used(), sum)
 			assert.LessOrEqual(t, a.Used(), a.limit)
 		}
--- a/internal/process/limitedconn.go
+++ b/internal/process/limitedconn.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/silverswitch/silverswitch/internal/conn"
+	"github.com/silverswitch/silverswitch/internal/memory"
 	"github.com/silverswitch/silverswitch/internal/routing"
 )
 
@@ -48,13 +49,16 @@
 	mu      sync.Mutex
 	phase   connPhase
 	since   time.Time
-	header  int64 // bytes read in phaseHeader
-	begun   bool  // bytes of the next request were read, while the connection waits for one
-	stops   bool  // see stop
-	reading bool  // a Read has begun and has not returned
-	retired bool  // see retire
-	late    bool  // the deadline has passed, and what had arrived is read
-	reset   bool  // Close is to reset the connection
+	size    int           // bytes read in phaseHeader
+	header  memory.Header // what may have been read of the header that comes or is being read
+	latest  memory.Header // what the latest read may have left in the server's buffer
+	hold    memory.Hold   // of header; the organisation is not known yet
+	begun   bool          // bytes of the next request were read, while the connection waits for one
+	stops   bool          // see stop
+	reading bool          // a Read has begun and has not returned
+	retired bool          // see retire
+	late    bool          // the deadline has passed, and what had arrived is read
+	reset   bool          // Close is to reset the connection
 
 	headerEnd headerEnd
 	past      int64 // bytes read after the end of the request's header
@@ -65,6 +69,7 @@
 func (c *limitedConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.hold.Release()
 	now, idle := time.Now(), c.phase == phaseIdle
 	switch d := t.Sub(now); {
 	case t.IsZero() || d < headerTimeoutMark/2:
@@ -79,7 +84,10 @@
 		c.phase, c.begun = phaseIdle, false
 		c.headerEnd, c.past = headerEnd{}, 0
 	}
-	c.since, c.header, c.late = now, 0, false
+	if c.phase == phaseIdle {
+		c.header = c.latest
+	}
+	c.since, c.size, c.late = now, 0, false
 	return c.applyDeadline(c.limits.get())
 }
 
@@ -104,11 +112,11 @@
 	}
 }
 
-// Read refuses a request whose header exceeds the limit. The server would do so by its own limit,
-// which it cannot change.
+// Read refuses a request whose header exceeds the limit, or for which there is no memory. The server
+// would do the former by its own limit, which it cannot change.
 func (c *limitedConn) Read(p []byte) (int, error) {
-	if c.headerExceeds() {
-		c.refuseHeader()
+	if refusal := c.refusesHeader(); refusal != "" {
+		c.refuseHeader(refusal)
 		return 0, io.EOF
 	}
 	for {
@@ -122,24 +130,23 @@
 		if n == 0 && os.IsTimeout(err) && c.stopped() {
 			continue
 		}
+		buffered := len(p) <= serverBufferBytes
 		if n == 0 && os.IsTimeout(err) && c.allowLate() {
 			n, err = c.Conn.Read(p)
 		}
-		return c.readDone(p[:n], err)
+		return c.readDone(p[:n], buffered, err)
 	}
 }
 
 // readDone counts what was read.
-func (c *limitedConn) readDone(p []byte, err error) (int, error) {
+func (c *limitedConn) readDone(p []byte, buffered bool, err error) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
 	if c.retired {
 		return 0, net.ErrClosed
 	}
-	if c.phase == phaseHeader {
-		c.header += int64(len(p))
-	}
+	c.countRead(p, buffered)
 	c.begun = c.begun || len(p) > 0
 	c.past += int64(len(p) - c.headerEnd.skip(p))
 	return len(p), err
@@ -242,17 +249,58 @@
 	return c.retired
 }
 
-func (c *limitedConn) headerExceeds() bool {
+// serverBufferBytes is the size of the server's buffer. A larger read bypasses it.
+const serverBufferBytes = 4 << 10
+
+// countRead counts what was read, which the server has buffered or not. The connection must be locked.
+func (c *limitedConn) countRead(p []byte, buffered bool) {
+	if len(p) > 1 { // the server reads single bytes while a handler runs, and keeps its buffer
+		c.latest = memory.Header{}
+	}
+	if buffered {
+		c.latest.Read(p)
+	}
+	switch c.phase {
+	case phaseHeader:
+		c.size += len(p)
+		c.header.Read(p)
+	case phaseIdle:
+		c.header.Read(p)
+	}
+}
+
+// Refusals of headers. A header that is not whole belongs to a request that has not run.
+const (
+	headerTooLarge  = "431 Request Header Fields Too Large"
+	headerNoMemory  = "503 Service Unavailable"
+	headerRetryText = "Retry-After: 0.2\r\n"
+)
+
+// refusesHeader returns the status of a refusal before more of a header is read, "" for none. What was
+// read so far belongs to the header.
+func (c *limitedConn) refusesHeader() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.phase == phaseHeader && c.header >= int64(c.limits.get().HeaderBytes)+headerSlop
+	switch {
+	case c.phase != phaseHeader:
+		return ""
+	case c.size >= c.limits.get().HeaderBytes+headerSlop:
+		return headerTooLarge
+	case !c.header.Reserve(c.hold.Reserve):
+		c.limits.headersRefused.Add(1)
+		return headerNoMemory
+	}
+	return ""
 }
 
 // refuseHeader answers as net/http does, and waits for the caller to read the answer.
-func (c *limitedConn) refuseHeader() {
-	const text = "431 Request Header Fields Too Large"
+func (c *limitedConn) refuseHeader(status string) {
+	retry := ""
+	if status == headerNoMemory {
+		retry = headerRetryText
+	}
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalLinger))
-	_, err := io.WriteString(c.Conn, "HTTP/1.1 "+text+"\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n"+text)
+	_, err := io.WriteString(c.Conn, "HTTP/1.1 "+status+"\r\nContent-Type: text/plain; charset=utf-8\r\n"+retry+"Connection: close\r\n\r\n"+status)
 	if err == nil && c.CloseWrite() == nil {
 		time.Sleep(refusalLinger)
 	}
@@ -261,13 +309,22 @@
 // Close implements net.Conn.
 func (c *limitedConn) Close() error {
 	if !c.mayLinger() {
-		c.closed(c)
+		c.release()
 		return c.Conn.Close()
 	}
 	go c.lingering.close(c)
 	return nil
 }
 
+// release forgets the connection and what its header holds.
+func (c *limitedConn) release() {
+	c.closed(c)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase = phaseOther
+	c.hold.Release()
+}
+
 // mayLinger reports whether the caller may still read an answer and has sent what is not read yet.
 func (c *limitedConn) mayLinger() bool {
 	c.mu.Lock()
--- a/internal/request/forward/counters.go
+++ b/internal/request/forward/counters.go
@@ -17,6 +17,7 @@
 	leavingNotices, backoffNotices                                                                                           metrics.Counter
 	stopRefused, stopNotRun, stopInDoubt                                                                                     metrics.Counter
 	silences, secondRefused, firstWentOn, secondWentOn                                                                       metrics.Counter
+	eventsRefused, headsRefused                                                                                              metrics.Counter
 	streamEvents, streamsLate, gapWarnings                                                                                   metrics.Counter
 	firstEvent, decision, longestGap                                                                                         metrics.Timer
 	byStatus                                                                                                                 *sync.Map // metrics.Counter by status
@@ -31,6 +32,7 @@
 		leavingNotices: c("notices.leaving"), backoffNotices: c("notices.backoff"),
 		stopRefused: c("stop.refused"), stopNotRun: c("stop.not.run"), stopInDoubt: c("stop.in.doubt"),
 		silences: c("silences"), secondRefused: c("second.refused"), firstWentOn: c("second.lost"), secondWentOn: c("second.won"),
+		eventsRefused: c("memory.events"), headsRefused: c("memory.heads"),
 		streamEvents: c("stream.events"), streamsLate: c("stream.late"), gapWarnings: c("stream.gap.warnings"),
 		longestGap: metrics.GetOrRegisterTimer("forward.stream.gap", reg),
 		firstEvent: metrics.GetOrRegisterTimer("forward.first", reg),
