--- a/internal/process/lateread_test.go
+++ b/internal/process/lateread_test.go
@@ -48,7 +48,7 @@
 	c := &suspendedConn{TCPConn: accepted.(*net.TCPConn)}
 	c.suspended.Store(true)
 	suspend := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { c.suspended.Store(true) })
-	s := newLimitedServer(suspend, listener.Addr(), nil, limits, zerolog.Nop())
+	s := newLimitedServer(suspend, listener.Addr(), nil, limits, nil, zerolog.Nop())
 	t.Cleanup(s.Close)
 	s.Serve(c)
 	return c, caller
--- a/internal/process/limitedconn.go
+++ b/internal/process/limitedconn.go
@@ -1,10 +1,10 @@
 package process
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
-	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -48,25 +48,35 @@
 	phase   connPhase
 	since   time.Time
 	header  int64 // bytes read in phaseHeader
+	begun   bool  // bytes of the next request were read, while the connection waits for one
+	stops   bool  // see stop
 	reading bool  // a Read has begun and has not returned
 	retired bool  // see retire
 	late    bool  // the deadline has passed, and what had arrived is read
 	reset   bool  // Close is to reset the connection
+
+	headerEnd headerEnd
+	past      int64 // bytes read after the end of the request's header
+	pipelines bool  // requests are sent before the answers to others
 }
 
 // SetReadDeadline sets the deadline of the limits in force where the server sets one of its marks.
 func (c *limitedConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := time.Now()
+	now, idle := time.Now(), c.phase == phaseIdle
 	switch d := t.Sub(now); {
 	case t.IsZero() || d < headerTimeoutMark/2:
 		c.phase = phaseOther
 		return c.Conn.SetReadDeadline(t)
 	case d < (headerTimeoutMark+idleTimeoutMark)/2:
 		c.phase = phaseHeader
+		if idle && !c.begun { // the server waits for the first bytes before that, and had them
+			c.begun, c.pipelines = true, true
+		}
 	default:
-		c.phase = phaseIdle
+		c.phase, c.begun = phaseIdle, false
+		c.headerEnd, c.past = headerEnd{}, 0
 	}
 	c.since, c.header, c.late = now, 0, false
 	return c.applyDeadline(c.limits.get())
@@ -100,13 +110,28 @@
 		c.refuseHeader()
 		return 0, io.EOF
 	}
-	c.mu.Lock()
-	c.reading = true
-	c.mu.Unlock()
-	n, err := c.Conn.Read(p)
-	if n == 0 && os.IsTimeout(err) && c.allowLate() {
-		n, err = c.Conn.Read(p)
+	for {
+		if c.endsUnread() {
+			return 0, io.EOF
+		}
+		c.mu.Lock()
+		c.reading = true
+		c.mu.Unlock()
+		n, err := c.Conn.Read(p)
+		if n == 0 && isTimeout(err) {
+			if c.stopped() {
+				continue
+			}
+			if c.allowLate() {
+				n, err = c.Conn.Read(p)
+			}
+		}
+		return c.wasRead(p, n, err)
 	}
+}
+
+// wasRead returns what Read returns after n bytes.
+func (c *limitedConn) wasRead(p []byte, n int, err error) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
@@ -116,9 +141,91 @@
 	if c.phase == phaseHeader {
 		c.header += int64(n)
 	}
+	c.begun = c.begun || n > 0
+	c.past += int64(n - c.headerEnd.skip(p[:n]))
 	return n, err
 }
 
+func isTimeout(err error) bool {
+	var e net.Error
+	return errors.As(err, &e) && e.Timeout()
+}
+
+// HoldsMore implements forward.CallerConn. The length of a body in chunks is unknown.
+func (c *limitedConn) HoldsMore(bodyLength int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.pipelines && bodyLength >= 0 && c.headerEnd.found {
+		c.pipelines = c.past > bodyLength || c.past == bodyLength && c.HasUnread()
+	}
+	return c.pipelines
+}
+
+// headerEnd finds the end of a request's header in what is read.
+type headerEnd struct {
+	found bool
+	last  [len(endOfHeader) - 1]byte // read before
+}
+
+const endOfHeader = "\r\n\r\n"
+
+// skip returns how many of the bytes that were read belong to the header.
+func (e *headerEnd) skip(p []byte) int {
+	if e.found || len(p) == 0 {
+		return 0
+	}
+	var seam [2 * (len(endOfHeader) - 1)]byte
+	copy(seam[:], e.last[:])
+	n := copy(seam[len(e.last):], p)
+	if i := bytes.Index(seam[:len(e.last)+n], []byte(endOfHeader)); i >= 0 {
+		e.found = true
+		return i + len(endOfHeader) - len(e.last)
+	}
+	if i := bytes.Index(p, []byte(endOfHeader)); i >= 0 {
+		e.found = true
+		return i + len(endOfHeader)
+	}
+	all := append(seam[:len(e.last)], p[max(0, len(p)-len(e.last)):]...)
+	copy(e.last[:], all[len(all)-len(e.last):])
+	return len(p)
+}
+
+// stop ends the connection where it waits for a request of which nothing has arrived, now or later. The
+// goroutine that reads sees to it, so that nothing is read and then dropped.
+func (c *limitedConn) stop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stops = true
+	if c.awaitsRequest() {
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+	}
+}
+
+// awaitsRequest reports whether nothing of the next request was read yet. The connection must be locked.
+func (c *limitedConn) awaitsRequest() bool { return c.phase != phaseOther && !c.begun }
+
+// stopped reports whether the connection waits for a request that it will not wait for.
+func (c *limitedConn) stopped() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stops && c.awaitsRequest()
+}
+
+// endsUnread reports whether a connection that stops has nothing to read. Otherwise the request that
+// has arrived is read.
+func (c *limitedConn) endsUnread() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.stops || !c.awaitsRequest() {
+		return false
+	}
+	if !c.HasUnread() {
+		return true
+	}
+	_ = c.applyDeadline(c.limits.get()) // fails only on a closed connection
+	return false
+}
+
 // allowLate reports whether bytes had arrived when the deadline passed, and gives the server a moment
 // to read them. A request that came in time must not end with a closed connection because it is read
 // late, or because the limit was lowered meanwhile.
--- a/internal/process/routeddaemon.go
+++ b/internal/process/routeddaemon.go
@@ -27,13 +27,15 @@
 
 // RoutedDaemon is a router process that serves the routed interface.
 type RoutedDaemon struct {
-	mu              sync.Mutex // guards set.Wait and set.Bound
+	mu              sync.Mutex // guards set.Wait, set.Bound and grace
+	grace           *grace     // of a planned stop; nil before
 	set             Settings
 	log             zerolog.Logger
 	ctrl            *RoutedController
 	peerSocket      *conn.PeerSocket
 	fetchServer     *conn.FetchServer
 	exchanges       *conn.Exchanges
+	server          *forward.Server
 	callerServer    *callerServer
 	relaying        *relaying // nil where [relay] address is empty
 	operatorServer  *http.Server
@@ -47,6 +49,8 @@
 const (
 	// shutdownMargin is the part of a planned stop's bound that is reserved for closing.
 	shutdownMargin = 600 * time.Millisecond
+	// tellTimeout is the part of it in which callers are told that their requests have ended.
+	tellTimeout = 400 * time.Millisecond
 )
 
 // Deployment holds what depends on the platform that the routers run on.
@@ -88,6 +92,7 @@
 		return nil, err
 	}
 	server := forward.NewServer(d.ctrl, d.exchanges, dialect, key, forward.Limits{MaxRequests: maxRequestsFor(set.MemoryMB), Memory: d.memory}, reg, log)
+	d.server, server.Alone = server, d.ctrl.Alone
 	d.ctrl.overload.undecided = server.Undecided
 	if d.callerServer, err = newCallerServer(set.Callers, set.Cores, server, set.Files, d.controlBehind, log); err != nil {
 		d.close()
@@ -121,7 +126,7 @@
 		return
 	}
 	r, err := startRelaying(ctx, relayingSettings{
-		Address: d.set.Relay, Secret: d.set.Secret, Power: uint32(1000 * d.set.Cores), MemoryMB: d.set.MemoryMB, Registry: reg, Log: d.log,
+		Address: d.set.Relay, Secret: d.set.Secret, Power: uint32(1000 * d.set.Cores), MemoryMB: d.set.MemoryMB, Stop: d.server.Stop, Registry: reg, Log: d.log,
 	}, d.ctrl, d.callerServer)
 	if err != nil {
 		d.log.Error().Err(err).Msg("relay-off")
@@ -316,32 +321,50 @@
 }
 
 // Shutdown performs the planned stop: it becomes unready for the load balancer, keeps
-// serving requests that still arrive, waits until all requests have ended or the bound
-// cuts them, and closes. It returns the number of requests cut.
+// serving requests that still arrive and can end in time, waits until all requests have ended,
+// or the bound or the context ends them, and closes. Callers whose answers have not begun are
+// told first, which takes tellTimeout at most. It returns the number of requests cut: those that
+// may have run and got no whole answer.
 func (d *RoutedDaemon) Shutdown(ctx context.Context) int {
 	began := time.Now()
-	d.mu.Lock()
-	wait, bound := d.set.Wait, d.set.Bound
-	d.mu.Unlock()
-	d.log.Info().Int64("wait_ms", wait.Milliseconds()).Int64("bound_ms", bound.Milliseconds()).Msg("stopping")
+	g := d.beginGrace(began)
 	d.ctrl.Leave()
-	sleep(ctx, wait)
-	if bound > 0 {
-		var stop context.CancelFunc
-		ctx, stop = context.WithDeadline(ctx, began.Add(bound-shutdownMargin))
-		defer stop()
-	}
-	err := d.shutdownCallers(ctx)
-	cut := d.ctrl.OpenRequests()
-	if err != nil {
-		d.log.Warn().Int("requests", cut).Msg("requests-cut")
+	ctx, stop := g.context(ctx)
+	defer stop()
+	g.waitForBalancer(ctx)
+	cut := 0
+	if err := d.shutdownCallers(ctx); err != nil {
+		cut = d.endRequests()
 	}
 	d.close()
 	d.ctrl.sent.log(d.log)
-	d.log.Info().Int("cut", cut).Int64("took_ms", time.Since(began).Milliseconds()).Msg("stopped")
+	refused := d.server.StopTotals().Refused
+	d.log.Info().Int("cut", cut).Int64("refused", refused).Int64("took_ms", time.Since(began).Milliseconds()).Msg("stopped")
 	return cut
 }
 
+// beginGrace begins the grace of a planned stop.
+func (d *RoutedDaemon) beginGrace(now time.Time) *grace {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.grace = newGrace(now, d.set.Wait, d.set.Bound)
+	d.server.Stop.SetEnd(d.grace.end())
+	d.log.Info().Int64("wait_ms", d.set.Wait.Milliseconds()).Int64("bound_ms", d.set.Bound.Milliseconds()).Msg("stopping")
+	return d.grace
+}
+
+// endRequests ends all requests that are left at the end of the grace, and tells their callers. It
+// returns the number of those that may have run and got no whole answer.
+func (d *RoutedDaemon) endRequests() (cut int) {
+	d.server.Stop.EndUnanswered()
+	ctx, stop := context.WithTimeout(context.Background(), tellTimeout)
+	defer stop()
+	_ = d.shutdownCallers(ctx) // what is left is cut
+	begun, told := d.ctrl.OpenRequests(), d.server.StopTotals()
+	d.log.Warn().Int("requests", begun).Int64("told_not_run", told.NotRun).Int64("told_in_doubt", told.InDoubt).Msg("requests-cut")
+	return begun + int(told.InDoubt)
+}
+
 // shutdownCallers closes the connections of callers, those relayed to other routers and those
 // that other routers relay here, each after its current request.
 func (d *RoutedDaemon) shutdownCallers(ctx context.Context) error {
@@ -357,10 +380,15 @@
 }
 
 // Reload applies settings that may change while the process runs: the seeds, the retry
-// budget and the cold-start rules take effect at once, the durations of a planned stop at
-// the next stop.
+// budget and the cold-start rules take effect at once, the durations of a planned stop for one that
+// has begun too.
 func (d *RoutedDaemon) Reload(set Settings) {
 	d.mu.Lock()
+	if d.grace != nil && (d.set.Wait != set.Wait || d.set.Bound != set.Bound) {
+		d.grace.set(set.Wait, set.Bound)
+		d.server.Stop.SetEnd(d.grace.end())
+		d.log.Info().Int64("wait_ms", set.Wait.Milliseconds()).Int64("bound_ms", set.Bound.Milliseconds()).Msg("stop-times-changed")
+	}
 	d.set.Wait, d.set.Bound = set.Wait, set.Bound
 	d.mu.Unlock()
 	d.ctrl.Step(dispatch.UpdateSettings{Seeds: set.Seeds, Retry: set.Retry, Cold: set.Cold})
--- a/internal/request/forward/server.go
+++ b/internal/request/forward/server.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -33,16 +34,26 @@
 	count         counters
 	secondTries   *secondTries
 	pulses        *pulses
+	reach         *reach
 	reqLog        *requestLog
 	key           *fingerprint.Key
 	clock         *clock.Clock
 	tracing       tracing
+	durations     *durations
+	stopAlone     []*Stop
+
+	// Stop is the planned stop of this router.
+	Stop *Stop
+	// Alone reports whether no other router could take this router's requests. It may be nil. It must be
+	// set before the first request.
+	Alone func() bool
 }
 
 // NewServer returns a Server. It identifies repeated requests by fingerprints made with
 // the key.
 func NewServer(ctrl Control, exchanges *conn.Exchanges, dialect Dialect, key *fingerprint.Key, limit Limits, reg metrics.Registry, log zerolog.Logger) *Server {
-	s := &Server{ctrl: ctrl, exchanges: exchanges, dialect: dialect, key: key, clock: clock.System, limit: limit.MaxRequests, memory: limit.Memory, loadShedder: newLoadShedder(), pulses: newPulses(), count: newCounters(reg), reqLog: newRequestLog(log), tracing: newTracing()}
+	s := &Server{ctrl: ctrl, exchanges: exchanges, dialect: dialect, key: key, clock: clock.System, limit: limit.MaxRequests, memory: limit.Memory, loadShedder: newLoadShedder(), pulses: newPulses(), reach: newReach(exchanges), count: newCounters(reg), reqLog: newRequestLog(log), tracing: newTracing(), durations: newDurations(), Stop: NewStop()}
+	s.stopAlone = []*Stop{s.Stop}
 	s.secondTries = newSecondTries(reg)
 	_ = reg.Register("forward.undecided", metrics.NewFunctionalGauge(s.Undecided)) // the name is new
 	s.healthChecker = newHealthChecker(exchanges, dialect, s.clock)
@@ -115,6 +126,10 @@
 	}
 	s.ctrl.RequestArrived(req.route.TargetLatency)
 	req.followed = s.secondTries.arrived(&s.dialect, r.Header, req.org, req.arrived, s.reqLog)
+	if f := req.refuseTooLate(); f != nil {
+		req.refuse(*f)
+		return
+	}
 	if req.refuseUnservable() {
 		return
 	}
@@ -268,7 +283,10 @@
 	}
 	ctx, stop := req.s.clock.WithDeadline(req.r.Context(), req.deadline)
 	defer stop()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
 	r := &run{callerRequest: req, ctx: ctx, undecided: req.table.HasEngines(req.service), lastPosition: parseLastEventID(req.r.Header)}
+	defer r.watchStop(end)()
 	if r.undecided {
 		req.s.undecided.Add(1)
 	}
