The suspension test's run has a context for its wait

A run waits by a context of its own since callers of applications are told at the end of a planned stop. It checks the same as before.

--- a/internal/request/suspend_test.go
+++ b/internal/request/suspend_test.go
@@ -56,7 +56,7 @@
 
 	w, req := httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/", nil)
 	v := &callerRequest{w: w, r: req, org: &version.Organisation{}, terms: caller.Terms{ID: "r1"}, span: trace.SpanFromContext(req.Context())}
-	r := &run{s: s, v: v, app: &version.Application{}, ticket: ticket, ctx: req.Context()}
+	r := &run{s: s, v: v, app: &version.Application{}, ticket: ticket, ctx: req.Context(), waitCtx: req.Context()}
 	r.loop()
 	assert.Equal(t, 1, ctrl.returned)
 	assert.Zero(t, r.attempts, "nothing was sent")
