Emulator: silent engines and second placements beside the first

What callers saw: answers given up for a silence. The emulator had no engines that are silent and go on, and none of its runs used PlaceBeside. Change: a scenario with silences of one, half or all engines. Routers ask for a second placement as internal/request/forward does, go on with whichever engine is heard first, and give the first up after 250 ms; for comparison they may end silent attempts first.

--- a/internal/lab/tokens/calls.go
+++ b/internal/lab/tokens/calls.go
@@ -38,6 +38,11 @@
 	takenUpThere bool // this attempt goes on with a stream at a router out of step
 
 	interrupted *interruptedStream // by the last loss, nil if none
+
+	// In a run with silences:
+	heardAt time.Time // last
+	goesOn  bool      // its answer goes on at a second engine
+	beside  secondRun
 }
 
 // sendToEngine sends a placed request to its engine.
@@ -105,6 +110,10 @@
 		return
 	}
 	delete(w.calls, o.ID)
+	if c.sends > 0 && w.Silences != nil {
+		w.res.Silence.Nothing++
+		return
+	}
 	if c.held != "" { // its answer breaks off, or its caller could not go on
 		if w.Losses != nil {
 			w.refusedToGoOn(c, o)
@@ -162,6 +171,7 @@
 func (w *world) result() Result {
 	w.owed()
 	w.worstRepeats()
+	w.res.Silence.Repeats, w.res.Silence.Allowed = w.mostRepeats()
 	w.res.Fair = w.fair.worst(int(w.Duration / time.Second))
 	w.res.Margin = w.fair.margin(int(w.Duration / time.Second))
 	for _, e := range w.engines {
--- a/internal/lab/tokens/failingversion.go
+++ b/internal/lab/tokens/failingversion.go
@@ -237,16 +237,22 @@
 	if w.Losses == nil || w.Losses.Failing == nil {
 		return
 	}
-	rules, worst := dispatch.DefaultRetryRules, -1.0
+	w.res.Release.Failing.Repeats, w.res.Release.Failing.AllowedRepeats = w.mostRepeats()
+}
+
+// mostRepeats returns the repeats in that window, and what is allowed in it.
+func (w *world) mostRepeats() (most int, allowedThen float64) {
+	rules, worst := w.retryRules(), -1.0
 	for _, from := range w.failing.repeats {
 		repeats := within(w.failing.repeats, from, rules.Window)
 		sent := within(w.failing.sent, from.Add(-rules.Window/2), rules.Window*3/2) // repeats follow their requests
 		allowed := rules.Ratio*float64(sent) + float64(rules.Slack)
 		if ratio := float64(repeats) / allowed; ratio > worst {
 			worst = ratio
-			w.res.Release.Failing.Repeats, w.res.Release.Failing.AllowedRepeats = repeats, allowed
+			most, allowedThen = repeats, allowed
 		}
 	}
+	return most, allowedThen
 }
 
 // within returns the number of times within a window.
--- a/internal/lab/tokens/tokens.go
+++ b/internal/lab/tokens/tokens.go
@@ -70,6 +70,7 @@
 	StarvedRole   bool          // the starved router is the scheduler
 	Overlap       *Overlap      // floods that overlap while routers and engines are lost: see overlap.go; may be nil
 	FloodDay      *FloodDay     // floods that begin, end and overlap: see floodday.go; may be nil
+	Silences      *Silences     // engines say nothing for a moment: see silence.go; may be nil
 	Disabled      dispatch.Disabled
 	Engine        engine.Config // of all engines; the zero value stands for engine.DefaultConfig
 	Pace          *PaceLoad     // other engines and requests, and a target for the gap between events; may be nil
@@ -91,6 +92,7 @@
 	Margin                         float64       // what the least served organisation started of what it could have, as a ratio of the best served: see fair.go
 	Pace                           PaceResult    // of runs with a PaceLoad
 	Release                        ReleaseResult // of runs with releases
+	Silence                        SilenceResult // of runs with silences
 }
 
 // Quantiles are the quantiles in Predicted, Seen (times to the first event, in milliseconds)
@@ -134,6 +136,7 @@
 	losses             losses
 	failing            failing
 	outOfStep          outOfStep
+	silences           silences
 	listAt             map[wire.NodeID]uint64 // revision of each router's list of engines
 	readingMS          int                    // summed over the engines that have an unread prompt
 	lastUsed           map[uint64]time.Time
@@ -238,6 +241,7 @@
 		w.nodes[id], w.listAt[id] = n, firstRevision
 	}
 	w.planLosses()
+	w.bootSilences()
 	return nil
 }
 
@@ -245,7 +249,7 @@
 // position in the order of routers.
 func (w *world) newNode(id wire.NodeID, inc wire.Incarnation) *dispatch.Node {
 	i := slices.Index(w.order, id)
-	return dispatch.New(dispatch.Settings{ID: id, Inc: inc, Place: placeName(i), Seeds: []wire.NodeID{"10.1.0.0:1"}, First: inc == 1, Retry: dispatch.DefaultRetryRules, Seed: uint64(i), Disabled: w.Disabled}, w.now)
+	return dispatch.New(dispatch.Settings{ID: id, Inc: inc, Place: placeName(i), Seeds: []wire.NodeID{"10.1.0.0:1"}, First: inc == 1, Retry: w.retryRules(), Seed: uint64(i), Disabled: w.Disabled}, w.now)
 }
 
 func (s *Scenario) engineConfig() engine.Config {
@@ -275,6 +279,7 @@
 	w.tickReleases()
 	w.tickOverlap()
 	w.tickFloodDay()
+	w.tickSilences()
 	w.runDelayed()
 	w.setSpeeds()
 	w.advanceEngines()
@@ -314,12 +319,18 @@
 			o.Datagram.From = id
 			w.inFlight = append(w.inFlight, inFlight{w.now.Add(linkDelay), o.To, o.Datagram})
 		case dispatch.Placement:
+			if w.decidedBeside(o.ID, &o) {
+				continue
+			}
 			w.decidedAtCrowdedRouter(id, o.ID)
 			if c := w.calls[o.ID]; c != nil {
 				c.placedAt = w.now
 			}
 			w.send(id, o)
 		case dispatch.Refuse:
+			if w.decidedBeside(o.ID, nil) {
+				continue
+			}
 			w.decidedAtCrowdedRouter(id, o.ID)
 			w.retryRefused(o)
 		case dispatch.FetchSnapshot:
@@ -365,8 +376,11 @@
 		if w.engines[id].HasUnreadPrompt() {
 			w.readingMS++
 		}
+		if w.isSilent(id) {
+			continue
+		}
 		for _, ev := range w.engines[id].Advance(w.now) {
-			c := w.calls[ev.ID]
+			c := w.heard(id, &ev)
 			if c == nil || c.engine != id {
 				continue
 			}
@@ -375,7 +389,9 @@
 				continue
 			}
 			if ev.Kind == engine.FirstEvent {
-				w.recordFirstEvent(c, ev.At)
+				if !c.goesOn {
+					w.recordFirstEvent(c, ev.At)
+				}
 				w.deliverInput(c.router, dispatch.FirstEvent{ID: ev.ID, After: ev.At.Sub(c.placedAt)})
 				continue
 			}
