--- a/internal/process/limitedconn.go
+++ b/internal/process/limitedconn.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -46,21 +47,31 @@
 	phase  connPhase
 	since  time.Time
 	header int64 // bytes read in phaseHeader
+	begun  bool  // bytes of the next request were read, while the connection waits for one
+	stops  bool  // see stop
+
+	headerEnd headerEnd
+	past      int64 // bytes read after the end of the request's header
+	pipelines bool  // requests are sent before the answers to others
 }
 
 // SetReadDeadline sets the deadline of the limits in force where the server sets one of its marks.
 func (c *limitedConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := time.Now()
+	now, idle := time.Now(), c.phase == phaseIdle
 	switch d := t.Sub(now); {
 	case t.IsZero() || d < headerTimeoutMark/2:
 		c.phase = phaseOther
 		return c.Conn.SetReadDeadline(t)
 	case d < (headerTimeoutMark+idleTimeoutMark)/2:
 		c.phase = phaseHeader
+		if idle && !c.begun { // the server waits for the first bytes before that, and had them
+			c.begun, c.pipelines = true, true
+		}
 	default:
-		c.phase = phaseIdle
+		c.phase, c.begun = phaseIdle, false
+		c.headerEnd, c.past = headerEnd{}, 0
 	}
 	c.since, c.header = now, 0
 	return c.applyDeadline(c.limits.get())
@@ -94,13 +105,103 @@
 		c.refuseHeader()
 		return 0, io.EOF
 	}
-	n, err := c.Conn.Read(p)
+	for {
+		if c.endsUnread() {
+			return 0, io.EOF
+		}
+		n, err := c.Conn.Read(p)
+		if n == 0 && isTimeout(err) && c.stopped() {
+			continue
+		}
+		c.mu.Lock()
+		if c.phase == phaseHeader {
+			c.header += int64(n)
+		}
+		c.begun = c.begun || n > 0
+		c.past += int64(n - c.headerEnd.skip(p[:n]))
+		c.mu.Unlock()
+		return n, err
+	}
+}
+
+func isTimeout(err error) bool {
+	var e net.Error
+	return errors.As(err, &e) && e.Timeout()
+}
+
+// HoldsMore implements forward.CallerConn. The length of a body in chunks is unknown.
+func (c *limitedConn) HoldsMore(bodyLength int64) bool {
 	c.mu.Lock()
-	if c.phase == phaseHeader {
-		c.header += int64(n)
+	defer c.mu.Unlock()
+	if !c.pipelines && bodyLength >= 0 && c.headerEnd.found {
+		c.pipelines = c.past > bodyLength || c.past == bodyLength && c.HasUnread()
+	}
+	return c.pipelines
+}
+
+// headerEnd finds the end of a request's header in what is read.
+type headerEnd struct {
+	found bool
+	last  [len(endOfHeader) - 1]byte // read before
+}
+
+const endOfHeader = "\r\n\r\n"
+
+// skip returns how many of the bytes that were read belong to the header.
+func (e *headerEnd) skip(p []byte) int {
+	if e.found || len(p) == 0 {
+		return 0
+	}
+	var seam [2 * (len(endOfHeader) - 1)]byte
+	copy(seam[:], e.last[:])
+	n := copy(seam[len(e.last):], p)
+	if i := bytes.Index(seam[:len(e.last)+n], []byte(endOfHeader)); i >= 0 {
+		e.found = true
+		return i + len(endOfHeader) - len(e.last)
+	}
+	if i := bytes.Index(p, []byte(endOfHeader)); i >= 0 {
+		e.found = true
+		return i + len(endOfHeader)
+	}
+	all := append(seam[:len(e.last)], p[max(0, len(p)-len(e.last)):]...)
+	copy(e.last[:], all[len(all)-len(e.last):])
+	return len(p)
+}
+
+// stop ends the connection where it waits for a request of which nothing has arrived, now or later. The
+// goroutine that reads sees to it, so that nothing is read and then dropped.
+func (c *limitedConn) stop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stops = true
+	if c.awaitsRequest() {
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+	}
+}
+
+// awaitsRequest reports whether nothing of the next request was read yet. The connection must be locked.
+func (c *limitedConn) awaitsRequest() bool { return c.phase != phaseOther && !c.begun }
+
+// stopped reports whether the connection waits for a request that it will not wait for.
+func (c *limitedConn) stopped() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stops && c.awaitsRequest()
+}
+
+// endsUnread reports whether a connection that stops has nothing to read. Otherwise the request that
+// has arrived is read.
+func (c *limitedConn) endsUnread() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.stops || !c.awaitsRequest() {
+		return false
+	}
+	if !c.HasUnread() {
+		return true
 	}
-	c.mu.Unlock()
-	return n, err
+	_ = c.applyDeadline(c.limits.get()) // fails only on a closed connection
+	return false
 }
 
 func (c *limitedConn) headerExceeds() bool {
