--- a/internal/process/limitedconn.go
+++ b/internal/process/limitedconn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -24,9 +25,9 @@
 	// headerSlop is what may be read beyond the limit on headers, because a buffer of this size
 	// is read at once.
 	headerSlop = 4 << 10
-	// refusalLinger is how long a connection stays open after its request was refused while the
-	// caller still sends, so that the answer is not lost in a reset.
-	refusalLinger = 500 * time.Millisecond
+	// lateReadTimeout is for what had arrived when a deadline passed: a process that was suspended or
+	// short of CPU finds both at once.
+	lateReadTimeout = 50 * time.Millisecond
 )
 
 // connPhase is what a connection waits for.
@@ -41,18 +42,23 @@
 // limitedConn is a caller's connection under the limits in force.
 type limitedConn struct {
 	net.Conn
-	limits *limitsInForce
-	closed func(*limitedConn)
-
-	mu     sync.Mutex
-	phase  connPhase
-	since  time.Time
-	size   int           // bytes read in phaseHeader
-	header memory.Header // what may have been read of the header that comes or is being read
-	latest memory.Header // what the latest read may have left in the server's buffer
-	hold   memory.Hold   // of header; the organisation is not known yet
-	begun  bool          // bytes of the next request were read, while the connection waits for one
-	stops  bool          // see stop
+	limits    *limitsInForce
+	closed    func(*limitedConn)
+	lingering *lingering
+
+	mu      sync.Mutex
+	phase   connPhase
+	since   time.Time
+	size    int           // bytes read in phaseHeader
+	header  memory.Header // what may have been read of the header that comes or is being read
+	latest  memory.Header // what the latest read may have left in the server's buffer
+	hold    memory.Hold   // of header; the organisation is not known yet
+	begun   bool          // bytes of the next request were read, while the connection waits for one
+	stops   bool          // see stop
+	reading bool          // a Read has begun and has not returned
+	retired bool          // see retire
+	late    bool          // the deadline has passed, and what had arrived is read
+	reset   bool          // Close is to reset the connection
 
 	headerEnd headerEnd
 	past      int64 // bytes read after the end of the request's header
@@ -81,7 +87,7 @@
 	if c.phase == phaseIdle {
 		c.header = c.latest
 	}
-	c.since, c.size = now, 0
+	c.since, c.size, c.late = now, 0, false
 	return c.applyDeadline(c.limits.get())
 }
 
@@ -101,7 +107,7 @@
 func (c *limitedConn) limitsChanged(l routing.Limits) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase != phaseOther {
+	if c.phase != phaseOther && !c.late {
 		_ = c.applyDeadline(l) // fails only on a closed connection
 	}
 }
@@ -117,22 +123,33 @@
 		if c.endsUnread() {
 			return 0, io.EOF
 		}
+		c.mu.Lock()
+		c.reading = true
+		c.mu.Unlock()
 		n, err := c.Conn.Read(p)
-		if n == 0 && isTimeout(err) && c.stopped() {
+		if n == 0 && os.IsTimeout(err) && c.stopped() {
 			continue
 		}
-		c.mu.Lock()
-		c.countRead(p[:n], len(p) <= serverBufferBytes)
-		c.begun = c.begun || n > 0
-		c.past += int64(n - c.headerEnd.skip(p[:n]))
-		c.mu.Unlock()
-		return n, err
+		buffered := len(p) <= serverBufferBytes
+		if n == 0 && os.IsTimeout(err) && c.allowLate() {
+			n, err = c.Conn.Read(p)
+		}
+		return c.readDone(p[:n], buffered, err)
 	}
 }
 
-func isTimeout(err error) bool {
-	var e net.Error
-	return errors.As(err, &e) && e.Timeout()
+// readDone counts what was read.
+func (c *limitedConn) readDone(p []byte, buffered bool, err error) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = false
+	if c.retired {
+		return 0, net.ErrClosed
+	}
+	c.countRead(p, buffered)
+	c.begun = c.begun || len(p) > 0
+	c.past += int64(len(p) - c.headerEnd.skip(p))
+	return len(p), err
 }
 
 // HoldsMore implements forward.CallerConn. The length of a body in chunks is unknown.
@@ -210,6 +227,28 @@
 	return false
 }
 
+// allowLate reports whether bytes had arrived when the deadline passed, and gives the server a moment
+// to read them. A request that came in time must not end with a closed connection because it is read
+// late, or because the limit was lowered meanwhile.
+func (c *limitedConn) allowLate() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseOther || c.late || conn.NoUnread(c.Conn) {
+		return false
+	}
+	c.late = true
+	return c.Conn.SetReadDeadline(time.Now().Add(lateReadTimeout)) == nil
+}
+
+// retire reports whether the connection may be closed because it is idle. It may be while the server
+// waits for a request of which nothing has arrived; from then on none is read.
+func (c *limitedConn) retire() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.retired = c.retired || c.phase == phaseIdle && c.reading && !c.begun && conn.NoUnread(c.Conn)
+	return c.retired
+}
+
 // serverBufferBytes is the size of the server's buffer. A larger read bypasses it.
 const serverBufferBytes = 4 << 10
 
@@ -269,12 +308,32 @@
 
 // Close implements net.Conn.
 func (c *limitedConn) Close() error {
+	if !c.mayLinger() {
+		c.release()
+		return c.Conn.Close()
+	}
+	go c.lingering.close(c)
+	return nil
+}
+
+// release forgets the connection and what its header holds.
+func (c *limitedConn) release() {
 	c.closed(c)
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.phase = phaseOther
 	c.hold.Release()
-	c.mu.Unlock()
-	return c.Conn.Close()
+}
+
+// mayLinger reports whether the caller may still read an answer and has sent what is not read yet.
+func (c *limitedConn) mayLinger() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseIdle || c.reset || conn.NoUnread(c.Conn) {
+		return false
+	}
+	c.reset = true // a further Close closes at once
+	return true
 }
 
 var errNoHalfClose = errors.New("the connection cannot be closed in one direction")
@@ -291,6 +350,9 @@
 
 // SetLinger lets conn.CutCaller reset the connection.
 func (c *limitedConn) SetLinger(sec int) error {
+	c.mu.Lock()
+	c.reset = c.reset || sec == 0
+	c.mu.Unlock()
 	if l, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
 		return l.SetLinger(sec)
 	}
