--- a/internal/process/limitedconn.go
+++ b/internal/process/limitedconn.go
@@ -110,7 +110,7 @@
 			return 0, io.EOF
 		}
 		n, err := c.Conn.Read(p)
-		if n == 0 && isTimeout(err) && c.stopped() {
+		if n == 0 && c.stopped() && isTimeout(err) {
 			continue
 		}
 		c.mu.Lock()
