--- a/internal/conn/exchange_test.go
+++ b/internal/conn/exchange_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -327,6 +328,27 @@
 	assert.False(t, c.reused)
 }
 
+// A request was withdrawn before it was sent, and its connection counted as idle from then on: the next
+// one was sent on it while the upstream closed it.
+func TestWithdrawnRequestDoesNotProlongAnIdleConnection(t *testing.T) {
+	addr := serveRaw(t, func(c net.Conn) { _, _ = c.Read(make([]byte, 1)) })
+	var total atomic.Int64
+	p := NewExchanges()
+	p.clock = clock.New(func() (time.Duration, bool) { return time.Duration(total.Load()), true })
+	defer p.Close()
+	require.False(t, p.Refuses(context.Background(), addr))
+	withdrawn := &Message{Method: "GET", Target: "/", Host: "h", Header: http.Header{}, StillWanted: func() bool { return false }}
+	opened := 0
+	p.OnOpen = func() { opened++ }
+	for range 2 {
+		total.Add(int64(defaultIdleTimeout * 3 / 5))
+		p.clock.Refresh()
+		_, err := p.Send(context.Background(), addr, withdrawn, anyAnswer)
+		require.True(t, IsWithdrawn(err))
+	}
+	assert.Equal(t, 1, opened, "it was idle for longer than its upstream keeps it")
+}
+
 // A response header without an end would fill a router's memory until its process is killed,
 // and the caller's retry would do the same to the next router.
 func TestEndlessHeaderIsRejected(t *testing.T) {
@@ -354,6 +376,56 @@
 	assert.Less(t, <-sent, maxSent)
 }
 
+// A header field of a few bytes takes a hundred and more once it is parsed: 256 KB of them took several
+// megabytes for each attempt, which no account held.
+func TestHeaderOfShortFieldsIsReservedOrRejected(t *testing.T) {
+	addr := serveRaw(t, func(c net.Conn) {
+		defer c.Close()
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		fields, _ := strconv.Atoi(r.URL.Path[1:])
+		text := "HTTP/1.1 200 OK\r\n"
+		for i := range max(fields, -fields) {
+			text += fmt.Sprintf("a%x:\r\n", i)
+		}
+		if fields < 0 { // without an end
+			_, _ = io.WriteString(c, text)
+			_, _ = io.Copy(io.Discard, c)
+			return
+		}
+		_, _ = io.WriteString(c, text+"Content-Length: 2\r\n\r\nok")
+	})
+	p := NewExchanges()
+	defer p.Close()
+	ctx, stop := context.WithTimeout(t.Context(), 5*time.Second)
+	defer stop()
+	for _, k := range []struct {
+		fields, limit, room int
+		ok                  bool
+	}{{30, 0, 0, true}, {600, 0, 1 << 20, true}, {600, 0, 10 << 10, false}, {900, 0, 1 << 20, true}, {900, 0, 10 << 10, false},
+		{30_000, 0, 1 << 30, false}, {-900, 0, 10 << 10, false}, {900, MaxPlainHeaderBytes, 1 << 20, true}, {900, 2 << 10, 1 << 20, false}} {
+		reserved := int64(0)
+		m := &Message{Method: "GET", Target: "/" + strconv.Itoa(k.fields), Host: "h", Header: http.Header{}, MaxHeaderBytes: k.limit, Reserve: func(n int64) bool {
+			if reserved+n > int64(k.room) {
+				return false
+			}
+			reserved += n
+			return true
+		}}
+		x, err := p.Send(ctx, addr, m, anyAnswer)
+		assert.NoError(t, ctx.Err(), "%+v", k)
+		assert.Equal(t, k.ok, err == nil, "%+v: %v", k, err)
+		if err != nil {
+			assert.False(t, IsNotSent(err) || IsDisconnected(err), "the answer is broken")
+			continue
+		}
+		assert.Equal(t, k.fields > 100, reserved > int64(100*k.fields), "%+v: %d", k, reserved)
+		x.Close(false)
+	}
+}
+
 // The limit applies to each response header separately: a body may be larger, and a reused
 // connection may deliver any number of answers.
 func TestHeaderLimitAppliesToEachAnswer(t *testing.T) {
--- a/internal/conn/pool.go
+++ b/internal/conn/pool.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/silverswitch/silverswitch/internal/clock"
+	"github.com/silverswitch/silverswitch/internal/memory"
 )
 
 // Limits of the connections to upstreams.
@@ -89,6 +90,16 @@
 	}
 }
 
+// Open opens a connection to an upstream and keeps it for the next exchange.
+func (p *Exchanges) Open(ctx context.Context, addr string) error {
+	c, err := p.dial(ctx, addr)
+	if err != nil {
+		return ErrNotSent.Wrap(err, "connect to %s", addr)
+	}
+	p.addIdle(c)
+	return nil
+}
+
 func (p *Exchanges) pop(addr string) *upstreamConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -115,28 +126,44 @@
 	return &upstreamConn{resetConn: c, addr: addr, limited: limited, br: bufio.NewReaderSize(limited, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
 }
 
-// limitedReader limits the bytes read. net/http reads a response header of any size, so an
-// endless one would fill the router's memory.
+// limitedReader limits the bytes and the memory of a response header. net/http reads one of any size,
+// so an endless one would fill the router's memory.
 type limitedReader struct {
 	r         io.Reader
 	remaining int // bytes; unlimited for no limit
+	header    memory.Header
+	reserve   func(n int64) bool // nil for no account
 }
 
 const unlimited = -1
 
-var errHeaderTooLarge = errors.New("the response header is too large")
+var (
+	errHeaderTooLarge = errors.New("the response header is too large")
+	errHeaderMemory   = errors.New("no memory for the response header")
+)
+
+// beginHeader begins a header of at most n bytes.
+func (l *limitedReader) beginHeader(n int, reserve func(n int64) bool) {
+	l.remaining, l.header, l.reserve = n, memory.Header{}, reserve
+}
 
-func (l *limitedReader) setLimit(n int) { l.remaining = n }
+// endHeader removes the limits.
+func (l *limitedReader) endHeader() { l.remaining, l.reserve = unlimited, nil }
 
+// Read reserves what came before, which belongs to the header since more of it is read. Of the last
+// bytes a part may belong to the body.
 func (l *limitedReader) Read(p []byte) (int, error) {
-	if l.remaining == unlimited {
+	switch {
+	case l.remaining == unlimited:
 		return l.r.Read(p)
-	}
-	if l.remaining == 0 {
+	case l.remaining == 0 || l.header.Fields() > maxHeaderFields:
 		return 0, errHeaderTooLarge
+	case l.reserve != nil && !l.header.Reserve(l.reserve):
+		return 0, errHeaderMemory
 	}
 	n, err := l.r.Read(p[:min(len(p), l.remaining)])
 	l.remaining -= n
+	l.header.Read(p[:n])
 	return n, err
 }
 
@@ -177,9 +204,24 @@
 	p.addIdle(c)
 }
 
-// addIdle adds a connection to the pool. The oldest ones past their idle timeout are closed.
+// addIdle adds a connection to the pool that is idle from now on.
 func (p *Exchanges) addIdle(c *upstreamConn) {
 	c.idleSince, c.reused = p.clock.Now(), true
+	p.putBack(c)
+}
+
+// putUnused returns a connection to the pool on which nothing was sent: for its upstream it is idle
+// since before.
+func (p *Exchanges) putUnused(c *upstreamConn) {
+	if c.reused {
+		p.putBack(c)
+		return
+	}
+	p.addIdle(c)
+}
+
+// putBack adds a connection to the pool. The oldest ones past their idle timeout are closed.
+func (p *Exchanges) putBack(c *upstreamConn) {
 	p.mu.Lock()
 	list := p.idle[c.addr]
 	var old []*upstreamConn
--- a/internal/process/limitedconn.go
+++ b/internal/process/limitedconn.go
@@ -5,11 +5,13 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/silverswitch/silverswitch/internal/conn"
+	"github.com/silverswitch/silverswitch/internal/memory"
 	"github.com/silverswitch/silverswitch/internal/routing"
 )
 
@@ -23,9 +25,9 @@
 	// headerSlop is what may be read beyond the limit on headers, because a buffer of this size
 	// is read at once.
 	headerSlop = 4 << 10
-	// refusalLinger is how long a connection stays open after its request was refused while the
-	// caller still sends, so that the answer is not lost in a reset.
-	refusalLinger = 500 * time.Millisecond
+	// lateReadTimeout is for what had arrived when a deadline passed: a process that was suspended or
+	// short of CPU finds both at once.
+	lateReadTimeout = 50 * time.Millisecond
 )
 
 // connPhase is what a connection waits for.
@@ -40,15 +42,23 @@
 // limitedConn is a caller's connection under the limits in force.
 type limitedConn struct {
 	net.Conn
-	limits *limitsInForce
-	closed func(*limitedConn)
+	limits    *limitsInForce
+	closed    func(*limitedConn)
+	lingering *lingering
 
-	mu     sync.Mutex
-	phase  connPhase
-	since  time.Time
-	header int64 // bytes read in phaseHeader
-	begun  bool  // bytes of the next request were read, while the connection waits for one
-	stops  bool  // see stop
+	mu      sync.Mutex
+	phase   connPhase
+	since   time.Time
+	size    int           // bytes read in phaseHeader
+	header  memory.Header // what may have been read of the header that comes or is being read
+	latest  memory.Header // what the latest read may have left in the server's buffer
+	hold    memory.Hold   // of header; the organisation is not known yet
+	begun   bool          // bytes of the next request were read, while the connection waits for one
+	stops   bool          // see stop
+	reading bool          // a Read has begun and has not returned
+	retired bool          // see retire
+	late    bool          // the deadline has passed, and what had arrived is read
+	reset   bool          // Close is to reset the connection
 
 	headerEnd headerEnd
 	past      int64 // bytes read after the end of the request's header
@@ -59,6 +69,7 @@
 func (c *limitedConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.hold.Release()
 	now, idle := time.Now(), c.phase == phaseIdle
 	switch d := t.Sub(now); {
 	case t.IsZero() || d < headerTimeoutMark/2:
@@ -73,7 +84,10 @@
 		c.phase, c.begun = phaseIdle, false
 		c.headerEnd, c.past = headerEnd{}, 0
 	}
-	c.since, c.header = now, 0
+	if c.phase == phaseIdle {
+		c.header = c.latest
+	}
+	c.since, c.size, c.late = now, 0, false
 	return c.applyDeadline(c.limits.get())
 }
 
@@ -93,40 +107,49 @@
 func (c *limitedConn) limitsChanged(l routing.Limits) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase != phaseOther {
+	if c.phase != phaseOther && !c.late {
 		_ = c.applyDeadline(l) // fails only on a closed connection
 	}
 }
 
-// Read refuses a request whose header exceeds the limit. The server would do so by its own limit,
-// which it cannot change.
+// Read refuses a request whose header exceeds the limit, or for which there is no memory. The server
+// would do the former by its own limit, which it cannot change.
 func (c *limitedConn) Read(p []byte) (int, error) {
-	if c.headerExceeds() {
-		c.refuseHeader()
+	if refusal := c.refusesHeader(); refusal != "" {
+		c.refuseHeader(refusal)
 		return 0, io.EOF
 	}
 	for {
 		if c.endsUnread() {
 			return 0, io.EOF
 		}
+		c.mu.Lock()
+		c.reading = true
+		c.mu.Unlock()
 		n, err := c.Conn.Read(p)
-		if n == 0 && c.stopped() && isTimeout(err) {
+		if n == 0 && c.stopped() && os.IsTimeout(err) {
 			continue
 		}
-		c.mu.Lock()
-		if c.phase == phaseHeader {
-			c.header += int64(n)
+		buffered := len(p) <= serverBufferBytes
+		if n == 0 && os.IsTimeout(err) && c.allowLate() {
+			n, err = c.Conn.Read(p)
 		}
-		c.begun = c.begun || n > 0
-		c.past += int64(n - c.headerEnd.skip(p[:n]))
-		c.mu.Unlock()
-		return n, err
+		return c.readDone(p[:n], buffered, err)
 	}
 }
 
-func isTimeout(err error) bool {
-	var e net.Error
-	return errors.As(err, &e) && e.Timeout()
+// readDone counts what was read.
+func (c *limitedConn) readDone(p []byte, buffered bool, err error) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = false
+	if c.retired {
+		return 0, net.ErrClosed
+	}
+	c.countRead(p, buffered)
+	c.begun = c.begun || len(p) > 0
+	c.past += int64(len(p) - c.headerEnd.skip(p))
+	return len(p), err
 }
 
 // HoldsMore implements forward.CallerConn. The length of a body in chunks is unknown.
@@ -204,17 +227,80 @@
 	return false
 }
 
-func (c *limitedConn) headerExceeds() bool {
+// allowLate reports whether bytes had arrived when the deadline passed, and gives the server a moment
+// to read them. A request that came in time must not end with a closed connection because it is read
+// late, or because the limit was lowered meanwhile.
+func (c *limitedConn) allowLate() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.phase == phaseHeader && c.header >= int64(c.limits.get().HeaderBytes)+headerSlop
+	if c.phase == phaseOther || c.late || conn.NoUnread(c.Conn) {
+		return false
+	}
+	c.late = true
+	return c.Conn.SetReadDeadline(time.Now().Add(lateReadTimeout)) == nil
+}
+
+// retire reports whether the connection may be closed because it is idle. It may be while the server
+// waits for a request of which nothing has arrived; from then on none is read.
+func (c *limitedConn) retire() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.retired = c.retired || c.phase == phaseIdle && c.reading && !c.begun && conn.NoUnread(c.Conn)
+	return c.retired
+}
+
+// serverBufferBytes is the size of the server's buffer. A larger read bypasses it.
+const serverBufferBytes = 4 << 10
+
+// countRead counts what was read, which the server has buffered or not. The connection must be locked.
+func (c *limitedConn) countRead(p []byte, buffered bool) {
+	if len(p) > 1 { // the server reads single bytes while a handler runs, and keeps its buffer
+		c.latest = memory.Header{}
+	}
+	if buffered {
+		c.latest.Read(p)
+	}
+	switch c.phase {
+	case phaseHeader:
+		c.size += len(p)
+		c.header.Read(p)
+	case phaseIdle:
+		c.header.Read(p)
+	}
+}
+
+// Refusals of headers. A header that is not whole belongs to a request that has not run.
+const (
+	headerTooLarge  = "431 Request Header Fields Too Large"
+	headerNoMemory  = "503 Service Unavailable"
+	headerRetryText = "Retry-After: 0.2\r\n"
+)
+
+// refusesHeader returns the status of a refusal before more of a header is read, "" for none. What was
+// read so far belongs to the header.
+func (c *limitedConn) refusesHeader() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.phase != phaseHeader:
+		return ""
+	case c.size >= c.limits.get().HeaderBytes+headerSlop:
+		return headerTooLarge
+	case !c.header.Reserve(c.hold.Reserve):
+		c.limits.headersRefused.Add(1)
+		return headerNoMemory
+	}
+	return ""
 }
 
 // refuseHeader answers as net/http does, and waits for the caller to read the answer.
-func (c *limitedConn) refuseHeader() {
-	const text = "431 Request Header Fields Too Large"
+func (c *limitedConn) refuseHeader(status string) {
+	retry := ""
+	if status == headerNoMemory {
+		retry = headerRetryText
+	}
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalLinger))
-	_, err := io.WriteString(c.Conn, "HTTP/1.1 "+text+"\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n"+text)
+	_, err := io.WriteString(c.Conn, "HTTP/1.1 "+status+"\r\nContent-Type: text/plain; charset=utf-8\r\n"+retry+"Connection: close\r\n\r\n"+status)
 	if err == nil && c.CloseWrite() == nil {
 		time.Sleep(refusalLinger)
 	}
@@ -222,8 +308,32 @@
 
 // Close implements net.Conn.
 func (c *limitedConn) Close() error {
+	if !c.mayLinger() {
+		c.release()
+		return c.Conn.Close()
+	}
+	go c.lingering.close(c)
+	return nil
+}
+
+// release forgets the connection and what its header holds.
+func (c *limitedConn) release() {
 	c.closed(c)
-	return c.Conn.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase = phaseOther
+	c.hold.Release()
+}
+
+// mayLinger reports whether the caller may still read an answer and has sent what is not read yet.
+func (c *limitedConn) mayLinger() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseIdle || c.reset || conn.NoUnread(c.Conn) {
+		return false
+	}
+	c.reset = true // a further Close closes at once
+	return true
 }
 
 var errNoHalfClose = errors.New("the connection cannot be closed in one direction")
@@ -240,6 +350,9 @@
 
 // SetLinger lets conn.CutCaller reset the connection.
 func (c *limitedConn) SetLinger(sec int) error {
+	c.mu.Lock()
+	c.reset = c.reset || sec == 0
+	c.mu.Unlock()
 	if l, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
 		return l.SetLinger(sec)
 	}
--- a/internal/process/limitedserver.go
+++ b/internal/process/limitedserver.go
@@ -21,6 +21,7 @@
 	mu           sync.Mutex
 	conns        map[*limitedConn]struct{}
 	stopping     bool // no request begins on a connection on which nothing has arrived
+	lingering    lingering
 }
 
 // newLimitedServer returns a server. connState may be nil, and so may stop: a planned stop, other than this
@@ -53,7 +54,7 @@
 
 // Serve serves one connection. It returns before the connection ends.
 func (s *limitedServer) Serve(c net.Conn) {
-	limited := &limitedConn{Conn: c, limits: s.limits, closed: s.forget}
+	limited := &limitedConn{Conn: c, limits: s.limits, closed: s.forget, lingering: &s.lingering, hold: s.limits.memory.Load().Hold("")}
 	s.mu.Lock()
 	s.conns[limited] = struct{}{}
 	if s.stopping {
--- a/internal/request/answer.go
+++ b/internal/request/answer.go
@@ -43,7 +43,6 @@
 	tokens     int64 // from the answer's usage field, 0 if it has none
 	headerSent bool  // to the caller
 	unnumbered bool  // events without a position were forwarded after the last one with one
-	buf        []byte
 }
 
 // deliver forwards the reply. It returns false if the request is to be tried again.
@@ -190,13 +189,16 @@
 
 // copyEvents forwards events until the final one or the end of the connection.
 func (a *answer) copyEvents() (done bool, err error) {
-	br := bufio.NewReaderSize(a.res.Response.Body, streamBufferBytes)
 	body := a.res.Response.Body
+	events := stream.NewReader(bufio.NewReaderSize(body, streamBufferBytes), a.v.hold.Block())
+	defer events.Close()
 	stall := time.AfterFunc(a.s.limits.StallTimeout, func() { body.Close() })
 	defer stall.Stop()
 	for {
-		e, err := stream.Read(br, a.buf)
-		a.buf = e.Raw
+		e, err := events.Next()
+		if errors.Is(err, stream.ErrNoMemory) {
+			a.s.count.eventsRefused.Inc(1)
+		}
 		if err != nil {
 			return false, err
 		}
@@ -288,13 +290,15 @@
 }
 
 // callerGone cancels the request at the upstream. The slot is released once the upstream
-// has confirmed that, or relay.Cancel has timed out.
+// has confirmed that, or relay.Cancel has timed out. The answer is cut, as the caller may have closed
+// only its direction.
 func (a *answer) callerGone() bool {
 	a.stop()
 	a.reportBrokenAttempt(a.upstream, a.events == 0)
 	relay.Cancel(a.s.upstreams, a.upstream, a.attempt, a.call.Organisation)
 	a.finishWithUsage(false)
 	a.s.count.outcome(outcome.Unknown, outcome.ReasonCanceled)
+	conn.CutCaller(a.v.w, a.v.r)
 	return true
 }
 
--- a/internal/request/forward/expected.go
+++ b/internal/request/forward/expected.go
@@ -69,8 +69,11 @@
 
 // learnDuration learns from a whole answer to a request that was sent once, from its beginning.
 func (r *run) learnDuration() {
-	if r.going != nil && r.attempts == 1 && !r.resumed {
-		r.s.durations.add(r.route.Name, time.Since(r.going.began))
+	r.mu.Lock()
+	at, once := r.going, r.attempts == 1
+	r.mu.Unlock()
+	if at != nil && once && !r.resumed {
+		r.s.durations.add(r.route.Name, time.Since(at.began))
 	}
 }
 
--- a/internal/request/forward/server.go
+++ b/internal/request/forward/server.go
@@ -34,6 +34,7 @@
 	count         counters
 	secondTries   *secondTries
 	pulses        *pulses
+	reach         *reach
 	reqLog        *requestLog
 	key           *fingerprint.Key
 	clock         *clock.Clock
@@ -51,7 +52,7 @@
 // NewServer returns a Server. It identifies repeated requests by fingerprints made with
 // the key.
 func NewServer(ctrl Control, exchanges *conn.Exchanges, dialect Dialect, key *fingerprint.Key, limit Limits, reg metrics.Registry, log zerolog.Logger) *Server {
-	s := &Server{ctrl: ctrl, exchanges: exchanges, dialect: dialect, key: key, clock: clock.System, limit: limit.MaxRequests, memory: limit.Memory, loadShedder: newLoadShedder(), pulses: newPulses(), count: newCounters(reg), reqLog: newRequestLog(log), tracing: newTracing(), durations: newDurations(), Stop: NewStop()}
+	s := &Server{ctrl: ctrl, exchanges: exchanges, dialect: dialect, key: key, clock: clock.System, limit: limit.MaxRequests, memory: limit.Memory, loadShedder: newLoadShedder(), pulses: newPulses(), reach: newReach(exchanges), count: newCounters(reg), reqLog: newRequestLog(log), tracing: newTracing(), durations: newDurations(), Stop: NewStop()}
 	s.stopAlone = []*Stop{s.Stop}
 	s.secondTries = newSecondTries(reg)
 	_ = reg.Register("forward.undecided", metrics.NewFunctionalGauge(s.Undecided)) // the name is new
