--- a/internal/process/limitedconn.go
+++ b/internal/process/limitedconn.go
@@ -127,7 +127,7 @@
 		c.reading = true
 		c.mu.Unlock()
 		n, err := c.Conn.Read(p)
-		if n == 0 && os.IsTimeout(err) && c.stopped() {
+		if n == 0 && c.stopped() && os.IsTimeout(err) {
 			continue
 		}
 		buffered := len(p) <= serverBufferBytes
