Refusals come in the request's time; a health check outlasts its caller

What callers saw: a refusal by the headers alone came after 3 s, when the body's rest had not, though the request had 0.3 s. Requests that waited for another's health check went elsewhere when that one's caller left. Cause: a fixed wait for bodies; the check ran in the first caller's context. The wait is half of the time that the request has at the most, unless the connection closes, where the refusal is sent first.

--- a/internal/request/forward/healthcheck.go
+++ b/internal/request/forward/healthcheck.go
@@ -71,7 +71,7 @@
 	if !check.latest.IsZero() && h.clock.Since(check.latest) < healthCheckTTL {
 		return check.result
 	}
-	check.result = h.probe(ctx, i, path)
+	check.result = h.probe(context.WithoutCancel(ctx), i, path) // others use the result
 	check.latest = h.clock.Now()
 	return check.result
 }
--- a/internal/request/forward/server.go
+++ b/internal/request/forward/server.go
@@ -214,11 +214,21 @@
 	now := req.s.clock.Now()
 	req.setWriteDeadline(now.Add(refusalWriteTimeout))
 	if req.r.ContentLength != 0 {
-		_ = http.NewResponseController(req.w).SetReadDeadline(req.s.clock.Monotonic(now.Add(refusalReadTimeout))) // not supported by test recorders
+		_ = http.NewResponseController(req.w).SetReadDeadline(req.s.clock.Monotonic(now.Add(req.bodyWait(now)))) // not supported by test recorders
 	}
 	req.fail(f)
 }
 
+// bodyWait returns how long the rest of a refused request's body is waited for. Unless the connection is
+// to be closed, net/http sends the refusal after that: no later than at half of the time that is left.
+func (req *callerRequest) bodyWait(now time.Time) time.Duration {
+	if req.w.Header().Get("Connection") == "close" {
+		return refusalReadTimeout
+	}
+	left := req.arrived.Add(req.s.dialect.deadline(req.r.Header, 2*refusalReadTimeout)).Sub(now)
+	return min(refusalReadTimeout, max(0, left/2))
+}
+
 // admit finds the route, organisation and deadline of the request. It returns a failure if
 // the headers alone rule the request out.
 func (req *callerRequest) admit() *failure {
