--- a/internal/request/forward/rival.go
+++ b/internal/request/forward/rival.go
@@ -51,6 +51,7 @@
 	body     *memory.Buffer
 	avoid    []routing.Instance // upstreams that it did not reach
 	overlap  *time.Timer        // ends the time in which two upstreams may work on a stream; may be nil
+	logged   bool               // see logSilence
 	ctx      context.Context
 	cancel   context.CancelFunc
 	chosen   chan struct{} // closed when it is committed
@@ -109,7 +110,8 @@
 	for first := true; rv.ctx.Err() == nil; first = false {
 		heard, silent := rv.request.s.pulses.during(rv.request.service, rv.since, time.Now())
 		waits := rv.mayPause(heard, len(silent), time.Now()) && !unreachable.Load()
-		if first {
+		if !rv.logged {
+			rv.logged = true
 			rv.request.logSilence(rv, heard, len(silent), waits)
 		}
 		if !waits {
