--- a/internal/request/answer.go
+++ b/internal/request/answer.go
@@ -313,6 +313,6 @@
 	a.finishWithUsage(false)
 	a.s.count.outcome(outcome.Unknown, outcome.ReasonBroken)
 	a.v.span.SetAttributes(attribute.String("outcome", string(outcome.Unknown)))
-	conn.CutCaller(a.v.w, a.v.r)
+	conn.CutCaller(a.v.w, a.v.r) // the stream must not look whole
 	return true
 }
