--- a/review/standins-2/link.go
+++ b/review/standins-2/link.go
@@ -24,6 +24,7 @@
 	loss     atomic.Pointer[float64] // nil: none
 	delayed  atomic.Int64
 	isCut    atomic.Bool
+	silence  atomic.Int64 // number of the silence that began last: connections from before it are silent for good
 	calledAt atomic.Int64 // when something was last sent from the side that connects, in Unix nanoseconds
 }
 
@@ -66,6 +67,7 @@
 	defer from.Close()
 	buf := make([]byte, packetBytes)
 	lost := false // bytes were held up by a cut: nothing that follows is of use
+	opened := k.silence.Load()
 	for {
 		n, err := from.Read(buf)
 		if n > 0 {
@@ -73,7 +75,7 @@
 				k.calledAt.Store(time.Now().UnixNano())
 			}
 			k.delay()
-			if k.isCut.Load() {
+			if k.isCut.Load() || k.silence.Load() > opened {
 				lost = true
 			}
 			if lost {
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -79,6 +79,7 @@
 	"refused": playRefused,
 	"zombie":  playZombie,
 	"outage":  playOutage,
+	"silence": playSilence,
 }
 
 func main() {
