--- a/review/standins-2/zombie.go
+++ b/review/standins-2/zombie.go
@@ -21,7 +21,7 @@
 	lossShare     = 0.03
 	lossyFor      = 1500 * time.Millisecond
 	leaversEach   = 10
-	leaveGap      = 100 * time.Millisecond
+	leaveGap      = 60 * time.Millisecond
 	lingerFor     = 10 * time.Second // how long a server serves on after its entry was removed
 	zombieUsers   = 90
 )
