--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/silverswitchd ] && [ -x target/standins-2 ] || { echo "build first: review/build-2.sh" >&2; exit 2; }
-exec target/standins-2 outage "$here"
+exec target/standins-2 zombie "$here"
--- a/review/standins-2/zombie.go
+++ b/review/standins-2/zombie.go
@@ -26,6 +26,12 @@
 	zombieUsers   = 90
 )
 
+// appConfig is the configuration of all cases: orders that may run once, at a plain service.
+const appConfig = `{"version":1,"routes":[{"name":"order-post","host":"shop.example","prefix":"/orders/","kind":"non_idempotent","timeout_ms":800,"target_latency_ms":300,"priority":2,"service":"counter-app","max_attempts":1}],` +
+	`"services":[{"name":"counter-app","health_path":"/health","max_conns":96}],` +
+	`"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000,"tokens_per_s":390000},` +
+	`"tenants":[{"name":"school","api_keys":["key-of-the-school"]}]}`
+
 // arrival is a request that has reached a server.
 type arrival struct {
 	server, id string
